Add the design page, the core's contract and the life of a call

Cause: a new project needs one agreed set of tables, events, commands and peer messages before its parts can be written side by side. Change: docs/design.md; row types, events, commands, messages and failure types; Node.step, which feeds events to systems in a fixed order; the calls system; the build, formatter, linter, type checker and test command. Conclusion: the core runs without sockets or a clock of its own, so that the daemon, tests and benches can drive the same code.

--- /dev/null
+++ b/src/poplarfold/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""The implementation of poplarfold. Nothing below is a public interface."""
--- /dev/null
+++ b/src/poplarfold/_internal/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the core and of the daemon."""
--- /dev/null
+++ b/src/poplarfold/_internal/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per subcommand."""
--- /dev/null
+++ b/src/poplarfold/_internal/core/invariants.py
@@ -0,0 +1,57 @@
+"""Assertions over the state of one node, run at the end of each step.
+
+A violation is a numbered event in production and raises under tests.
+"""
+
+from collections.abc import Callable
+
+from poplarfold._internal.core.state import NodeState
+from poplarfold._internal.exceptions import InvariantViolation
+
+__all__ = ["CHECKS", "check", "invariant"]
+
+Check = Callable[[NodeState, float], str | None]
+CHECKS: dict[str, Check] = {}
+
+
+def invariant(name: str) -> Callable[[Check], Check]:
+    """Register a check. It returns what is wrong, or None."""
+
+    def register(function: Check) -> Check:
+        CHECKS[name] = function
+        return function
+
+    return register
+
+
+def check(state: NodeState, now: float) -> None:
+    """Run all checks. Raises InvariantViolation if the settings are strict."""
+    for name, function in CHECKS.items():
+        problem = function(state, now)
+        if problem is None:
+            continue
+        state.log("PF9001", None, invariant=name, problem=problem)
+        if state.settings.strict_invariants:
+            raise InvariantViolation(f"{name}: {problem}")
+
+
+@invariant("answered-once")
+def check_one_running_attempt(state: NodeState, now: float) -> str | None:
+    """Check that each call has at most one attempt that may answer it."""
+    seen: set[str] = set()
+    for attempt_id, row in state.attempts.items():
+        if row.state == "ended":
+            continue
+        if row.call_id in seen:
+            return f"call {row.call_id} has a second attempt {attempt_id}"
+        seen.add(row.call_id)
+    return None
+
+
+@invariant("at-most-once")
+def check_sent_calls_hold_claims(state: NodeState, now: float) -> str | None:
+    """Check that a call with an operation id runs only under its claim."""
+    for call_id, row in state.calls.items():
+        if row.phase == "running" and row.operation_id and row.fencing < 0:
+            return f"call {call_id} runs without a claim"
+    return None
--- /dev/null
+++ b/src/poplarfold/_internal/core/messages.py
@@ -0,0 +1,166 @@
+"""Messages between nodes.
+
+Each message is a NamedTuple with a ``type_code``, the ``t`` field on the
+wire. The peer link encodes the fields by name as a CBOR map and ignores
+fields that it does not know, so that two releases can talk to each other.
+"""
+
+from typing import NamedTuple
+
+from poplarfold._internal.core.model import EndpointRef
+
+PROTOCOL_VERSION = 1
+
+
+class Hello(NamedTuple):
+    """The first message on a connection, in both directions."""
+
+    host: str
+    incarnation: int
+    domain: str
+
+
+class Ping(NamedTuple):
+    """A membership probe with piggybacked member updates.
+
+    Each update is (host, incarnation, state, domain, address). ``revision`` is
+    the sender's catalogue revision.
+    """
+
+    probe: int
+    revision: int
+    updates: tuple[tuple[str, int, str, str, str], ...]
+
+
+class Ack(NamedTuple):
+    """The answer to Ping."""
+
+    probe: int
+    revision: int
+    updates: tuple[tuple[str, int, str, str, str], ...]
+
+
+class PingRequest(NamedTuple):
+    """Asks a member to probe ``target`` for the sender."""
+
+    probe: int
+    target: str
+
+
+class DomainSummary(NamedTuple):
+    """What a relay tells the relays of other domains, once a second.
+
+    ``capacity`` rows are (owner, service, version, free slots, backlog ms).
+    """
+
+    domain: str
+    members: tuple[tuple[str, int, str, str, str], ...]
+    revision: int
+    capacity: tuple[tuple[str, str, str, int, int], ...]
+
+
+class CatalogueWanted(NamedTuple):
+    """Asks a peer for its catalogue, when the log does not answer."""
+
+    above_revision: int
+
+
+class CatalogueState(NamedTuple):
+    """A peer's catalogue as a checkpoint body, with the offset it covers."""
+
+    offset: int
+    body: bytes
+
+
+class PlaceWanted(NamedTuple):
+    """Asks a cell owner for a placement of one call.
+
+    ``wait_s`` is the time left until the deadline, as clocks differ by host.
+    """
+
+    call_id: str
+    entry: str
+    account: str
+    prompt_tokens: int
+    prompt_bytes: int
+    prefixes: tuple[str, ...]
+    max_outputs: int
+    wait_s: float
+    waited_s: float
+    excluded: tuple[str, ...]
+    is_retry: bool
+
+
+class PlaceGranted(NamedTuple):
+    """A cell owner's answer. ``start_in_s`` counts from its receipt."""
+
+    call_id: str
+    lease_id: str
+    prefill: EndpointRef | None
+    decode: EndpointRef
+    start_in_s: float
+    priority: int
+
+
+class PlaceDenied(NamedTuple):
+    """A cell owner's refusal, with the code of the error."""
+
+    call_id: str
+    code: str
+    detail: str
+
+
+class PlaceWithdrawn(NamedTuple):
+    """The caller of a waiting call has gone."""
+
+    call_id: str
+
+
+class LeaseReleased(NamedTuple):
+    """The attempt under this lease is over."""
+
+    lease_id: str
+    error_code: str
+    failed_endpoint: str
+    mean_interval_s: float
+
+
+class LeaseProgress(NamedTuple):
+    """The prefill under this lease is done."""
+
+    lease_id: str
+    prefill_s: float
+
+
+class LeasesHeld(NamedTuple):
+    """Tells a new cell owner which leases this node still holds."""
+
+    leases: tuple[tuple[str, str, str, int], ...]
+
+
+class CancelWanted(NamedTuple):
+    """Asks a cell owner to see to the cancel of an attempt."""
+
+    attempt_id: str
+    address: str
+
+
+PeerMessage = (
+    Hello
+    | Ping
+    | Ack
+    | PingRequest
+    | DomainSummary
+    | CatalogueWanted
+    | CatalogueState
+    | PlaceWanted
+    | PlaceGranted
+    | PlaceDenied
+    | PlaceWithdrawn
+    | LeaseReleased
+    | LeaseProgress
+    | LeasesHeld
+    | CancelWanted
+)
+
+MESSAGE_TYPES: tuple[type, ...] = PeerMessage.__args__
--- /dev/null
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -0,0 +1,9 @@
+"""The systems of a node, in the order in which they see each event."""
+
+from types import ModuleType
+
+from poplarfold._internal.core.systems import calls
+
+__all__ = ["ALL_SYSTEMS"]
+
+ALL_SYSTEMS: tuple[ModuleType, ...] = (calls,)
--- /dev/null
+++ b/src/poplarfold/_internal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: I/O around the core of one node."""
--- /dev/null
+++ b/src/poplarfold/_internal/exceptions.py
@@ -0,0 +1,297 @@
+"""Every failure type of the project.
+
+Each type carries a stable ``code``, the HTTP ``status`` that a client
+receives for it and, for calls that must not be repeated, an ``outcome``. The
+core passes these objects around as values inside ``result.Err``; only the
+edges raise them.
+
+    >>> EntryNotFoundError("captions").as_body("c-1")["error"]["code"]
+    'entry_not_found'
+"""
+
+from enum import StrEnum
+from typing import ClassVar, TypedDict
+
+
+class Outcome(StrEnum):
+    """What is known about a call that must run at most once."""
+
+    NOT_RUN = "not_run"
+    IN_PROGRESS = "in_progress"
+    UNKNOWN = "unknown"
+    DONE = "done"
+
+
+class ErrorDetail(TypedDict):
+    """The fields of one error answer."""
+
+    code: str
+    message: str
+    outcome: str | None
+    call_id: str | None
+
+
+class ErrorBody(TypedDict):
+    """The JSON body of an error answer."""
+
+    error: ErrorDetail
+
+
+class PoplarfoldError(Exception):
+    """The base of all failures of the project."""
+
+    code: ClassVar[str] = "internal_error"
+    status: ClassVar[int] = 500
+    outcome: Outcome | None = None
+
+    def as_body(self, call_id: str | None = None) -> ErrorBody:
+        """Return the JSON body that a caller receives for this failure."""
+        return {
+            "error": {
+                "code": self.code,
+                "message": str(self),
+                "outcome": self.outcome.value if self.outcome else None,
+                "call_id": call_id,
+            }
+        }
+
+    def with_outcome(self, outcome: Outcome) -> "PoplarfoldError":
+        """Return this failure with the outcome of its non-repeatable call set."""
+        self.outcome = outcome
+        return self
+
+
+class SettingsError(PoplarfoldError):
+    """A settings file is invalid. The message names the key and the line."""
+
+    code = "invalid_settings"
+
+
+class UsageError(PoplarfoldError):
+    """The command line is wrong."""
+
+    code = "usage"
+
+
+# Requests that are wrong in themselves.
+
+
+class RequestError(PoplarfoldError):
+    """The request is malformed."""
+
+    code = "invalid_request"
+    status = 400
+
+
+class AuthenticationError(PoplarfoldError):
+    """The credential is missing or unknown."""
+
+    code = "unauthenticated"
+    status = 401
+
+
+class EntryNotFoundError(PoplarfoldError):
+    """The entry does not exist, or the account may not use it."""
+
+    code = "entry_not_found"
+    status = 404
+
+
+class EntryKindError(PoplarfoldError):
+    """A model call named a service entry, or the reverse."""
+
+    code = "wrong_entry_kind"
+    status = 400
+
+
+class IdempotencyKeyError(PoplarfoldError):
+    """The Idempotency-Key header is missing or malformed."""
+
+    code = "idempotency_key_required"
+    status = 400
+
+
+class IdempotencyMismatchError(PoplarfoldError):
+    """The key was used before with another request body."""
+
+    code = "idempotency_key_reused"
+    status = 422
+
+
+class PromptTooLargeError(PoplarfoldError):
+    """The prompt does not fit any engine or the request limit."""
+
+    code = "prompt_too_large"
+    status = 413
+
+
+# Refusals for lack of capacity, time or knowledge.
+
+
+class NodeNotReadyError(PoplarfoldError):
+    """The node knows no catalogue yet, or is stopping."""
+
+    code = "not_ready"
+    status = 503
+
+
+class NoEndpointError(PoplarfoldError):
+    """No live endpoint serves exactly what the entry pins."""
+
+    code = "no_endpoint"
+    status = 503
+
+
+class OverloadedError(PoplarfoldError):
+    """The call could not meet the latency target of its class."""
+
+    code = "overloaded"
+    status = 429
+
+
+class LimitReachedError(PoplarfoldError):
+    """This node's share of a limit of the entry is used up."""
+
+    code = "limit_reached"
+    status = 429
+
+
+class LinkBudgetError(PoplarfoldError):
+    """The byte budget of the link between regions is used up."""
+
+    code = "link_budget_reached"
+    status = 429
+
+
+class DeadlineExceededError(PoplarfoldError):
+    """The deadline of the call has passed."""
+
+    code = "deadline_exceeded"
+    status = 504
+
+
+class UpstreamFailedError(PoplarfoldError):
+    """The endpoints failed and the retry budget or the deadline is used up."""
+
+    code = "upstream_failed"
+    status = 502
+
+
+class CallerGoneError(PoplarfoldError):
+    """The caller closed its connection."""
+
+    code = "caller_gone"
+    status = 499
+
+
+# Calls that must run at most once.
+
+
+class CallInProgressError(PoplarfoldError):
+    """Another request with the same key is running."""
+
+    code = "in_progress"
+    status = 409
+    outcome: Outcome | None = Outcome.IN_PROGRESS
+
+
+class OutcomeUnknownError(PoplarfoldError):
+    """The call may or may not have run and will not be run again."""
+
+    code = "outcome_unknown"
+    status = 409
+    outcome: Outcome | None = Outcome.UNKNOWN
+
+
+class LogUnavailableError(PoplarfoldError):
+    """The log service does not answer in time."""
+
+    code = "log_unavailable"
+    status = 503
+
+
+# The catalogue.
+
+
+class EntryInvalidError(PoplarfoldError):
+    """A catalogue entry is malformed. The message names the field."""
+
+    code = "invalid_entry"
+    status = 400
+
+
+class RevisionConflictError(PoplarfoldError):
+    """An amendment named a revision that is not current."""
+
+    code = "revision_conflict"
+    status = 409
+
+
+class LogGapError(PoplarfoldError):
+    """Offsets of a stream are not contiguous."""
+
+    code = "log_gap"
+
+
+class CheckpointError(PoplarfoldError):
+    """A checkpoint is corrupt or of an unknown version."""
+
+    code = "invalid_checkpoint"
+
+
+# Endpoints and peers.
+
+
+class EndpointError(PoplarfoldError):
+    """An endpoint answered with an error."""
+
+    code = "endpoint_error"
+    status = 502
+
+
+class EndpointUnreachableError(EndpointError):
+    """No connection to the endpoint could be made: nothing was sent."""
+
+    code = "endpoint_unreachable"
+
+
+class EndpointRefusedError(EndpointError):
+    """The endpoint refused the work before it started (full or leaving)."""
+
+    code = "endpoint_refused"
+
+
+class EndpointStalledError(EndpointError):
+    """The endpoint's connection went silent."""
+
+    code = "endpoint_stalled"
+
+
+class IdentityMismatchError(EndpointError):
+    """The endpoint serves something else than the entry pins."""
+
+    code = "identity_mismatch"
+
+
+class KvGoneError(EndpointError):
+    """The prefill result was evicted before the decode engine imported it."""
+
+    code = "kv_gone"
+
+
+class StaleFencingError(EndpointError):
+    """The endpoint has seen a higher fencing number."""
+
+    code = "stale_fencing"
+
+
+class PeerProtocolError(PoplarfoldError):
+    """A peer sent a malformed or oversized message."""
+
+    code = "peer_protocol"
+
+
+class InvariantViolation(PoplarfoldError):  # noqa: N818
+    """An invariant of the core does not hold."""
+
+    code = "invariant_violation"
--- /dev/null
+++ b/src/poplarfold/_internal/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs with numbered events, and the time line read from them."""
--- /dev/null
+++ b/src/poplarfold/_internal/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that poplarfold meets, for tests and demos."""
--- /dev/null
+++ b/src/poplarfold/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers of one job each."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,1 @@
+"""Shared fixtures."""
