Read daemon settings from TOML and list every problem with its line

The daemon and its tools need one validated settings type. parse_settings checks the whole file against a table of keys with units in their names, then the relations between keys, and returns DaemonSettings or a SettingsError whose problems name file, line and key. The line is found by scanning the text, because tomllib keeps no positions.

SettingsError gains problems (empty by default) in exceptions.py.

--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -9,8 +9,9 @@
     'entry_not_found'
 """
 
+from collections.abc import Sequence
 from enum import StrEnum
-from typing import ClassVar, TypedDict
+from typing import ClassVar, NamedTuple, TypedDict
 
 
 class Outcome(StrEnum):
@@ -61,10 +62,31 @@
         return self
 
 
+class SettingsProblem(NamedTuple):
+    """One thing that is wrong in a file. ``key`` is empty for the whole file."""
+
+    file: str
+    line: int
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        subject = f"{self.key}: " if self.key else ""
+        return f"{self.file}:{self.line}: {subject}{self.message}"
+
+
 class SettingsError(PoplarfoldError):
-    """A settings file is invalid. The message names the key and the line."""
+    """A settings file is invalid. The message names each key and its line."""
 
     code = "invalid_settings"
+    problems: tuple[SettingsProblem, ...] = ()
+
+    @classmethod
+    def from_problems(cls, problems: Sequence[SettingsProblem]) -> "SettingsError":
+        """Return one error that lists all problems, one a line."""
+        error = cls("\n".join(map(str, problems)))
+        error.problems = tuple(problems)
+        return error
 
 
 class UsageError(PoplarfoldError):
--- /dev/null
+++ b/src/poplarfold/_internal/settings_file.py
@@ -0,0 +1,613 @@
+"""Reads a daemon's settings file: TOML into one validated NamedTuple.
+
+The whole file is checked at once. Each problem names the file, the line and
+the key, and all of them are listed, so that a file is corrected in one pass.
+
+    >>> parse_settings("[node]\\nhots = 1\\n", "a.toml").unwrap_err().problems[0]
+    SettingsProblem(file='a.toml', line=2, key='node.hots', message='...')
+"""
+
+import difflib
+import math
+import re
+import tomllib
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+from urllib.parse import urlsplit
+
+from result import Err, Ok, Result
+
+from poplarfold._internal.exceptions import SettingsError, SettingsProblem
+from poplarfold._internal.settings import DomainSettings, NodeSettings
+
+__all__ = [
+    "KEYS",
+    "POLICIES",
+    "DaemonSettings",
+    "KeySpec",
+    "ListenAddress",
+    "PeerSettings",
+    "TimeoutSettings",
+    "TlsSettings",
+    "parse_settings",
+    "read_settings",
+]
+
+POLICIES = ("owner", "p2c", "fixed", "random", "round-robin", "least-loaded")
+
+# 400 nodes and 1,200 accounts need about 150 kB; the bound keeps a wrong path
+# (a log file, a device) from filling the memory.
+FILE_LIMIT_BYTES = 4_000_000
+BITS_PER_BYTE = 8
+BYTES_PER_MBIT = 1_000_000 // BITS_PER_BYTE
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+HEADER_PATTERN = re.compile(r"\s*\[{1,2}(?P<path>[^\[\]]+)\]{1,2}\s*(#.*)?$")
+ASSIGNMENT_PATTERN = re.compile(r"\s*(?P<path>[A-Za-z0-9_.\"'-]+)\s*=")
+TOML_LINE_PATTERN = re.compile(r"at line (\d+)")
+
+
+class ListenAddress(NamedTuple):
+    """An address and port on which the daemon listens."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class PeerSettings(NamedTuple):
+    """Another entry host: the address of its peer link and its domain."""
+
+    host: str
+    address: str
+    domain: str
+
+
+class TlsSettings(NamedTuple):
+    """Paths of the PEM files for mutual TLS between nodes."""
+
+    certificate_path: Path
+    key_path: Path
+    ca_path: Path
+
+
+class TimeoutSettings(NamedTuple):
+    """Time limits of connections and calls, in seconds."""
+
+    connect_s: float
+    endpoint_silence_s: float
+    log_append_s: float
+    request_read_s: float
+    default_deadline_s: float
+    max_deadline_s: float
+
+
+class DaemonSettings(NamedTuple):
+    """Everything that one daemon needs to know.
+
+    ``accounts`` and ``operators`` map a name to the SHA-256 of its bearer
+    token in hexadecimal. ``log_path`` is None for standard error.
+    """
+
+    node: NodeSettings
+    caller_listen: ListenAddress
+    operator_listen: ListenAddress
+    peer_listen: ListenAddress
+    log_url: str
+    host_list_url: str
+    weight_store_url: str
+    peers: tuple[PeerSettings, ...]
+    accounts: Mapping[str, str]
+    operators: Mapping[str, str]
+    tls: TlsSettings | None
+    request_threads: int
+    body_limit_bytes: int
+    timeouts: TimeoutSettings
+    log_path: Path | None
+
+
+class KeySpec(NamedTuple):
+    """One key of the file. ``*`` in the path stands for a name.
+
+    ``kind`` is one of the keys of CHECKERS. ``default`` is None for a key that
+    must be set. ``minimum`` and ``maximum`` bound numbers, both inclusive.
+    """
+
+    path: str
+    kind: str
+    default: object
+    meaning: str
+    minimum: float = -math.inf
+    maximum: float = math.inf
+
+
+KEYS: tuple[KeySpec, ...] = (
+    KeySpec("node.host", "name", None, "host id of this entry host"),
+    KeySpec("node.domain", "name", None, "failure domain of this entry host"),
+    KeySpec(
+        "node.host_slot",
+        "integer",
+        0,
+        "number of this entry host in its domain; selects its share of each limit",
+        0,
+        10_000,
+    ),
+    KeySpec("node.policy", "policy", "owner", "placement policy"),
+    KeySpec(
+        "node.strict_invariants",
+        "boolean",
+        False,
+        "stop at a violated invariant instead of only logging it",
+    ),
+    KeySpec("domains.*.region", "name", None, "region of the failure domain"),
+    KeySpec(
+        "domains.*.host_slots",
+        "integer",
+        None,
+        "number of entry hosts over which the domain's part of a limit is split",
+        1,
+        10_000,
+    ),
+    KeySpec("listen.callers", "listen", None, "address for callers"),
+    KeySpec("listen.operators", "listen", None, "address for operators"),
+    KeySpec("listen.peers", "listen", None, "address for other nodes"),
+    KeySpec("platform.log_url", "url", None, "URL of the log service"),
+    KeySpec("platform.host_list_url", "url", None, "URL of the host list"),
+    KeySpec("platform.weight_store_url", "url", None, "URL of the weight store"),
+    KeySpec("peers.*.address", "address", None, "address of the node's peer link"),
+    KeySpec("peers.*.domain", "name", None, "failure domain of the node"),
+    KeySpec("accounts.*", "digest", None, "SHA-256 of the account's bearer token"),
+    KeySpec("operators.*", "digest", None, "SHA-256 of the operator's bearer token"),
+    KeySpec("tls.certificate_path", "path", "", "PEM certificate with the host id"),
+    KeySpec("tls.key_path", "path", "", "PEM key of the certificate"),
+    KeySpec("tls.ca_path", "path", "", "PEM certificate of the authority of peers"),
+    KeySpec(
+        "requests.threads",
+        "integer",
+        256,
+        "request threads, which bound the open streams of the process",
+        1,
+        4096,
+    ),
+    KeySpec(
+        "requests.body_limit_bytes",
+        "integer",
+        4_000_000,
+        "largest request body that is accepted",
+        1024,
+        256_000_000,
+    ),
+    KeySpec(
+        "timeouts.connect_s",
+        "number",
+        0.5,
+        "time to open a connection to an endpoint, the log or a peer",
+        0.01,
+        60,
+    ),
+    KeySpec(
+        "timeouts.endpoint_silence_s",
+        "number",
+        1.5,
+        "silence on a stream after which a new connection is tried; engines send "
+        "a heartbeat every 0.5 s",
+        0.6,
+        60,
+    ),
+    KeySpec(
+        "timeouts.log_append_s",
+        "number",
+        2.0,
+        "time after which an append counts as unanswered",
+        0.05,
+        60,
+    ),
+    KeySpec(
+        "timeouts.request_read_s",
+        "number",
+        10.0,
+        "time that a caller has to send its whole request",
+        0.1,
+        600,
+    ),
+    KeySpec(
+        "timeouts.default_deadline_s",
+        "number",
+        60.0,
+        "deadline of a call that names none",
+        0.1,
+        86_400,
+    ),
+    KeySpec(
+        "timeouts.max_deadline_s",
+        "number",
+        600.0,
+        "longest deadline that a call may name",
+        0.1,
+        86_400,
+    ),
+    KeySpec("log.path", "path", "", "log file; standard error if empty"),
+    KeySpec(
+        "claims.horizon_s",
+        "number",
+        7 * 86_400.0,
+        "age of an idempotency key after which its outcome is unknown",
+        60,
+        365 * 86_400,
+    ),
+    KeySpec(
+        "link.rate_mbit_per_s",
+        "number",
+        15.0,
+        "rate of the link between regions, each way",
+        0.001,
+        1_000_000,
+    ),
+    KeySpec(
+        "endpoint_rules.*.refuses_old_fencing",
+        "boolean",
+        False,
+        "endpoints of this service refuse old fencing numbers",
+    ),
+    KeySpec(
+        "endpoint_rules.*.knows_operations",
+        "boolean",
+        False,
+        "endpoints of this service recognise operation ids",
+    ),
+)
+
+
+class _Reader:
+    """Collects the values and the problems of one file."""
+
+    def __init__(self, file: str, text: str, document: dict[str, Any]) -> None:
+        self.file = file
+        self.lines = find_lines(text)
+        self.values: dict[str, Any] = {}
+        self.problems: list[SettingsProblem] = []
+        self.document = document
+
+    def complain(self, key: str, message: str) -> None:
+        """Record a problem at the line of the key or of its nearest table."""
+        path = key
+        while path and path not in self.lines:
+            path = path.rpartition(".")[0]
+        line = self.lines.get(path, 1)
+        self.problems.append(SettingsProblem(self.file, line, key, message))
+
+    def read(self) -> None:
+        """Check each key of the document, then look for keys that are missing."""
+        specs = {spec.path: spec for spec in KEYS}
+        for path, pattern, value in flatten(self.document, specs):
+            spec = specs.get(pattern)
+            if spec is None:
+                self.complain(path, unknown_key_message(pattern, path, specs))
+                continue
+            problem = check_value(spec, value)
+            if problem:
+                self.complain(path, problem)
+            else:
+                self.values[path] = value
+        for spec in KEYS:
+            for path in self._expand(spec.path):
+                if path in self.values or self._was_refused(path):
+                    continue
+                if spec.default is None:
+                    self.complain(path, "the key is missing")
+                else:
+                    self.values[path] = spec.default
+
+    def names(self, table: str) -> list[str]:
+        """Return the names under a table such as ``peers``."""
+        found = self.document.get(table)
+        return list(found) if isinstance(found, dict) else []
+
+    def _expand(self, pattern: str) -> list[str]:
+        if "*" not in pattern:
+            return [pattern]
+        table, _, rest = pattern.partition(".*")
+        return [f"{table}.{name}{rest}" for name in self.names(table)]
+
+    def _was_refused(self, path: str) -> bool:
+        return any(
+            path == problem.key or path.startswith(problem.key + ".")
+            for problem in self.problems
+        )
+
+
+def parse_settings(
+    text: str | bytes, file: str = "<settings>"
+) -> Result[DaemonSettings, SettingsError]:
+    """Check a settings file and return the settings or all that is wrong."""
+    if len(text) > FILE_LIMIT_BYTES:
+        return _failed(file, 1, f"the file is larger than {FILE_LIMIT_BYTES} bytes")
+    try:
+        decoded = text.decode("utf-8") if isinstance(text, bytes) else text
+    except UnicodeDecodeError as error:
+        line = error.object[: error.start].count(b"\n") + 1
+        return _failed(file, line, "the file is not UTF-8")
+    try:
+        document = tomllib.loads(decoded)
+    except RecursionError:
+        return _failed(file, 1, "the file is nested too deeply")
+    except ValueError as error:
+        # An integer of thousands of digits raises a plain ValueError.
+        found = TOML_LINE_PATTERN.search(str(error))
+        return _failed(file, int(found[1]) if found else 1, f"not TOML: {error}")
+    reader = _Reader(file, decoded, document)
+    reader.read()
+    check_relations(reader)
+    if reader.problems:
+        problems = sorted(reader.problems, key=lambda problem: problem.line)
+        return Err(SettingsError.from_problems(problems))
+    return Ok(build(reader))
+
+
+def read_settings(path: Path) -> Result[DaemonSettings, SettingsError]:
+    """Read and check a settings file."""
+    try:
+        with path.open("rb") as stream:
+            content = stream.read(FILE_LIMIT_BYTES + 1)
+    except OSError as error:
+        return _failed(str(path), 0, f"cannot be read: {error.strerror}")
+    return parse_settings(content, str(path))
+
+
+def _failed(file: str, line: int, message: str) -> Err[SettingsError]:
+    return Err(SettingsError.from_problems([SettingsProblem(file, line, "", message)]))
+
+
+def find_lines(text: str) -> dict[str, int]:
+    """Return the line of each table header and assignment, by dotted path.
+
+    This is a scan and not a parser: keys inside inline tables are not found,
+    and a problem in one is reported at the line of the table.
+    """
+    lines: dict[str, int] = {}
+    table = ""
+    for number, line in enumerate(text.split("\n"), start=1):
+        header = HEADER_PATTERN.match(line)
+        if header:
+            table = _plain_path(header["path"])
+            lines.setdefault(table, number)
+            continue
+        assignment = ASSIGNMENT_PATTERN.match(line)
+        if assignment:
+            key = _plain_path(assignment["path"])
+            lines.setdefault(f"{table}.{key}" if table else key, number)
+    return lines
+
+
+def _plain_path(path: str) -> str:
+    return ".".join(part.strip().strip("\"'") for part in path.split("."))
+
+
+def flatten(
+    document: Mapping[str, Any], specs: Mapping[str, KeySpec]
+) -> Iterator[tuple[str, str, object]]:
+    """Yield (path, pattern, value) for each value, with names as ``*``."""
+    named = {path.partition(".*")[0] for path in specs if "*" in path}
+    known = {path.partition(".")[0] for path in specs}
+    for table, content in document.items():
+        if not isinstance(content, dict) or table not in known:
+            yield table, table, content
+            continue
+        for key, value in content.items():
+            if table not in named:
+                yield f"{table}.{key}", f"{table}.{key}", value
+            elif f"{table}.*" in specs or not isinstance(value, dict):
+                yield f"{table}.{key}", f"{table}.*", value
+            else:
+                for inner, leaf in value.items():
+                    yield f"{table}.{key}.{inner}", f"{table}.*.{inner}", leaf
+
+
+def unknown_key_message(pattern: str, path: str, specs: Mapping[str, KeySpec]) -> str:
+    """Say that a key is unknown and name the key that was probably meant."""
+    if pattern == path and "." not in path:
+        tables = {spec.partition(".")[0] for spec in specs}
+        if path in tables:
+            return "must be a table"
+        close = difflib.get_close_matches(path, tables, 1)
+        return "unknown table or key" + (f"; did you mean {close[0]}?" if close else "")
+    if pattern.endswith(".*"):
+        return "must be a table"
+    parent, _, key = pattern.rpartition(".")
+    siblings = [spec.rpartition(".")[2] for spec in specs if in_table(spec, parent)]
+    close = difflib.get_close_matches(key, siblings, 1)
+    return "unknown key" + (f"; did you mean {close[0]}?" if close else "")
+
+
+def in_table(path: str, table: str) -> bool:
+    """Return whether a path is a key of the table itself."""
+    return path.rpartition(".")[0] == table
+
+
+def check_value(spec: KeySpec, value: object) -> str | None:
+    """Return what is wrong with the value of one key, or None."""
+    if spec.kind == "boolean":
+        return None if isinstance(value, bool) else "must be true or false"
+    if spec.kind in ("integer", "number"):
+        return _check_number(spec, value)
+    if not isinstance(value, str):
+        return "must be a string"
+    return _check_string(spec.kind, value)
+
+
+def _check_number(spec: KeySpec, value: object) -> str | None:
+    allowed = (int,) if spec.kind == "integer" else (int, float)
+    if isinstance(value, bool) or not isinstance(value, allowed):
+        return "must be an integer" if spec.kind == "integer" else "must be a number"
+    if not spec.minimum <= value <= spec.maximum:
+        # The value is not shown: a hexadecimal integer can be too long to print.
+        return f"must be from {spec.minimum:g} to {spec.maximum:g}"
+    return None
+
+
+def _check_string(kind: str, value: str) -> str | None:
+    if any(ord(character) < 32 for character in value):
+        return "must not contain control characters"
+    if kind == "name" and not NAME_PATTERN.fullmatch(value):
+        return "must be 1 to 64 letters, digits, dots, dashes or underscores"
+    if kind == "policy" and value not in POLICIES:
+        return f"must be one of {', '.join(POLICIES)}"
+    if kind == "digest" and not DIGEST_PATTERN.fullmatch(value):
+        return "must be a SHA-256 digest: 64 lower-case hexadecimal digits"
+    if kind == "listen" and split_address(value, 0) is None:
+        return "must be HOST:PORT with a port from 0 to 65535"
+    if kind == "address" and split_address(value, 1) is None:
+        return "must be HOST:PORT with a port from 1 to 65535"
+    if kind == "url" and not is_http_url(value):
+        return "must be a http:// or https:// URL without query"
+    return None
+
+
+def split_address(value: str, lowest_port: int) -> ListenAddress | None:
+    """Split HOST:PORT, with brackets around an IPv6 host."""
+    host, colon, port = value.rpartition(":")
+    host = host[1:-1] if host[:1] == "[" and host[-1:] == "]" else host
+    valid = host and colon and port.isascii() and port.isdigit() and len(port) <= 5
+    if not valid or not lowest_port <= int(port) <= 65535 or " " in host:
+        return None
+    return ListenAddress(host, int(port))
+
+
+def is_http_url(value: str) -> bool:
+    """Return whether the value is the base URL of an HTTP service."""
+    try:
+        parts = urlsplit(value)
+        valid_port = parts.port is None or parts.port > 0
+    except ValueError:
+        return False
+    plain = not parts.query and not parts.fragment and not parts.username
+    return bool(
+        parts.scheme in ("http", "https") and parts.hostname and valid_port and plain
+    )
+
+
+def check_relations(reader: _Reader) -> None:
+    """Check what only several keys together can get wrong."""
+    values = reader.values
+    for table in ("domains", "peers", "accounts", "operators", "endpoint_rules"):
+        for name in reader.names(table):
+            # Names go into ids, headers and metric labels.
+            if not NAME_PATTERN.fullmatch(name):
+                reader.complain(f"{table}.{name}", "the name has invalid characters")
+    domains = reader.names("domains")
+    domain = values.get("node.domain")
+    if domain is not None and domain not in domains:
+        reader.complain("node.domain", f"there is no table [domains.{domain}]")
+    slots = values.get(f"domains.{domain}.host_slots")
+    slot = values.get("node.host_slot")
+    if slots is not None and slot is not None and slot >= slots:
+        reader.complain("node.host_slot", f"must be below host_slots = {slots}")
+    for name in reader.names("peers"):
+        peer_domain = values.get(f"peers.{name}.domain")
+        if peer_domain is not None and peer_domain not in domains:
+            reader.complain(
+                f"peers.{name}.domain", f"there is no table [domains.{peer_domain}]"
+            )
+        if name == values.get("node.host"):
+            reader.complain(f"peers.{name}", "a node must not be its own peer")
+    _check_tokens(reader)
+    _check_listen_addresses(reader)
+    tls = [values.get(f"tls.{key}") for key in TlsSettings._fields]
+    if any(tls) and not all(tls):
+        reader.complain("tls", f"{', '.join(TlsSettings._fields)} go together")
+    shortest = values.get("timeouts.default_deadline_s", 0)
+    if shortest > values.get("timeouts.max_deadline_s", math.inf):
+        reader.complain(
+            "timeouts.default_deadline_s", "must not be above max_deadline_s"
+        )
+
+
+def _check_tokens(reader: _Reader) -> None:
+    owners: dict[str, str] = {}
+    for table in ("accounts", "operators"):
+        for name in reader.names(table):
+            digest = reader.values.get(f"{table}.{name}")
+            if digest is None:
+                continue
+            other = owners.setdefault(digest, f"{table}.{name}")
+            if other != f"{table}.{name}":
+                reader.complain(f"{table}.{name}", f"has the same token as {other}")
+
+
+def _check_listen_addresses(reader: _Reader) -> None:
+    seen: dict[str, str] = {}
+    for key in ("listen.callers", "listen.operators", "listen.peers"):
+        value = reader.values.get(key)
+        if value is None or value.endswith(":0"):
+            continue
+        other = seen.setdefault(value, key)
+        if other != key:
+            reader.complain(key, f"is the same address as {other}")
+
+
+def build(reader: _Reader) -> DaemonSettings:
+    """Build the settings from values that have been checked."""
+    values = reader.values
+
+    def listen(key: str) -> ListenAddress:
+        address = split_address(values[f"listen.{key}"], 0)
+        assert address is not None
+        return address
+
+    node = NodeSettings(
+        host=values["node.host"],
+        domain=values["node.domain"],
+        domains=tuple(
+            DomainSettings(
+                name,
+                values[f"domains.{name}.region"],
+                values[f"domains.{name}.host_slots"],
+            )
+            for name in reader.names("domains")
+        ),
+        host_slot=values["node.host_slot"],
+        policy=values["node.policy"],
+        link_bytes_per_s=int(values["link.rate_mbit_per_s"] * BYTES_PER_MBIT),
+        claim_horizon_s=float(values["claims.horizon_s"]),
+        endpoint_rules=tuple(
+            (
+                name,
+                values[f"endpoint_rules.{name}.refuses_old_fencing"],
+                values[f"endpoint_rules.{name}.knows_operations"],
+            )
+            for name in reader.names("endpoint_rules")
+        ),
+        strict_invariants=values["node.strict_invariants"],
+    )
+    tls_paths = [values[f"tls.{key}"] for key in TlsSettings._fields]
+    return DaemonSettings(
+        node=node,
+        caller_listen=listen("callers"),
+        operator_listen=listen("operators"),
+        peer_listen=listen("peers"),
+        log_url=values["platform.log_url"].rstrip("/"),
+        host_list_url=values["platform.host_list_url"].rstrip("/"),
+        weight_store_url=values["platform.weight_store_url"].rstrip("/"),
+        peers=tuple(
+            PeerSettings(
+                name, values[f"peers.{name}.address"], values[f"peers.{name}.domain"]
+            )
+            for name in reader.names("peers")
+        ),
+        accounts={
+            name: values[f"accounts.{name}"] for name in reader.names("accounts")
+        },
+        operators={
+            name: values[f"operators.{name}"] for name in reader.names("operators")
+        },
+        tls=TlsSettings(*map(Path, tls_paths)) if all(tls_paths) else None,
+        request_threads=values["requests.threads"],
+        body_limit_bytes=values["requests.body_limit_bytes"],
+        timeouts=TimeoutSettings(
+            *(float(values[f"timeouts.{key}"]) for key in TimeoutSettings._fields)
+        ),
+        log_path=Path(values["log.path"]) if values["log.path"] else None,
+    )
