Add the command-line framework with lazily imported commands

The tool needs one thin module per subcommand without loading all of them for each call. commands/__init__.py registers names, modules and summaries; the parser imports only the chosen command.

--- a/src/poplarfold/_internal/cli/commands/__init__.py
+++ b/src/poplarfold/_internal/cli/commands/__init__.py
@@ -1,1 +1,74 @@
-"""One module per subcommand."""
+"""The subcommands: a registry that imports a command's module when it runs.
+
+Each module defines ``add_arguments(parser)`` and ``run(options) -> int``;
+those of ``poplarfold bench NAME`` are called ``bench_NAME``.
+Modules are imported by name only when needed, so that ``poplarfold status``
+does not load the benches.
+"""
+
+import importlib
+from argparse import ArgumentParser, Namespace
+from typing import NamedTuple, Protocol, cast
+
+from poplarfold._internal.exceptions import CommandUnavailableError
+
+__all__ = ["BENCH_COMMANDS", "COMMANDS", "CommandModule", "CommandSpec", "load"]
+
+
+class CommandModule(Protocol):
+    """What the module of a subcommand defines."""
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Add the options and arguments of the command."""
+
+    def run(self, options: Namespace) -> int:
+        """Run the command and return its exit code."""
+
+
+class CommandSpec(NamedTuple):
+    """A subcommand. ``module`` is relative to this package."""
+
+    name: str
+    module: str
+    summary: str
+
+
+def _registry(*specs: CommandSpec) -> dict[str, CommandSpec]:
+    return {spec.name: spec for spec in specs}
+
+
+COMMANDS = _registry(
+    CommandSpec("publish", "publish", "publish a new catalogue entry"),
+    CommandSpec("amend", "amend", "change a published catalogue entry"),
+    CommandSpec("show", "show", "show the catalogue entries in force"),
+    CommandSpec("check", "check", "check settings files and entries"),
+    CommandSpec("status", "status", "show the state of a node and its domains"),
+    CommandSpec("drain", "drain", "stop a node without interrupting its calls"),
+    CommandSpec("timeline", "timeline", "merge the logs of many processes"),
+    CommandSpec("demo", "demo", "run sample calls on two daemons with stand-ins"),
+    CommandSpec("bench", "bench", "measure latency, goodput, faults and control"),
+)
+
+BENCH_COMMANDS = _registry(
+    CommandSpec("latency", "bench_latency", "compare a daemon with a direct call"),
+    CommandSpec("goodput", "bench_goodput", "measure goodput and wasted prefill"),
+    CommandSpec("faults", "bench_faults", "count violations under random faults"),
+    CommandSpec("control", "bench_control", "measure the cost of control per node"),
+    CommandSpec("report", "bench_report", "plot the results of goodput runs"),
+)
+
+
+def load(spec: CommandSpec) -> CommandModule:
+    """Import a command. Raises CommandUnavailableError if it is not installed."""
+    module = f"{__name__}.{spec.module}"
+    try:
+        return cast(CommandModule, importlib.import_module(module))
+    except ModuleNotFoundError as error:
+        if error.name == module:
+            raise CommandUnavailableError(
+                f"this installation does not contain the command {spec.name!r}"
+            ) from error
+        raise CommandUnavailableError(
+            f"the command {spec.name!r} needs the package {error.name!r}, which is "
+            "not installed"
+        ) from error
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -95,6 +95,37 @@
     code = "usage"
 
 
+class CommandUnavailableError(PoplarfoldError):
+    """The installation does not contain the command."""
+
+    code = "command_unavailable"
+
+
+class DaemonUnreachableError(PoplarfoldError):
+    """The daemon did not answer the command-line tool."""
+
+    code = "daemon_unreachable"
+
+
+class DaemonRefusedError(PoplarfoldError):
+    """The daemon answered the command-line tool with an error.
+
+    ``remote_code`` is the code that the daemon gave, ``remote_status`` its
+    HTTP status and ``body`` the whole answer.
+    """
+
+    code = "daemon_refused"
+    remote_code: str = ""
+    remote_status: int = 0
+    body: dict[str, object] = {}
+
+
+class LogFileError(PoplarfoldError):
+    """A log file cannot be read, or contains nothing that is asked for."""
+
+    code = "invalid_log_file"
+
+
 # Requests that are wrong in themselves.
 
 
