--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -1,9 +1,12 @@
-"""The systems of a node, in the order in which they see each event."""
+"""The systems of a node, in the order in which they see each event.
+
+``calls`` comes first, since the others read the rows that it has just changed.
+"""
 
 from types import ModuleType
 
-from poplarfold._internal.core.systems import calls
+from poplarfold._internal.core.systems import calls, health, placement, retries
 
 __all__ = ["ALL_SYSTEMS"]
 
-ALL_SYSTEMS: tuple[ModuleType, ...] = (calls,)
+ALL_SYSTEMS: tuple[ModuleType, ...] = (calls, health, placement, retries)
--- /dev/null
+++ b/src/poplarfold/_internal/core/systems/retries.py
@@ -0,0 +1,91 @@
+"""Whether a call whose attempt failed gets another one."""
+
+import heapq
+from functools import singledispatch
+from typing import NamedTuple
+
+from poplarfold._internal.core.events import AttemptEnded, CallArrived
+from poplarfold._internal.core.model import CallClass
+from poplarfold._internal.core.state import CallRow, NodeState
+from poplarfold._internal.core.systems import calls
+from poplarfold._internal.exceptions import (
+    OutcomeUnknownError,
+    PoplarfoldError,
+    UpstreamFailedError,
+)
+
+__all__ = ["RetryState", "next_wakeup", "on_event", "on_tick"]
+
+# Retries are at most this share of the calls of an entry, so that a failing
+# fleet sees no more than 1.1 times its load.
+BUDGET_SHARE = 0.1
+# Tokens that an idle entry keeps, so that single failures are retried at once.
+BUDGET_MAX = 10.0
+DELAY_MIN_S = 0.005
+DELAY_MAX_S = 0.1
+
+
+class RetryState:
+    """The retry budget of each entry and the retries that wait."""
+
+    def __init__(self) -> None:
+        self.budgets: dict[str, float] = {}
+        self.due: list[tuple[float, str]] = []
+
+
+@singledispatch
+def on_event(event: NamedTuple, state: NodeState, now: float) -> None:
+    """Handle one event; events of other systems are ignored."""
+
+
+def on_tick(state: NodeState, now: float) -> None:
+    """Start the retries that are due."""
+    due = state.part(RetryState).due
+    while due and due[0][0] <= now:
+        calls.retry_call(state, now, heapq.heappop(due)[1])
+
+
+def next_wakeup(state: NodeState, now: float) -> float | None:
+    """Return the time of the next retry."""
+    due = state.part(RetryState).due
+    return due[0][0] if due else None
+
+
+@on_event.register
+def _(event: CallArrived, state: NodeState, now: float) -> None:
+    budgets = state.part(RetryState).budgets
+    budget = budgets.get(event.entry, BUDGET_MAX) + BUDGET_SHARE
+    budgets[event.entry] = min(BUDGET_MAX, budget)
+
+
+@on_event.register
+def _(event: AttemptEnded, state: NodeState, now: float) -> None:
+    if event.error is None:
+        return
+    for call_id, call in state.calls.rows():
+        if call.phase != "retrying" or call.last_error is not event.error:
+            continue
+        error = refusal(state, now, call, event.error)
+        if error is not None:
+            calls.end_call(state, now, call_id, error)
+            continue
+        delay = min(DELAY_MAX_S, DELAY_MIN_S * 2**call.attempts)
+        start_at = now + delay * state.rng.random()
+        heapq.heappush(state.part(RetryState).due, (start_at, call_id))
+        state.log("PF4001", call_id, code=event.error.code, start_at=start_at)
+
+
+def refusal(
+    state: NodeState, now: float, call: CallRow, error: PoplarfoldError
+) -> PoplarfoldError | None:
+    """Return why the call gets no other attempt, or None and take budget."""
+    entry = state.entries.get(call.arrival.entry)
+    repeatable = entry is not None and entry.call_class is not CallClass.NON_REPEATABLE
+    if not repeatable and call.sent:
+        return OutcomeUnknownError(f"the endpoint failed after the send: {error}")
+    budgets = state.part(RetryState).budgets
+    budget = budgets.get(call.arrival.entry, BUDGET_MAX)
+    if now >= call.arrival.deadline or budget < 1.0:
+        return UpstreamFailedError(f"{error.code}: {error}")
+    budgets[call.arrival.entry] = budget - 1.0
+    return None
