--- a/src/poplarfold/_internal/logs/__init__.py
+++ b/src/poplarfold/_internal/logs/__init__.py
@@ -1,1 +1,1 @@
-"""Structured logs with numbered events, and the time line read from them."""
+"""Numbered events, how they are written, and the time line made from them."""
--- /dev/null
+++ b/src/poplarfold/_internal/logs/writer.py
@@ -0,0 +1,130 @@
+"""Writes numbered events as one JSON line each.
+
+    writer = open_writer(None, "galway-a-1", incarnation=1_700_000_000_000)
+    writer.write_event("PF2001", None, {"open_calls": 3})
+
+The lines have eliot's own keys (``task_uuid``, ``task_level``, ``timestamp``,
+``message_type``), so that ``eliot-prettyprint`` and eliot-tree read them. The
+fields of the event are kept apart under ``fields``: a field called ``host``
+names another host, never the writer.
+"""
+
+import io
+import sys
+import threading
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import IO, Any
+
+from eliot import FileDestination
+
+from poplarfold._internal.logs.catalogue import EVENTS
+
+__all__ = ["EventWriter", "open_writer"]
+
+# A reader of the time line holds one line in memory; callers choose some of
+# the text in it.
+FIELD_MAX_CHARS = 2_000
+DEPTH_MAX = 8
+INTEGER_MAX = 2**53 - 1
+UNKNOWN_NAME = "uncatalogued_event"
+
+
+class EventWriter:
+    """Writes the events of one process. Threads may share it.
+
+    A write that fails (a full or vanished file system) is counted in
+    ``lost_events`` and does not stop the process: logs must not end calls.
+    """
+
+    def __init__(
+        self,
+        stream: IO[Any],
+        host: str,
+        incarnation: int,
+        monotonic: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.stream = stream
+        self.destination = FileDestination(file=stream)
+        self.host = host
+        self.incarnation = incarnation
+        self.monotonic = monotonic
+        self.wall = wall
+        self.lock = threading.Lock()
+        self.written_events = 0
+        self.lost_events = 0
+
+    def write_event(
+        self, number: str, call_id: str | None, fields: Mapping[str, object]
+    ) -> None:
+        """Write one event of the catalogue. ``fields`` should be JSON values."""
+        kind = EVENTS.get(number)
+        message: dict[str, object] = {
+            "number": number,
+            "message_type": kind.name if kind else UNKNOWN_NAME,
+            "host": self.host,
+            "incarnation": self.incarnation,
+            "call_id": call_id,
+            "fields": as_json(fields),
+            "task_uuid": call_id or f"{self.host}-{self.incarnation:x}",
+        }
+        with self.lock:
+            # Taken under the lock, so that the order of lines is that of times.
+            message["monotonic"] = self.monotonic()
+            message["timestamp"] = self.wall()
+            message["task_level"] = [self.written_events + self.lost_events + 1]
+            try:
+                self.destination(message)
+                self.written_events += 1
+            except (OSError, TypeError, ValueError):
+                self.lost_events += 1
+
+    def close(self) -> None:
+        """Close the stream, unless it is standard error."""
+        with self.lock:
+            if self.stream is not sys.stderr:
+                self.stream.close()
+
+
+def open_writer(path: Path | None, host: str, incarnation: int) -> EventWriter:
+    """Return a writer to a file, which is appended to, or to standard error.
+
+    Raises OSError if the file cannot be opened.
+    """
+    if path is None:
+        return EventWriter(sys.stderr, host, incarnation)
+    # Unbuffered, so that each line is one write that other processes which
+    # append to the same file do not split.
+    stream = io.FileIO(path, "a")
+    return EventWriter(stream, host, incarnation)
+
+
+def as_json(value: object, depth: int = 0) -> object:
+    """Convert a value to one that every JSON encoder accepts.
+
+    Encoders refuse lone surrogates, integers over 64 bits and keys that are
+    not strings; an event must not be lost for that.
+    """
+    if value is None or isinstance(value, bool | float):
+        return value
+    if isinstance(value, int):
+        return value if abs(value) <= INTEGER_MAX else str_of(hex(value))
+    if isinstance(value, str):
+        return str_of(value)
+    if isinstance(value, bytes):
+        return str_of(value.decode("utf-8", "backslashreplace"))
+    if depth < DEPTH_MAX and isinstance(value, Mapping):
+        return {
+            str_of(str(key)): as_json(item, depth + 1) for key, item in value.items()
+        }
+    if depth < DEPTH_MAX and isinstance(value, list | tuple | set | frozenset):
+        return [as_json(item, depth + 1) for item in value]
+    return str_of(repr(value))
+
+
+def str_of(text: str) -> str:
+    """Return the text without lone surrogates, cut to FIELD_MAX_CHARS."""
+    cut = text if len(text) <= FIELD_MAX_CHARS else text[:FIELD_MAX_CHARS] + "..."
+    return cut.encode("utf-8", "backslashreplace").decode()
