Add pure models of the stand-ins

Tests, benches and demos need engines, services, a log, a host list and a weight store whose behaviour is known.

--- /dev/null
+++ b/src/poplarfold/_internal/standins/answers.py
@@ -0,0 +1,53 @@
+"""The deterministic answers of the stand-ins, which tests compute again.
+
+An output is a function of what the engine serves, of the prompt and of the
+number of the output, so that a test can tell a whole answer to the caller's own
+prompt from a truncated, reordered or foreign one.
+
+    >>> identity = Identity("association", "abstractor", "v1")
+    >>> expected_text(identity, "a prompt", 3).count(" ")
+    3
+"""
+
+import hashlib
+from zlib import crc32
+
+from poplarfold._internal.core.model import Identity
+
+__all__ = ["answer_key", "count_tokens", "expected_text", "output_text"]
+
+BYTES_PER_TOKEN = 4
+
+ONSETS = tuple(" " + onset for onset in "b d f g h j k l m n p r s t v w".split())
+VOWELS = ("a", "e", "i", "o", "u", "ai", "ea", "ou")
+MIDDLES = tuple("l m n r s t d k b p g v th nd st rm".split())
+ENDINGS = ("an", "el", "in", "or", "us", "ay", "et", "ish")
+
+
+def count_tokens(prompt: str) -> int:
+    """Return the number of tokens of a prompt, at 4 bytes of UTF-8 per token."""
+    return max(1, len(prompt.encode()) // BYTES_PER_TOKEN)
+
+
+def answer_key(identity: Identity, prompt: str) -> str:
+    """Return the key from which all outputs of an answer follow."""
+    digest = hashlib.sha256("\0".join(identity).encode())
+    digest.update(b"\0" + prompt.encode())
+    return digest.hexdigest()[:16]
+
+
+def output_text(key: str, seq: int) -> str:
+    """Return the text of output ``seq``: a blank and a word out of 16,384."""
+    value = crc32(b"%d" % seq, crc32(key.encode()))
+    return (
+        ONSETS[value & 15]
+        + VOWELS[value >> 4 & 7]
+        + MIDDLES[value >> 7 & 15]
+        + ENDINGS[value >> 11 & 7]
+    )
+
+
+def expected_text(identity: Identity, prompt: str, outputs: int) -> str:
+    """Return the whole answer of ``outputs`` outputs to a prompt."""
+    key = answer_key(identity, prompt)
+    return "".join(output_text(key, seq) for seq in range(outputs))
--- /dev/null
+++ b/src/poplarfold/_internal/standins/service_model.py
@@ -0,0 +1,351 @@
+"""A plain service as a pure model: a queue, a few workers and service times.
+
+A run takes effect when a worker takes it from the queue, and from then on it
+cannot be undone. ``runs`` counts effects per operation id, so that a test sees a
+filing that was filed twice.
+
+    >>> service = ServiceModel(ServiceConfig("s1", Identity("a", "registry", "v1")))
+    >>> service.call(0.0, Call("c1", "op-1", 7, service.identity, b"{}"))
+    >>> [(done.call, done.status) for done in service.advance(1.0)]
+    [('c1', 200)]
+"""
+
+import hashlib
+import heapq
+import json
+from collections import Counter, OrderedDict, deque
+from typing import NamedTuple
+
+from poplarfold._internal.core.events import EndpointReported, WorkItem
+from poplarfold._internal.core.model import EndpointRole, HostKey, Identity
+
+__all__ = [
+    "Call",
+    "CallDone",
+    "Operation",
+    "ServiceBackend",
+    "ServiceConfig",
+    "ServiceModel",
+    "answer_body",
+]
+
+OPERATIONS_KEPT = 100_000
+LEAVING_GRACE_S = 3.0
+
+
+class ServiceConfig(NamedTuple):
+    """The sizes and habits of one service process.
+
+    Service times grow evenly from ``service_min_s`` to ``service_max_s`` with a
+    digest of the call, so that runs are the same again. A process that
+    ``fences`` refuses a call with a lower fencing number than the service has seen
+    for the same operation; it runs an operation again under an equal or higher
+    number. One that ``knows_operations`` runs an operation once, and answers a
+    repeat from the record.
+    """
+
+    address: str
+    identity: Identity
+    incarnation: int = 1
+    workers: int = 4
+    queue_limit: int = 200
+    service_min_s: float = 0.005
+    service_max_s: float = 0.030
+    fences: bool = True
+    knows_operations: bool = True
+    checks_identity: bool = True
+
+
+class Call(NamedTuple):
+    """One request. ``call`` is unique per request, not per operation.
+
+    ``operation_id`` is empty and ``fencing`` negative for idempotent calls.
+    """
+
+    call: str
+    operation_id: str
+    fencing: int
+    identity: Identity
+    body: bytes
+    owner: HostKey = HostKey("", 0)
+
+
+class CallDone(NamedTuple):
+    """A request is answered."""
+
+    at: float
+    call: str
+    status: int
+    body: bytes
+
+
+class Operation(NamedTuple):
+    """What the service knows of an operation id."""
+
+    state: str
+    status: int = 0
+    body: bytes = b""
+
+
+def answer_body(identity: Identity, call: Call, run: int) -> bytes:
+    """Return the answer of a run: it names the operation and echoes the request."""
+    digest = hashlib.sha256(call.body).hexdigest()[:16]
+    answer = {
+        "owner": identity.owner,
+        "service": identity.service,
+        "version": identity.version,
+        "operation_id": call.operation_id,
+        "request_sha256": digest,
+        "run": run,
+    }
+    return json.dumps(answer, separators=(",", ":")).encode()
+
+
+class ServiceBackend:
+    """What the processes of one service share: the effects and the record.
+
+    It stands for the database behind a service. It survives the processes, and
+    shows two runs of one operation at two processes as two.
+    """
+
+    def __init__(self) -> None:
+        self.runs: Counter[str] = Counter()
+        self.operations: OrderedDict[str, Operation] = OrderedDict()
+        self.highest_fencing: dict[str, int] = {}
+
+    def record(self, operation_id: str, operation: Operation) -> None:
+        """Remember an operation, and forget the oldest one above the limit."""
+        self.operations[operation_id] = operation
+        if len(self.operations) > OPERATIONS_KEPT:
+            oldest, _ = self.operations.popitem(last=False)
+            self.highest_fencing.pop(oldest, None)
+
+
+class ServiceModel:
+    """One service process. Processes of one service share a ``backend``."""
+
+    def __init__(
+        self, config: ServiceConfig, backend: ServiceBackend | None = None
+    ) -> None:
+        self.config = config
+        self.backend = backend or ServiceBackend()
+        self.address = config.address
+        self.identity = config.identity
+        self.incarnation = config.incarnation
+        self.now = 0.0
+        self.slow_factor = 1.0
+        self.leaving_since: float | None = None
+        self.queue: deque[Call] = deque()
+        self.running: list[tuple[float, int, Call, bytes]] = []
+        self.sequence = 0
+        self.events: list[CallDone] = []
+        self.waiting: dict[str, list[str]] = {}
+        self.runs_here = 0
+        self.served: Counter[Identity] = Counter()
+        self.served_unpinned = 0
+        self.refusals: Counter[str] = Counter()
+        self.answered_again = 0
+        self.work_after_leaving_s = 0.0
+        self.late_work_after_leaving = 0
+        self.orders_fencing = -1
+        self.stale_orders_applied = 0
+
+    def next_event_at(self) -> float | None:
+        """Return the time of the next answer, or None when idle."""
+        return self.running[0][0] if self.running else None
+
+    def advance(self, now: float) -> list[CallDone]:
+        """Carry the service to ``now`` and return the answers made on the way."""
+        self.run_until(now)
+        events, self.events = self.events, []
+        return events
+
+    def run_until(self, now: float) -> None:
+        """Finish runs and start queued calls up to ``now``."""
+        while self.running and self.running[0][0] <= now:
+            self.now, _, call, body = heapq.heappop(self.running)
+            self.finish(call, 200, body)
+            self.start_queued()
+        self.now = max(self.now, now)
+
+    def call(self, now: float, call: Call) -> str | None:
+        """Queue a call, or return the code of a refusal; ``CallDone`` follows."""
+        self.run_until(now)
+        code = self.refusal_of(call)
+        if code is not None:
+            self.refusals[code] += 1
+            return code
+        backend = self.backend
+        if call.operation_id and self.config.fences:
+            backend.highest_fencing[call.operation_id] = call.fencing
+        if call.operation_id and self.config.knows_operations:
+            known = backend.operations.get(call.operation_id)
+            if known is not None:
+                self.answered_again += 1
+                if known.state == "done":
+                    done = CallDone(self.now, call.call, known.status, known.body)
+                    self.events.append(done)
+                elif self.holds(call.operation_id):
+                    self.waiting.setdefault(call.operation_id, []).append(call.call)
+                else:
+                    self.refusals["running_elsewhere"] += 1
+                    return "running_elsewhere"
+                return None
+        if call.operation_id:
+            backend.record(call.operation_id, Operation("running"))
+        self.queue.append(call)
+        self.start_queued()
+        return None
+
+    def refusal_of(self, call: Call) -> str | None:
+        """Return why a call is refused, or None."""
+        if self.config.checks_identity and call.identity != self.identity:
+            return "wrong_identity"
+        if self.config.fences and call.operation_id:
+            seen = self.backend.highest_fencing.get(call.operation_id, -1)
+            if call.fencing < seen:
+                return "stale_fencing"
+        if self.leaving_since is not None:
+            late_s = self.now - self.leaving_since
+            self.work_after_leaving_s = max(self.work_after_leaving_s, late_s)
+            self.late_work_after_leaving += late_s > LEAVING_GRACE_S
+            return "leaving"
+        if len(self.queue) >= self.config.queue_limit:
+            return "full"
+        return None
+
+    def holds(self, operation_id: str) -> bool:
+        """Return whether this process runs or queues the operation."""
+        running = (row[2].operation_id for row in self.running)
+        queued = (call.operation_id for call in self.queue)
+        return operation_id in running or operation_id in queued
+
+    def start_queued(self) -> None:
+        """Give queued calls to free workers; each start is one effect."""
+        while self.queue and len(self.running) < self.config.workers:
+            call = self.queue.popleft()
+            self.runs_here += 1
+            run = 1
+            if call.operation_id:
+                self.backend.runs[call.operation_id] += 1
+                run = self.backend.runs[call.operation_id]
+            self.served[self.identity] += 1
+            self.served_unpinned += call.identity != self.identity
+            body = answer_body(self.identity, call, run)
+            self.sequence += 1
+            done_at = self.now + self.service_time(call) * self.slow_factor
+            heapq.heappush(self.running, (done_at, self.sequence, call, body))
+
+    def service_time(self, call: Call) -> float:
+        """Return the service time of a call, a function of its name."""
+        digest = hashlib.sha256(call.call.encode()).digest()
+        share = int.from_bytes(digest[:4], "big") / 2**32
+        span_s = self.config.service_max_s - self.config.service_min_s
+        return self.config.service_min_s + span_s * share
+
+    def finish(self, call: Call, status: int, body: bytes) -> None:
+        """Answer a call, and those that wait for the same operation."""
+        self.events.append(CallDone(self.now, call.call, status, body))
+        if call.operation_id:
+            operation = Operation("done", status, body)
+            self.backend.record(call.operation_id, operation)
+            for waiting in self.waiting.pop(call.operation_id, ()):
+                self.events.append(CallDone(self.now, waiting, status, body))
+
+    def crash(self, now: float) -> None:
+        """Lose the process: started runs have their effect, queued calls none."""
+        self.run_until(now)
+        self.events.clear()
+        for _, _, call, body in self.running:
+            if call.operation_id:
+                self.backend.record(call.operation_id, Operation("done", 200, body))
+        for call in self.queue:
+            known = self.backend.operations.get(call.operation_id)
+            if known is not None and known.state == "running":
+                del self.backend.operations[call.operation_id]
+        self.running.clear()
+        self.queue.clear()
+        self.waiting.clear()
+
+    def operation(self, now: float, operation_id: str) -> Operation:
+        """Return what is known of an operation; ``unknown`` if never seen."""
+        self.run_until(now)
+        if not self.config.knows_operations:
+            return Operation("unknown")
+        return self.backend.operations.get(operation_id, Operation("unknown"))
+
+    def order(
+        self, now: float, order_id: str, kind: str, fencing: int, identity: Identity
+    ) -> str | None:
+        """Load another version, or refuse a stale fencing number."""
+        self.run_until(now)
+        if kind != "load":
+            return "unknown_order"
+        if fencing < self.orders_fencing:
+            if self.config.fences:
+                self.refusals["stale_fencing"] += 1
+                return "stale_fencing"
+            self.stale_orders_applied += 1
+        self.orders_fencing = max(self.orders_fencing, fencing)
+        self.identity = identity
+        return None
+
+    def leave(self, now: float) -> None:
+        """Announce that the process is leaving; queued calls are finished."""
+        self.run_until(now)
+        if self.leaving_since is None:
+            self.leaving_since = self.now
+
+    def set_slow(self, now: float, factor: float) -> None:
+        """Make later runs ``factor`` times as long."""
+        self.run_until(now)
+        self.slow_factor = factor
+
+    def report(self, now: float) -> EndpointReported:
+        """Return a load report. Queued calls count as busy."""
+        self.run_until(now)
+        work = [
+            WorkItem(call.operation_id or call.call, call.owner, "running")
+            for _, _, call, _ in self.running
+        ]
+        work.extend(
+            WorkItem(call.operation_id or call.call, call.owner, "queued")
+            for call in self.queue
+        )
+        return EndpointReported(
+            address=self.address,
+            incarnation=self.incarnation,
+            identity=self.identity,
+            role=EndpointRole.SERVICE,
+            slots=self.config.workers,
+            busy=len(work),
+            queued_tokens=0,
+            pieces_total=0,
+            pieces_free=0,
+            leaving=self.leaving_since is not None,
+            fences=self.config.fences,
+            knows_operations=self.config.knows_operations,
+            work=tuple(work),
+            cache_seq=0,
+        )
+
+    def counters(self) -> dict[str, object]:
+        """Return all counters as JSON values."""
+        return {
+            "address": self.address,
+            "incarnation": self.incarnation,
+            "runs": dict(self.backend.runs),
+            "runs_here": self.runs_here,
+            "answered_again": self.answered_again,
+            "served": [
+                {"identity": identity._asdict(), "kind": "call", "count": count}
+                for identity, count in self.served.items()
+            ],
+            "served_unpinned": self.served_unpinned,
+            "refusals": dict(self.refusals),
+            "work_after_leaving_s": self.work_after_leaving_s,
+            "late_work_after_leaving": self.late_work_after_leaving,
+            "stale_orders_applied": self.stale_orders_applied,
+            "queued": len(self.queue),
+            "running": len(self.running),
+        }
