--- /dev/null
+++ b/src/poplarfold/_internal/core/catalogue_codec.py
@@ -0,0 +1,115 @@
+"""Records of the ``catalogue`` stream and catalogue states as JSON."""
+
+import json
+from typing import Any, NamedTuple, TypeGuard
+
+from result import Err, Ok, Result
+
+from poplarfold._internal.core.entry_codec import entry_fields, entry_from_fields
+from poplarfold._internal.core.model import CatalogueEntry
+from poplarfold._internal.exceptions import (
+    CheckpointError,
+    EntryInvalidError,
+    PoplarfoldError,
+)
+
+__all__ = [
+    "CatalogueBody",
+    "Change",
+    "decode_change",
+    "decode_state",
+    "encode_change",
+    "encode_state",
+]
+
+FORMAT_VERSION = 1
+
+
+class Change(NamedTuple):
+    """One proposed change; ``base`` is -1 for a new entry."""
+
+    base: int
+    operator: str
+    entry: CatalogueEntry
+
+
+class CatalogueBody(NamedTuple):
+    """Entries whose revision is above ``above``, as of log offset ``offset``.
+
+    All records below ``offset`` are folded in. Entries are retired, never
+    removed, so a body holds all that changed since ``above``.
+    """
+
+    offset: int
+    above: int
+    entries: tuple[CatalogueEntry, ...]
+
+
+def encode_change(change: Change) -> bytes:
+    """Return the data of a log record."""
+    fields = {
+        "v": FORMAT_VERSION,
+        "base": change.base,
+        "operator": change.operator,
+        "entry": entry_fields(change.entry),
+    }
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_change(data: bytes) -> Result[Change, PoplarfoldError]:
+    """Decode the data of a log record."""
+    try:
+        fields = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        return Err(EntryInvalidError(f"the record is not valid JSON: {error}"))
+    if not isinstance(fields, dict) or fields.get("v") != FORMAT_VERSION:
+        return Err(EntryInvalidError("v: unknown format of a catalogue record"))
+    base = fields.get("base")
+    operator = fields.get("operator")
+    if not is_integer(base) or not isinstance(operator, str):
+        return Err(EntryInvalidError("base: must be an integer"))
+    entry = entry_from_fields(fields.get("entry"))
+    if isinstance(entry, Err):
+        return entry
+    return Ok(Change(base, operator, entry.ok_value))
+
+
+def encode_state(body: CatalogueBody) -> bytes:
+    """Return a catalogue state as JSON."""
+    fields = {
+        "v": FORMAT_VERSION,
+        "offset": body.offset,
+        "above": body.above,
+        "entries": [
+            {"revision": entry.revision, "entry": entry_fields(entry)}
+            for entry in body.entries
+        ],
+    }
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_state(data: bytes) -> Result[CatalogueBody, CheckpointError]:
+    """Decode a catalogue state of a peer or a checkpoint."""
+    try:
+        fields: Any = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        return Err(CheckpointError(f"the catalogue is not valid JSON: {error}"))
+    if not isinstance(fields, dict) or fields.get("v") != FORMAT_VERSION:
+        return Err(CheckpointError("v: unknown format of a catalogue"))
+    offset, above, rows = (fields.get(key) for key in ("offset", "above", "entries"))
+    if not is_integer(offset) or not is_integer(above) or not isinstance(rows, list):
+        return Err(CheckpointError("offset, above or entries has the wrong type"))
+    entries = []
+    for row in rows:
+        revision = row.get("revision") if isinstance(row, dict) else None
+        if not is_integer(revision) or not above < revision < offset:
+            return Err(CheckpointError("revision: must lie between above and offset"))
+        entry = entry_from_fields(row.get("entry"))
+        if isinstance(entry, Err):
+            return Err(CheckpointError(str(entry.err_value)))
+        entries.append(entry.ok_value._replace(revision=revision))
+    return Ok(CatalogueBody(offset, above, tuple(entries)))
+
+
+def is_integer(value: object) -> TypeGuard[int]:
+    return isinstance(value, int) and not isinstance(value, bool)
--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -2,8 +2,8 @@
 
 from types import ModuleType
 
-from poplarfold._internal.core.systems import calls
+from poplarfold._internal.core.systems import calls, catalogue, membership
 
 __all__ = ["ALL_SYSTEMS"]
 
-ALL_SYSTEMS: tuple[ModuleType, ...] = (calls,)
+ALL_SYSTEMS: tuple[ModuleType, ...] = (calls, membership, catalogue)
--- /dev/null
+++ b/src/poplarfold/_internal/core/systems/catalogue.py
@@ -0,0 +1,412 @@
+"""The catalogue: a fold over the log stream ``catalogue`` by offset.
+
+The fold is the same on every node. A record that names a revision which is
+not current at its offset is void. Revisions therefore only ever rise. When
+the log does not answer, a node takes the state of a peer that covers a higher
+offset; both ways lead to the same states.
+"""
+
+import json
+from functools import singledispatch
+from typing import NamedTuple
+
+from result import Err
+
+from poplarfold._internal.core.catalogue_codec import (
+    CatalogueBody,
+    Change,
+    decode_change,
+    decode_state,
+    encode_change,
+    encode_state,
+)
+from poplarfold._internal.core.commands import AnswerOperator, AppendLog, SendPeer
+from poplarfold._internal.core.entry_codec import decode_entry, entry_fields
+from poplarfold._internal.core.events import (
+    EntryInForce,
+    EntryProposed,
+    LogAppended,
+    LogAppendFailed,
+    LogRead,
+    LogReadFailed,
+    LogRecord,
+    PeerReceived,
+)
+from poplarfold._internal.core.log_reader import StreamReader
+from poplarfold._internal.core.messages import (
+    Ack,
+    CatalogueState,
+    CatalogueWanted,
+    DomainSummary,
+    Ping,
+)
+from poplarfold._internal.core.model import CatalogueEntry
+from poplarfold._internal.core.state import NodeState, Table
+from poplarfold._internal.core.systems import membership
+from poplarfold._internal.exceptions import (
+    LogUnavailableError,
+    NodeNotReadyError,
+    PoplarfoldError,
+    RevisionConflictError,
+)
+
+__all__ = ["CatalogueFold", "next_wakeup", "on_event", "on_tick", "revision"]
+
+STREAM = "catalogue"
+READ_WAIT_S = 10.0
+PROPOSAL_TIMEOUT_S = 10.0
+APPEND_RETRY_S = 0.3
+# The log usually delivers a change faster than this; only then is a peer
+# asked for it.
+PEER_ASK_AFTER_S = 0.3
+PEER_ASK_EVERY_S = 0.5
+PEERS_ASKED = 2
+# A starting node waits this long for peers that do not tell their revision.
+PEER_REVISION_WAIT_S = 2.0
+
+
+class ProposalRow(NamedTuple):
+    """An operator's change on its way through the log."""
+
+    request_id: str
+    record_id: str
+    name: str
+    data: bytes
+    since: float
+    next_try_at: float | None
+    offset: int = -1
+    may_exist: bool = False
+
+
+class CatalogueFold:
+    """The fold's position and the operators' changes in progress."""
+
+    def __init__(self) -> None:
+        self.reader = StreamReader(STREAM, READ_WAIT_S)
+        self.started_at: float | None = None
+        self.revision = -1
+        self.known = False
+        self.peer_revision = -1
+        self.peer_host: str | None = None
+        self.behind_since: float | None = None
+        self.ask_peer_at = 0.0
+        self.proposals: Table[str, ProposalRow] = Table()
+
+
+def revision(state: NodeState) -> int:
+    """Return the highest revision in force on this node, or -1."""
+    return state.part(CatalogueFold).revision
+
+
+@singledispatch
+def on_event(event: NamedTuple, state: NodeState, now: float) -> None:
+    """Handle one event; events of other systems are ignored."""
+
+
+def on_tick(state: NodeState, now: float) -> None:
+    """Read on, repeat appends, ask peers and decide on readiness."""
+    fold = state.part(CatalogueFold)
+    if fold.started_at is None:
+        fold.started_at = now
+    fold.reader.tick(state, now)
+    for record_id, row in fold.proposals.rows():
+        if now >= row.since + PROPOSAL_TIMEOUT_S:
+            give_up(state, fold, row)
+        elif row.next_try_at is not None and now >= row.next_try_at:
+            fold.proposals.put(record_id, row._replace(next_try_at=None))
+            state.emit(AppendLog(STREAM, record_id, row.data))
+    ask_peers(state, fold, now)
+    if not state.catalogue_ready and is_ready(state, fold, now):
+        state.catalogue_ready = True
+        state.log("PF3001", None, revision=fold.revision, offset=fold.reader.next)
+
+
+def next_wakeup(state: NodeState, now: float) -> float | None:
+    """Return the time of the next read, retry or question to a peer."""
+    fold = state.part(CatalogueFold)
+    if fold.started_at is None:
+        return now
+    times = [fold.reader.due_at()]
+    for row in fold.proposals.values():
+        times.append(row.since + PROPOSAL_TIMEOUT_S)
+        if row.next_try_at is not None:
+            times.append(row.next_try_at)
+    if wants_peers(fold):
+        times.append(max(fold.ask_peer_at, now))
+    if not state.catalogue_ready and fold.known:
+        times.append(max(now, fold.started_at + PEER_REVISION_WAIT_S))
+    return min(times)
+
+
+def wants_peers(fold: CatalogueFold) -> bool:
+    return fold.behind_since is not None or (not fold.known and fold.reader.is_failing)
+
+
+def ask_peers(state: NodeState, fold: CatalogueFold, now: float) -> None:
+    """Ask peers for the catalogue if the log does not deliver it."""
+    if not wants_peers(fold) or now < fold.ask_peer_at:
+        return
+    fold.ask_peer_at = now + PEER_ASK_EVERY_S * (0.75 + state.rng.random() / 2)
+    hosts = [h for h in membership.all_live_hosts(state) if h != state.me.host]
+    near = [
+        h for h in membership.live_hosts(state, state.settings.domain) if h in hosts
+    ]
+    chosen = state.rng.sample(near or hosts, min(PEERS_ASKED, len(near or hosts)))
+    if fold.behind_since is not None and fold.peer_host is not None:
+        chosen = [fold.peer_host, *chosen[: PEERS_ASKED - 1]]
+    for host in dict.fromkeys(chosen):
+        state.emit(SendPeer(host, CatalogueWanted(fold.reader.next - 1)))
+
+
+def is_ready(state: NodeState, fold: CatalogueFold, now: float) -> bool:
+    """Return whether a catalogue is known that is no older than the peers'."""
+    if not fold.known or fold.revision < fold.peer_revision:
+        return False
+    if fold.reader.caught_up_at is not None:
+        return True
+    started_at = fold.started_at if fold.started_at is not None else now
+    heard = membership.all_domain_members_heard(state)
+    return heard or now >= started_at + PEER_REVISION_WAIT_S
+
+
+@on_event.register
+def _(event: LogRead, state: NodeState, now: float) -> None:
+    if event.stream != STREAM:
+        return
+    fold = state.part(CatalogueFold)
+    records = fold.reader.on_read(event, now)
+    if isinstance(records, Err):
+        state.log("PF3005", None, stream=STREAM, problem=str(records.err_value))
+        return
+    for record in records.ok_value:
+        fold_record(state, fold, record)
+    if fold.reader.caught_up_at is not None:
+        fold.known = True
+    note_progress(fold)
+    retry_missing(fold, now)
+
+
+@on_event.register
+def _(event: LogReadFailed, state: NodeState, now: float) -> None:
+    if event.stream != STREAM:
+        return
+    fold = state.part(CatalogueFold)
+    if not fold.reader.is_failing:
+        state.log("PF3004", None, stream=STREAM, expired=event.expired)
+    fold.reader.on_failure(event, now, state)
+
+
+def fold_record(state: NodeState, fold: CatalogueFold, record: LogRecord) -> None:
+    """Apply one record. This must not depend on anything but the log."""
+    change = decode_change(record.data)
+    if isinstance(change, Err):
+        state.log("PF3003", None, offset=record.offset, problem=str(change.err_value))
+        return
+    base, operator, entry = change.ok_value
+    current = state.entries.get(entry.name)
+    accepted = base == (current.revision if current else -1)
+    if accepted:
+        put_entry(state, fold, entry._replace(revision=record.offset))
+        state.log(
+            "PF3002",
+            None,
+            entry=entry.name,
+            revision=record.offset,
+            base=base,
+            operator=operator,
+        )
+    row = fold.proposals.pop(record.record_id, None)
+    if row is not None:
+        answer(state, row, accepted)
+
+
+def put_entry(state: NodeState, fold: CatalogueFold, entry: CatalogueEntry) -> None:
+    state.entries.put(entry.name, entry)
+    fold.revision = max(fold.revision, entry.revision)
+    state.post(EntryInForce(entry.name, entry.revision))
+
+
+def note_progress(fold: CatalogueFold) -> None:
+    if fold.revision >= fold.peer_revision:
+        fold.behind_since = None
+
+
+def retry_missing(fold: CatalogueFold, now: float) -> None:
+    """Append again what a lost answer left open and the log does not hold.
+
+    A second copy of the same change is harmless: if the first copy is in the
+    log after all, the second names a revision that is no longer current.
+    """
+    for record_id, row in fold.proposals.rows():
+        caught_up_at = fold.reader.caught_up_at
+        waits = row.may_exist and row.next_try_at is None
+        if waits and caught_up_at is not None and caught_up_at > row.since:
+            fold.proposals.put(
+                record_id, row._replace(next_try_at=now + APPEND_RETRY_S)
+            )
+
+
+@on_event.register
+def _(event: EntryProposed, state: NodeState, now: float) -> None:
+    fold = state.part(CatalogueFold)
+    decoded = decode_entry(event.entry_json)
+    if isinstance(decoded, Err):
+        state.emit(AnswerOperator(event.request_id, decoded.err_value, b""))
+        return
+    if not state.catalogue_ready:
+        error = NodeNotReadyError("the node does not know the catalogue yet")
+        state.emit(AnswerOperator(event.request_id, error, b""))
+        return
+    entry = decoded.ok_value
+    current = state.entries.get(entry.name)
+    if current is not None and event.base_revision < current.revision:
+        # Revisions only rise, so this change can never be accepted.
+        state.emit(conflict(event.request_id, event.base_revision, current))
+        return
+    record_id = state.new_id("cat")
+    data = encode_change(Change(event.base_revision, event.operator, entry))
+    fold.proposals.put(
+        record_id, ProposalRow(event.request_id, record_id, entry.name, data, now, None)
+    )
+    state.emit(AppendLog(STREAM, record_id, data))
+
+
+@on_event.register
+def _(event: LogAppended, state: NodeState, now: float) -> None:
+    if event.stream != STREAM:
+        return
+    fold = state.part(CatalogueFold)
+    fold.reader.note_record(event.offset, now)
+    row = fold.proposals.get(event.record_id)
+    if row is not None:
+        fold.proposals.put(
+            event.record_id, row._replace(offset=event.offset, next_try_at=None)
+        )
+
+
+@on_event.register
+def _(event: LogAppendFailed, state: NodeState, now: float) -> None:
+    if event.stream != STREAM:
+        return
+    fold = state.part(CatalogueFold)
+    row = fold.proposals.get(event.record_id)
+    if row is None or row.offset >= 0:
+        return
+    if event.unknown:
+        fold.proposals.put(event.record_id, row._replace(may_exist=True))
+        fold.reader.refresh(now)
+        return
+    delay = APPEND_RETRY_S * (0.5 + state.rng.random())
+    fold.proposals.put(event.record_id, row._replace(next_try_at=now + delay))
+
+
+def answer(state: NodeState, row: ProposalRow, accepted: bool) -> None:
+    """Tell the operator the fate of a change that the fold has passed."""
+    current = state.entries.get(row.name)
+    if accepted and current is not None:
+        state.emit(AnswerOperator(row.request_id, None, entry_body(current)))
+        return
+    base = json.loads(row.data)["base"]
+    state.emit(conflict(row.request_id, base, current))
+
+
+def conflict(
+    request_id: str, base: int, current: CatalogueEntry | None
+) -> AnswerOperator:
+    """Return the answer to a change that lost a race, with the current entry."""
+    if current is None:
+        error = RevisionConflictError(f"revision {base} of an unknown entry")
+        return AnswerOperator(request_id, error, b"{}")
+    error = RevisionConflictError(
+        f"entry {current.name!r} is at revision {current.revision}, not {base}"
+    )
+    return AnswerOperator(request_id, error, entry_body(current))
+
+
+def entry_body(entry: CatalogueEntry) -> bytes:
+    fields = {"revision": entry.revision, "entry": entry_fields(entry)}
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def give_up(state: NodeState, fold: CatalogueFold, row: ProposalRow) -> None:
+    """Answer an operator whose change found no end in the log in time."""
+    del fold.proposals[row.record_id]
+    waits_for_retry = row.next_try_at is not None
+    if waits_for_retry and row.offset < 0 and not row.may_exist:
+        text = "the log does not answer; the change was not made"
+    else:
+        text = "the log does not answer; the change may still take effect"
+    error: PoplarfoldError = LogUnavailableError(text)
+    state.emit(AnswerOperator(row.request_id, error, b""))
+
+
+@on_event.register
+def _(event: PeerReceived, state: NodeState, now: float) -> None:
+    fold = state.part(CatalogueFold)
+    message = event.message
+    if isinstance(message, Ping | Ack | DomainSummary):
+        note_peer_revision(state, fold, event.sender.host, message.revision, now)
+    elif isinstance(message, CatalogueWanted):
+        if fold.known and fold.reader.next - 1 > message.above_revision:
+            reply = state_above(state, message.above_revision)
+            state.emit(SendPeer(event.sender.host, reply))
+    elif isinstance(message, CatalogueState):
+        body = decode_state(message.body)
+        if isinstance(body, Err):
+            state.log("PF3006", None, peer=event.sender.host, problem=str(body.err()))
+            return
+        adopt(state, fold, body.ok_value, event.sender.host)
+
+
+def note_peer_revision(
+    state: NodeState, fold: CatalogueFold, host: str, seen: int, now: float
+) -> None:
+    if seen > fold.peer_revision:
+        fold.peer_revision = seen
+        fold.peer_host = host
+    if seen > fold.revision and fold.behind_since is None:
+        fold.behind_since = now
+        fold.ask_peer_at = max(fold.ask_peer_at, now + PEER_ASK_AFTER_S)
+        fold.reader.note_record(seen, now)
+
+
+def state_above(state: NodeState, above: int) -> CatalogueState:
+    """Return what changed after offset ``above``, for a peer."""
+    fold = state.part(CatalogueFold)
+    entries = tuple(e for e in state.entries.values() if e.revision > above)
+    body = CatalogueBody(fold.reader.next, above, entries)
+    return CatalogueState(fold.reader.next, encode_state(body))
+
+
+def adopt(
+    state: NodeState, fold: CatalogueFold, body: CatalogueBody, source: str
+) -> None:
+    """Take over a state that covers more of the log than this node's."""
+    if body.offset <= fold.reader.next or body.above > fold.reader.next - 1:
+        return
+    state.log("PF3007", None, source=source, offset=body.offset)
+    fold.reader.jump(body.offset)
+    fold.known = True
+    for entry in body.entries:
+        current = state.entries.get(entry.name)
+        if current is None or entry.revision > current.revision:
+            put_entry(state, fold, entry)
+    note_progress(fold)
+    for record_id, row in fold.proposals.rows():
+        # Offsets below the new position will not be read any more.
+        if 0 <= row.offset < body.offset:
+            del fold.proposals[record_id]
+            found = state.entries.get(row.name)
+            if found is not None and found.revision == row.offset:
+                answer(state, row, True)
+            else:
+                give_up_skipped(state, row)
+
+
+def give_up_skipped(state: NodeState, row: ProposalRow) -> None:
+    current = state.entries.get(row.name)
+    error = LogUnavailableError(
+        "the fate of the change is not known; see the entry's current revision"
+    )
+    body = entry_body(current) if current is not None else b""
+    state.emit(AnswerOperator(row.request_id, error, body))
