--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -5,8 +5,22 @@
 
 from types import ModuleType
 
-from poplarfold._internal.core.systems import calls, health, placement, retries
+from poplarfold._internal.core.systems import (
+    calls,
+    catalogue,
+    health,
+    membership,
+    placement,
+    retries,
+)
 
 __all__ = ["ALL_SYSTEMS"]
 
-ALL_SYSTEMS: tuple[ModuleType, ...] = (calls, health, placement, retries)
+ALL_SYSTEMS: tuple[ModuleType, ...] = (
+    calls,
+    membership,
+    catalogue,
+    health,
+    placement,
+    retries,
+)
