Read and merge the logs of many processes

No order may be concluded from the wall clocks of two hosts. merge keeps each process's monotonic order and estimates the offset between processes from messages whose sending and receipt were both logged; a process without such messages is marked as approximate. PF1003 names the lease, which links the cell owner's grant to the attempt under it. The reader recovers a whole event after a torn one and counts what it skips.

--- a/src/poplarfold/_internal/core/systems/calls.py
+++ b/src/poplarfold/_internal/core/systems/calls.py
@@ -209,6 +209,7 @@
         attempt=attempt_id,
         prefill=prefill.address if prefill else None,
         decode=event.placement.decode.address,
+        lease=event.placement.lease_id,
     )
 
 
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -35,7 +35,7 @@
     fields: tuple[str, ...]
     meaning: str
     alert: bool = False
-    link_end: LinkEnd | None = None
+    link_ends: tuple[LinkEnd, ...] = ()
 
 
 _ALL = (
@@ -44,6 +44,7 @@
         "call_arrived",
         ("entry", "account", "prompt_tokens", "call_class", "revision"),
         "a call was admitted under this revision of its entry",
+        link_ends=(LinkEnd("placement wanted", True, ("call_id",)),),
     ),
     EventKind(
         "PF1002",
@@ -54,8 +55,9 @@
     EventKind(
         "PF1003",
         "attempt_started",
-        ("attempt", "prefill", "decode"),
+        ("attempt", "prefill", "decode", "lease"),
         "an attempt began on these endpoints; prefill is null for a service",
+        link_ends=(LinkEnd("lease", False, ("lease",)),),
     ),
     EventKind(
         "PF1004",
@@ -92,6 +94,10 @@
         "placement_granted",
         ("lease",),
         "placement found endpoints for the call",
+        link_ends=(
+            LinkEnd("placement wanted", False, ("call_id",)),
+            LinkEnd("lease", True, ("lease",)),
+        ),
     ),
     EventKind(
         "PF4001",
--- /dev/null
+++ b/src/poplarfold/_internal/logs/reader.py
@@ -0,0 +1,135 @@
+"""Reads the log files of many processes, and skips what is no event."""
+
+import json
+import math
+import re
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import IO, Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from poplarfold._internal.exceptions import LogFileError
+
+__all__ = ["LogEvent", "LogFiles", "ProcessKey", "parse_line", "read_logs"]
+
+# Writers cut each string, so a longer line is not theirs.
+LINE_LIMIT_BYTES = 262_144
+# Bounds the memory of the reader.
+EVENTS_MAX = 1_000_000
+NUMBER_PATTERN = re.compile(r"PF\d{4}")
+EVENT_START = b'{"number":"PF'
+TEXT_MAX_CHARS = 256
+
+
+class ProcessKey(NamedTuple):
+    """One process: the host id and the incarnation that it logged."""
+
+    host: str
+    incarnation: int
+
+
+class LogEvent(NamedTuple):
+    """One line of a log. Times are in seconds, of the writer's own clocks.
+
+    ``order`` counts the lines of all files in the order in which they were
+    read.
+    """
+
+    number: str
+    process: ProcessKey
+    call_id: str | None
+    fields: dict[str, Any]
+    monotonic: float
+    wall: float
+    order: int
+
+
+class LogFiles(NamedTuple):
+    """What was read. ``skipped`` counts lines that are no event."""
+
+    events: list[LogEvent]
+    skipped: int
+    truncated: bool
+
+
+def read_logs(paths: Iterable[Path]) -> Result[LogFiles, LogFileError]:
+    """Read all files. Torn lines and lines of other programs are counted."""
+    events: list[LogEvent] = []
+    skipped = 0
+    for path in paths:
+        try:
+            with path.open("rb") as stream:
+                for line in read_lines(stream):
+                    event = parse_line(line, len(events)) if line else None
+                    if event is not None:
+                        events.append(event)
+                    else:
+                        skipped += 1
+                    if len(events) >= EVENTS_MAX:
+                        return Ok(LogFiles(events, skipped, True))
+        except OSError as error:
+            return Err(LogFileError(f"{path}: cannot be read: {error.strerror}"))
+    return Ok(LogFiles(events, skipped, False))
+
+
+def read_lines(stream: IO[bytes]) -> Iterator[bytes]:
+    """Yield each line that is not blank; an empty value for one too long."""
+    while line := stream.readline(LINE_LIMIT_BYTES):
+        if len(line) == LINE_LIMIT_BYTES and not line.endswith(b"\n"):
+            while (rest := stream.readline(LINE_LIMIT_BYTES)) and rest[-1:] != b"\n":
+                pass
+            yield b""
+        elif line.strip():
+            yield line
+
+
+def parse_line(line: bytes, order: int = 0) -> LogEvent | None:
+    """Return the event of a line, or None.
+
+    A process that is killed while it writes leaves half a line, and the next
+    process appends its own line to it: the whole event at the end counts.
+    """
+    start = line.rfind(EVENT_START)
+    for candidate in (line, line[start:] if start > 0 else b""):
+        try:
+            content = json.loads(candidate)
+        except (ValueError, RecursionError):
+            continue
+        return event_of(content, order)
+    return None
+
+
+def event_of(content: object, order: int) -> LogEvent | None:
+    """Check the types of a decoded line."""
+    if not isinstance(content, dict):
+        return None
+    number, host = content.get("number"), content.get("host")
+    incarnation, fields = content.get("incarnation"), content.get("fields")
+    call_id = content.get("call_id")
+    monotonic: Any = content.get("monotonic")
+    wall: Any = content.get("timestamp")
+    if not is_text(number) or not NUMBER_PATTERN.fullmatch(str(number)):
+        return None
+    if not is_text(host) or type(incarnation) is not int or abs(incarnation) > 2**63:
+        return None
+    if not isinstance(fields, dict) or not (call_id is None or is_text(call_id)):
+        return None
+    if not (is_time(monotonic) and is_time(wall)):
+        return None
+    process = ProcessKey(str(host), incarnation)
+    return LogEvent(
+        str(number), process, call_id, fields, float(monotonic), float(wall), order
+    )
+
+
+def is_text(value: object) -> bool:
+    """Return whether a value is a string short enough for an id."""
+    return isinstance(value, str) and len(value) <= TEXT_MAX_CHARS
+
+
+def is_time(value: Any) -> bool:
+    """Return whether a value is a plausible number of seconds."""
+    if type(value) not in (int, float):
+        return False
+    return -1e12 < value < 1e12 and math.isfinite(value)
--- /dev/null
+++ b/tests/unit/test_timeline.py
@@ -0,0 +1,101 @@
+"""Reading and merging logs of several processes."""
+
+import io
+import json
+
+from poplarfold._internal.logs.reader import parse_line, read_logs
+from poplarfold._internal.logs.timeline import merge
+from poplarfold._internal.logs.writer import EventWriter
+
+
+class Clocks:
+    """A process whose wall clock is wrong by ``wall_error`` seconds."""
+
+    def __init__(self, host, wall_error):
+        self.stream = io.BytesIO()
+        self.now = 0.0
+        self.writer = EventWriter(
+            self.stream,
+            host,
+            1,
+            monotonic=lambda: self.now + 1000 * wall_error,
+            wall=lambda: 1e9 + self.now + wall_error,
+        )
+
+    def write(self, now, number, call_id, **fields):
+        self.now = now
+        self.writer.write_event(number, call_id, fields)
+
+
+def merged(tmp_path, *processes):
+    paths = []
+    for index, process in enumerate(processes):
+        path = tmp_path / f"{index}.log"
+        path.write_bytes(process.stream.getvalue())
+        paths.append(path)
+    return merge(read_logs(paths).unwrap().events)
+
+
+def test_wall_clocks_that_differ_do_not_reverse_cause_and_effect(tmp_path):
+    """Guards against a grant that is shown before the call that asked for it."""
+    caller, owner = Clocks("g1", 0.0), Clocks("g2", -7.0)
+    for start in (0.0, 10.0):
+        call, lease = f"c-{start}", f"l-{start}"
+        caller.write(start, "PF1001", call)
+        owner.write(start + 0.002, "PF3001", call, lease=lease)
+        caller.write(start + 0.004, "PF1003", call, lease=lease)
+    line = merged(tmp_path, caller, owner)
+    numbers = [row.event.number for row in line.events]
+    assert numbers == ["PF1001", "PF3001", "PF1003"] * 2
+    (clock,) = [clock for clock in line.clocks if clock.aligned_to]
+    assert abs(abs(clock.shift_s) - 7.0) <= clock.error_s <= 0.0021
+
+
+def test_a_process_without_messages_is_marked_as_approximate(tmp_path):
+    """Guards against an order concluded from the wall clocks of two hosts."""
+    one, other = Clocks("g1", 0.0), Clocks("g2", -7.0)
+    one.write(0.0, "PF2001", None)
+    other.write(1.0, "PF2001", None)
+    assert all(clock.error_s is None for clock in merged(tmp_path, one, other).clocks)
+
+
+def test_a_step_of_the_wall_clock_does_not_reorder_one_process(tmp_path):
+    """Guards against sorting one process by its wall clock."""
+    process = Clocks("g1", 0.0)
+    process.write(0.0, "PF1001", "c-1")
+    process.writer.wall = lambda: 1e9 - 3600
+    process.write(1.0, "PF1004", "c-1")
+    process.write(2.0, "PF1005", "c-1")
+    numbers = [row.event.number for row in merged(tmp_path, process).events]
+    assert numbers == ["PF1001", "PF1004", "PF1005"]
+
+
+def test_torn_and_foreign_lines_are_skipped(tmp_path):
+    """Guards against a log that cannot be read after a crash."""
+    process = Clocks("g1", 0.0)
+    process.write(0.0, "PF1001", "c-1")
+    line = process.stream.getvalue()
+    path = tmp_path / "torn.log"
+    content = [line, b"kernel: oom\n", b'{"number": 5}\n', b"[" * 5000 + b"\n"]
+    content += [b"x" * 600_000 + b"\n", line[:40] + line, line[:-20]]
+    path.write_bytes(b"".join(content))
+    files = read_logs([path]).unwrap()
+    assert (len(files.events), files.skipped) == (2, 5)
+
+
+def test_a_writer_keeps_every_event_that_json_refuses(tmp_path):
+    """Guards against an event that is lost because of one odd value."""
+    process = Clocks("g1", 0.0)
+    process.write(0.0, "PF1002", None, a="\ud800\n", b=10**400, c={1}, d=b"\xff")
+    event = parse_line(process.stream.getvalue())
+    assert process.stream.getvalue().count(b"\n") == 1
+    assert set(event.fields) == {"a", "b", "c", "d"}
+    assert json.dumps(event.fields)
+
+
+def test_a_full_disk_does_not_stop_the_process():
+    """Guards against a call that fails because its log line cannot be written."""
+    process = Clocks("g1", 0.0)
+    process.stream.close()
+    process.write(0.0, "PF2001", None)
+    assert process.writer.lost_events == 1
