--- /dev/null
+++ b/src/poplarfold/_internal/cli/commands/timeline.py
@@ -0,0 +1,119 @@
+"""``poplarfold timeline``: merges the logs of many processes."""
+
+import json
+import sys
+from argparse import ArgumentParser, Namespace
+from collections.abc import Iterator
+from pathlib import Path
+
+from poplarfold._internal.cli.parser import add_json_option
+from poplarfold._internal.cli.status_codes import StatusCode
+from poplarfold._internal.exceptions import LogFileError
+from poplarfold._internal.logs.html_page import html_page
+from poplarfold._internal.logs.reader import EVENTS_MAX, read_logs
+from poplarfold._internal.logs.routes import (
+    describe_event,
+    find_route,
+    route_lines,
+)
+from poplarfold._internal.logs.timeline import TimeLine, merge
+from poplarfold._internal.utils.results import value_or_raise
+
+__all__ = ["add_arguments", "run"]
+
+
+def add_arguments(parser: ArgumentParser) -> None:
+    """Add the arguments of the command."""
+    parser.add_argument("files", nargs="+", type=Path, metavar="FILE", help="log file")
+    parser.add_argument("--call", metavar="ID", help="explain the route of one call")
+    parser.add_argument(
+        "--html", type=Path, metavar="FILE", help="write a self-contained page"
+    )
+    add_json_option(parser)
+
+
+def run(options: Namespace) -> int:
+    """Print the merged events, the route of one call, or write a page."""
+    files = value_or_raise(read_logs(options.files))
+    line = merge(files.events)
+    if files.skipped:
+        print(f"{files.skipped} lines are no events", file=sys.stderr)
+    if files.truncated:
+        print(f"only the first {EVENTS_MAX} events were read", file=sys.stderr)
+    if not line.events:
+        raise LogFileError("the files contain no events")
+    if options.html is not None:
+        try:
+            options.html.write_text(html_page(line, options.call), "utf-8")
+        except OSError as error:
+            raise LogFileError(f"{options.html}: {error.strerror}") from error
+    if options.call is not None:
+        return explain(line, options)
+    if options.html is None:
+        for text in json_lines(line) if options.json else text_lines(line):
+            print(text)
+    return int(StatusCode.SUCCESS)
+
+
+def explain(line: TimeLine, options: Namespace) -> int:
+    """Print the route of one call."""
+    route = find_route(line, options.call)
+    if route is None:
+        print(f"no event names the call {options.call!r}", file=sys.stderr)
+        return int(StatusCode.NOT_FOUND)
+    if options.json:
+        answer = {
+            "call_id": route.call_id,
+            "outcome": route.outcome,
+            "candidates": [text for _, texts in route.candidates for text in texts],
+            "attempts": [row.event.fields for row in route.attempts],
+            "cancels_confirmed": route.confirmed,
+            "cancels_unconfirmed": route.unconfirmed,
+            "events": [json.loads(text) for text in json_lines(line, options.call)],
+        }
+        print(json.dumps(answer))
+    else:
+        for text in route_lines(route):
+            print(text)
+    return int(StatusCode.SUCCESS)
+
+
+def text_lines(line: TimeLine) -> Iterator[str]:
+    """Yield how the clocks were aligned, then the events."""
+    for clock in line.clocks:
+        name = f"{clock.process.host} (incarnation {clock.process.incarnation})"
+        if clock.error_s is not None:
+            yield (
+                f"# {name}: shifted by {clock.shift_s:+.4f} s, within "
+                f"{clock.error_s:.4f} s, from {clock.messages} messages"
+            )
+        elif clock.aligned_to is not None:
+            yield (
+                f"# {name}: shifted by {clock.shift_s:+.4f} s; approximate, since "
+                "messages in one direction only were logged"
+            )
+        elif len(line.clocks) > 1:
+            yield f"# {name}: wall clock; only approximate against other processes"
+    start = line.events[0].time_s
+    for row in line.events:
+        yield (
+            f"{row.time_s - start:12.6f}  {row.event.process.host}  "
+            f"{row.event.call_id or '-'}  {describe_event(row.event)}"
+        )
+
+
+def json_lines(line: TimeLine, call_id: str | None = None) -> Iterator[str]:
+    """Yield one JSON object for each event."""
+    for time_s, event in line.events:
+        if call_id is not None and event.call_id != call_id:
+            continue
+        yield json.dumps(
+            {
+                "time_s": time_s,
+                "number": event.number,
+                "host": event.process.host,
+                "incarnation": event.process.incarnation,
+                "call_id": event.call_id,
+                "fields": event.fields,
+            }
+        )
--- /dev/null
+++ b/src/poplarfold/_internal/logs/routes.py
@@ -0,0 +1,242 @@
+"""Explains the route of one call from the events of all processes."""
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+from poplarfold._internal.logs.catalogue import EVENTS
+from poplarfold._internal.logs.reader import LogEvent
+from poplarfold._internal.logs.timeline import TimedEvent, TimeLine
+
+__all__ = [
+    "Route",
+    "call_ids",
+    "describe_event",
+    "endpoints_of",
+    "find_route",
+    "route_lines",
+]
+
+ENDPOINT_FIELDS = ("endpoint", "prefill", "decode", "address", "failed_endpoint")
+LINKING_FIELDS = ("attempt", "lease", "operation")
+ATTEMPT_STARTED = "PF1003"
+FIRST_OUTPUT = "PF1004"
+CALL_REFUSED = "PF1002"
+CALL_ENDED = "PF1005"
+RECORDED_ANSWER = "PF1006"
+CANCEL_CONFIRMED = "PF1007"
+
+
+class Route(NamedTuple):
+    """One call: what was considered, what was tried and how it ended.
+
+    ``confirmed`` and ``unconfirmed`` are (attempt, endpoint) pairs; the latter
+    are engines of failed or abandoned attempts that have not said that they
+    hold nothing.
+    """
+
+    call_id: str
+    events: list[TimedEvent]
+    candidates: list[tuple[TimedEvent, list[str]]]
+    attempts: list[TimedEvent]
+    confirmed: list[tuple[str, str]]
+    unconfirmed: list[tuple[str, str]]
+    outcome: str
+
+
+def find_route(line: TimeLine, call_id: str) -> Route | None:
+    """Return the route of a call, or None if no event names it.
+
+    Events that name no call belong to it by its attempts and leases.
+    """
+    own = [row for row in line.events if row.event.call_id == call_id]
+    if not own:
+        return None
+    links = {
+        (field, value)
+        for row in own
+        for field in LINKING_FIELDS
+        if isinstance(value := row.event.fields.get(field), str)
+    }
+    events = [
+        row
+        for row in line.events
+        if row.event.call_id == call_id
+        or (row.event.call_id is None and is_linked(row.event, links))
+    ]
+    attempts = [row for row in events if row.event.number == ATTEMPT_STARTED]
+    confirmed = [
+        (str(row.event.fields.get("attempt")), str(row.event.fields.get("endpoint")))
+        for row in events
+        if row.event.number == CANCEL_CONFIRMED
+    ]
+    return Route(
+        call_id=call_id,
+        events=events,
+        candidates=[
+            (row, candidate_lines(row.event.fields["candidates"]))
+            for row in events
+            if "candidates" in row.event.fields
+        ],
+        attempts=attempts,
+        confirmed=confirmed,
+        unconfirmed=unconfirmed_cancels(events, attempts, confirmed),
+        outcome=outcome_of(events),
+    )
+
+
+def is_linked(event: LogEvent, links: set[tuple[str, str]]) -> bool:
+    """Return whether an event names an attempt or lease of the call."""
+    values = ((field, event.fields.get(field)) for field in LINKING_FIELDS)
+    return any(isinstance(value, str) and (f, value) in links for f, value in values)
+
+
+def call_ids(line: TimeLine) -> Iterator[str | None]:
+    """Yield the call of each event; cancels name theirs by the attempt."""
+    calls = {
+        (field, value): row.event.call_id
+        for row in line.events
+        for field in LINKING_FIELDS
+        if isinstance(value := row.event.fields.get(field), str) and row.event.call_id
+    }
+    for row in line.events:
+        fields = row.event.fields
+        links = [(field, fields.get(field)) for field in LINKING_FIELDS]
+        linked = (calls.get((f, v)) for f, v in links if isinstance(v, str))
+        yield row.event.call_id or next(filter(None, linked), None)
+
+
+def unconfirmed_cancels(
+    events: list[TimedEvent],
+    attempts: list[TimedEvent],
+    confirmed: list[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return the engines of abandoned attempts that confirmed no cancel."""
+    ends = [row for row in events if row.event.number == CALL_ENDED]
+    is_whole = bool(ends) and ends[-1].event.fields.get("code") is None
+    abandoned = attempts[:-1] if is_whole or not ends else attempts
+    pairs = [
+        (str(row.event.fields.get("attempt")), str(row.event.fields[role]))
+        for row in abandoned
+        for role in ("prefill", "decode")
+        # Services hold nothing that could be cancelled.
+        if row.event.fields.get("prefill") and row.event.fields.get(role)
+    ]
+    return [pair for pair in pairs if pair not in confirmed]
+
+
+def outcome_of(events: list[TimedEvent]) -> str:
+    """Say how the call ended."""
+    for row in reversed(events):
+        fields = row.event.fields
+        if row.event.number == CALL_ENDED:
+            counts = f"{fields.get('outputs')} outputs, {fields.get('attempts')} "
+            counts += f"attempts, {seconds(fields.get('duration_s'))}"
+            code = fields.get("code")
+            return f"failed with {code}; {counts}" if code else f"whole; {counts}"
+        if row.event.number == RECORDED_ANSWER:
+            return f"answered with the recorded answer, status {fields.get('status')}"
+        if row.event.number == CALL_REFUSED:
+            return f"refused before any work: {fields.get('code')}"
+    return "no end was logged: the call runs, or its node died"
+
+
+def candidate_lines(candidates: object) -> list[str]:
+    """Return one line for each endpoint that placement considered."""
+    if isinstance(candidates, Mapping):
+        return [f"{name}: {as_text(reason)}" for name, reason in candidates.items()]
+    if not isinstance(candidates, list):
+        return [as_text(candidates)]
+    lines = []
+    for row in candidates:
+        if isinstance(row, Mapping):
+            lines.append(", ".join(f"{key}={as_text(row[key])}" for key in row))
+        elif isinstance(row, list) and row:
+            lines.append(f"{row[0]}: {', '.join(map(as_text, row[1:]))}")
+        else:
+            lines.append(as_text(row))
+    return lines
+
+
+def route_lines(route: Route) -> Iterator[str]:
+    """Yield the explanation for a reader."""
+    yield f"call {route.call_id}: {route.outcome}"
+    start = route.events[0].time_s
+    yield ""
+    yield "candidates"
+    if not route.candidates:
+        yield "  no event lists the endpoints that were considered"
+    for row, lines in route.candidates:
+        yield f"  at {offset(row, start)} on {row.event.process.host}"
+        yield from (f"    {line}" for line in lines)
+    yield ""
+    yield "attempts"
+    if not route.attempts:
+        yield "  none"
+    for row in route.attempts:
+        fields = row.event.fields
+        prefill = fields.get("prefill")
+        where = f"prefill {prefill}, decode" if prefill else "service"
+        yield (
+            f"  {fields.get('attempt')} at {offset(row, start)}: {where} "
+            f"{fields.get('decode')}{first_output(route, fields.get('attempt'))}"
+        )
+    yield ""
+    yield "cancels"
+    if not route.confirmed and not route.unconfirmed:
+        yield "  none"
+    for attempt, endpoint in route.confirmed:
+        yield f"  {attempt} on {endpoint}: confirmed"
+    for attempt, endpoint in route.unconfirmed:
+        yield f"  {attempt} on {endpoint}: no confirmation logged"
+    yield ""
+    yield "events"
+    for row in route.events:
+        yield f"  {offset(row, start)}  {row.event.process.host}  " + describe_event(
+            row.event
+        )
+
+
+def first_output(route: Route, attempt: object) -> str:
+    """Return when an attempt gave its first output."""
+    for row in route.events:
+        fields = row.event.fields
+        if row.event.number == FIRST_OUTPUT and fields.get("attempt") == attempt:
+            return f", first output after {seconds(fields.get('after_s'))}"
+    return ", no output"
+
+
+def describe_event(event: LogEvent) -> str:
+    """Return an event in one line."""
+    kind = EVENTS.get(event.number)
+    name = kind.name if kind else "unknown"
+    fields = " ".join(
+        f"{key}={as_text(value)}"
+        for key, value in event.fields.items()
+        if key != "candidates"
+    )
+    return f"{event.number} {name} {fields}".rstrip()
+
+
+def endpoints_of(event: LogEvent) -> list[str]:
+    """Return the endpoints that an event names."""
+    values = (event.fields.get(field) for field in ENDPOINT_FIELDS)
+    return sorted({value for value in values if isinstance(value, str) and value})
+
+
+def offset(row: TimedEvent, start: float) -> str:
+    """Return the time since the first event of the call."""
+    return f"{row.time_s - start:+.4f} s"
+
+
+def seconds(value: Any) -> str:
+    """Return a time in seconds, or what was logged instead."""
+    return f"{value:.3f} s" if isinstance(value, int | float) else as_text(value)
+
+
+def as_text(value: object) -> str:
+    """Return a logged value without characters that control a terminal."""
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = value if isinstance(value, str) else json.dumps(value)
+    return text if text.isprintable() else json.dumps(text)
--- a/tests/unit/test_timeline.py
+++ b/tests/unit/test_timeline.py
@@ -2,8 +2,13 @@
 
 import io
 import json
+import re
 
+from poplarfold._internal.cli.main import main
+from poplarfold._internal.cli.status_codes import StatusCode
+from poplarfold._internal.logs.html_page import html_page
 from poplarfold._internal.logs.reader import parse_line, read_logs
+from poplarfold._internal.logs.routes import find_route, route_lines
 from poplarfold._internal.logs.timeline import merge
 from poplarfold._internal.logs.writer import EventWriter
 
@@ -99,3 +104,64 @@
     process.stream.close()
     process.write(0.0, "PF2001", None)
     assert process.writer.lost_events == 1
+
+
+def route_of_a_retried_call(tmp_path):
+    node = Clocks("g1", 0.0)
+    node.write(0.0, "PF1001", "c-1", entry="captions", account="studio")
+    node.write(0.1, "PF3001", "c-1", lease="l", candidates=[["e:2", "full"]])
+    node.write(0.1, "PF1003", "c-1", attempt="a-1", prefill="e:1", decode="e:2")
+    node.write(0.2, "PF4001", "c-1", code="kv_gone", start_at=0.2)
+    node.write(0.3, "PF1003", "c-1", attempt="a-2", prefill="e:1", decode="e:3")
+    node.write(0.3, "PF1003", "c-2", attempt="b-1", prefill="e:1", decode="e:3")
+    node.write(0.4, "PF1007", None, attempt="a-1", endpoint="e:2", after_s=0.1)
+    node.write(0.4, "PF1007", None, attempt="b-1", endpoint="e:3", after_s=0.1)
+    node.write(0.5, "PF1004", "c-1", attempt="a-2", after_s=0.5)
+    node.write(0.9, "PF1005", "c-1", code=None, outputs=9, attempts=2, duration_s=0.9)
+    return merged(tmp_path, node)
+
+
+def test_a_route_shows_reasons_attempts_and_unconfirmed_cancels(tmp_path):
+    """Guards against held engine memory that the explanation does not show."""
+    route = find_route(route_of_a_retried_call(tmp_path), "c-1")
+    text = "\n".join(route_lines(route))
+    assert "call c-1: whole; 9 outputs, 2 attempts, 0.900 s" in text
+    assert "    e:2: full" in text
+    assert "a-2 at +0.3000 s: prefill e:1, decode e:3, first output after" in text
+    assert route.confirmed == [("a-1", "e:2")]
+    assert route.unconfirmed == [("a-1", "e:1")]
+    assert "b-1" not in text
+
+
+def test_the_page_is_self_contained_and_escapes_logged_text(tmp_path):
+    """Guards against logged text that runs as a script, and against requests."""
+    node = Clocks("g1", 0.0)
+    node.write(0.0, "PF1002", "</script><b>", code="x", entry="<img src=http://a>")
+    page = html_page(merged(tmp_path, node), "c-1")
+    assert page.count("</script>") == 2
+    assert "<img" not in page and "src=" not in page.replace("img src=", "")
+    assert "default-src 'none'" in page
+    start = page.index('id="data">') + len('id="data">')
+    data = json.loads(page[start : page.index("</script>", start)])
+    assert data["events"][0][3] == "</script><b>" and data["call"] == "c-1"
+
+
+def test_the_page_shows_cancels_with_their_call(tmp_path):
+    """Guards against a request filter that hides the request's cancels."""
+    page = html_page(route_of_a_retried_call(tmp_path))
+    calls = re.findall(r'"PF1007", "(.*?)"', page)
+    assert calls == ["c-1", "c-2"]
+
+
+def test_the_command_reads_files_and_names_an_unknown_call(tmp_path, capsys):
+    """Guards against a wrong call id that looks like a call without events."""
+    route_of_a_retried_call(tmp_path)
+    log, page = str(tmp_path / "0.log"), tmp_path / "page.html"
+    assert main(["timeline", log]) == 0
+    assert capsys.readouterr().out.count("\n") == 10
+    assert main(["timeline", log, "--call", "c-9"]) == StatusCode.NOT_FOUND
+    assert main(["timeline", log, "--call", "c-1", "--json"]) == 0
+    assert json.loads(capsys.readouterr().out)["cancels_unconfirmed"]
+    assert main(["timeline", log, "--html", str(page)]) == 0
+    assert "c-2" in page.read_text()
+    assert main(["timeline", str(tmp_path / "no")]) == StatusCode.INVALID_FILE
