--- /dev/null
+++ b/src/poplarfold/_internal/cli/commands/drain.py
@@ -0,0 +1,62 @@
+"""``poplarfold drain``: begins a planned stop of a node."""
+
+import json
+import time
+from argparse import ArgumentParser, Namespace
+
+from poplarfold._internal.cli.operator_client import (
+    OperatorClient,
+    client_from_options,
+)
+from poplarfold._internal.cli.parser import add_operator_options, positive_seconds
+from poplarfold._internal.cli.status_codes import StatusCode
+from poplarfold._internal.exceptions import DaemonUnreachableError
+from poplarfold._internal.utils.results import value_or_raise
+
+__all__ = ["add_arguments", "run"]
+
+POLL_S = 0.2
+DEFAULT_WAIT_S = 600.0
+
+
+def add_arguments(parser: ArgumentParser) -> None:
+    """Add the arguments of the command."""
+    parser.add_argument(
+        "--wait",
+        action="store_true",
+        help="wait until the node has finished its calls and ended",
+    )
+    parser.add_argument(
+        "--timeout",
+        type=positive_seconds,
+        default=DEFAULT_WAIT_S,
+        metavar="SECONDS",
+        help="longest time for --wait (default: %(default)s)",
+    )
+    add_operator_options(parser)
+
+
+def run(options: Namespace) -> int:
+    """Begin the stop; calls in progress are finished first."""
+    client = client_from_options(options)
+    value_or_raise(client.drain())
+    stopped = wait_until_stopped(client, options.timeout) if options.wait else None
+    if options.json:
+        print(json.dumps({"draining": True, "stopped": stopped}))
+    elif stopped is None:
+        print("the node takes no new calls and ends when its calls are finished")
+    elif stopped:
+        print("the node has finished its calls and ended")
+    else:
+        print(f"the node still runs after {options.timeout:g} s")
+    return int(StatusCode.INCOMPLETE if stopped is False else StatusCode.SUCCESS)
+
+
+def wait_until_stopped(client: OperatorClient, timeout_s: float) -> bool:
+    """Poll until the daemon does not answer any more; False if time is up."""
+    ends_at = time.monotonic() + timeout_s
+    while time.monotonic() < ends_at:
+        if isinstance(client.status().err(), DaemonUnreachableError):
+            return True
+        time.sleep(POLL_S)
+    return False
--- /dev/null
+++ b/src/poplarfold/_internal/cli/commands/status.py
@@ -0,0 +1,66 @@
+"""``poplarfold status``: shows the state of a node and of the domains it sees."""
+
+import json
+from argparse import ArgumentParser, Namespace
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from poplarfold._internal.cli.operator_client import client_from_options
+from poplarfold._internal.cli.parser import add_operator_options
+from poplarfold._internal.cli.status_codes import StatusCode
+from poplarfold._internal.utils.results import value_or_raise
+from poplarfold._internal.utils.text_table import text_table
+
+__all__ = ["add_arguments", "run"]
+
+
+def add_arguments(parser: ArgumentParser) -> None:
+    """Add the arguments of the command."""
+    add_operator_options(parser)
+
+
+def run(options: Namespace) -> int:
+    """Print the status. The exit code is 1 for a node that takes no calls."""
+    status = value_or_raise(client_from_options(options).status())
+    if options.json:
+        print(json.dumps(status))
+    else:
+        for line in describe(status):
+            print(line)
+    takes_calls = status.get("ready") and not status.get("draining")
+    return int(StatusCode.SUCCESS if takes_calls else StatusCode.FAILED)
+
+
+def describe(status: Mapping[str, Any]) -> Iterator[str]:
+    """Yield the lines for a reader."""
+    state = "draining" if status.get("draining") else "ready"
+    if not status.get("ready") and not status.get("draining"):
+        state = "not ready"
+    yield (
+        f"{status.get('host')} (incarnation {status.get('incarnation')}) in "
+        f"{status.get('domain')}: {state}, catalogue revision "
+        f"{status.get('revision')}, {status.get('calls')} calls"
+    )
+    domains = status.get("domains")
+    if isinstance(domains, dict) and domains:
+        yield ""
+        yield from text_table(
+            ("domain", "state", "revision"),
+            (
+                (
+                    name,
+                    "reachable" if row.get("reachable") else "cannot be reached",
+                    str(row.get("revision")),
+                )
+                for name, row in sorted(domains.items())
+                if isinstance(row, dict)
+            ),
+        )
+    endpoints = status.get("endpoints")
+    if isinstance(endpoints, list) and endpoints:
+        rows = [row for row in endpoints if isinstance(row, dict)]
+        columns = tuple(rows[0]) if rows else ()
+        yield ""
+        yield from text_table(
+            columns, ([str(row.get(name, "")) for name in columns] for row in rows)
+        )
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -274,10 +274,14 @@
 
 
 class RevisionConflictError(PoplarfoldError):
-    """An amendment named a revision that is not current."""
+    """An amendment named a revision that is not current.
+
+    ``current`` holds the fields of the current entry, if they are known.
+    """
 
     code = "revision_conflict"
     status = 409
+    current: object = None
 
 
 class LogGapError(PoplarfoldError):
