--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -1,6 +1,7 @@
 """The systems of a node, in the order in which they see each event.
 
-``calls`` comes first, since the others read the rows that it has just changed.
+``calls`` comes before ``retries``, which decides on the attempt that ``calls``
+has just closed.
 """
 
 from types import ModuleType
