--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Code that several tests share."""
