Give the catalogue's events numbers of their own

The catalogue and placement both used PF3001 to PF3005 for different events, so that an alert rule or the time line could not tell them apart. The first digit names the part of the system; the catalogue's events are PF5001 to PF5007 now, with the same fields.

--- a/src/poplarfold/_internal/core/systems/catalogue.py
+++ b/src/poplarfold/_internal/core/systems/catalogue.py
@@ -118,7 +118,7 @@
     ask_peers(state, fold, now)
     if not state.catalogue_ready and is_ready(state, fold, now):
         state.catalogue_ready = True
-        state.log("PF3001", None, revision=fold.revision, offset=fold.reader.next)
+        state.log("PF5001", None, revision=fold.revision, offset=fold.reader.next)
 
 
 def next_wakeup(state: NodeState, now: float) -> float | None:
@@ -176,7 +176,7 @@
     fold = state.part(CatalogueFold)
     records = fold.reader.on_read(event, now)
     if isinstance(records, Err):
-        state.log("PF3005", None, stream=STREAM, problem=str(records.err_value))
+        state.log("PF5005", None, stream=STREAM, problem=str(records.err_value))
         return
     for record in records.ok_value:
         fold_record(state, fold, record)
@@ -192,7 +192,7 @@
         return
     fold = state.part(CatalogueFold)
     if not fold.reader.is_failing:
-        state.log("PF3004", None, stream=STREAM, expired=event.expired)
+        state.log("PF5004", None, stream=STREAM, expired=event.expired)
     fold.reader.on_failure(event, now, state)
 
 
@@ -200,7 +200,7 @@
     """Apply one record. This must not depend on anything but the log."""
     change = decode_change(record.data)
     if isinstance(change, Err):
-        state.log("PF3003", None, offset=record.offset, problem=str(change.err_value))
+        state.log("PF5003", None, offset=record.offset, problem=str(change.err_value))
         return
     base, operator, entry = change.ok_value
     current = state.entries.get(entry.name)
@@ -208,7 +208,7 @@
     if accepted:
         put_entry(state, fold, entry._replace(revision=record.offset))
         state.log(
-            "PF3002",
+            "PF5002",
             None,
             entry=entry.name,
             revision=record.offset,
@@ -353,7 +353,7 @@
     elif isinstance(message, CatalogueState):
         body = decode_state(message.body)
         if isinstance(body, Err):
-            state.log("PF3006", None, peer=event.sender.host, problem=str(body.err()))
+            state.log("PF5006", None, peer=event.sender.host, problem=str(body.err()))
             return
         adopt(state, fold, body.ok_value, event.sender.host)
 
@@ -384,7 +384,7 @@
     """Take over a state that covers more of the log than this node's."""
     if body.offset <= fold.reader.next or body.above > fold.reader.next - 1:
         return
-    state.log("PF3007", None, source=source, offset=body.offset)
+    state.log("PF5007", None, source=source, offset=body.offset)
     fold.reader.jump(body.offset)
     fold.known = True
     for entry in body.entries:
