--- a/src/poplarfold/_internal/core/events.py
+++ b/src/poplarfold/_internal/core/events.py
@@ -8,6 +8,7 @@
 
 from poplarfold._internal.core.messages import PeerMessage
 from poplarfold._internal.core.model import (
+    EndpointRef,
     EndpointRole,
     HostKey,
     Identity,
@@ -297,10 +298,15 @@
 
 
 class PlacementWanted(NamedTuple):
-    """A call needs endpoints. ``excluded`` are addresses not to use again."""
+    """A call needs endpoints. ``excluded`` are addresses not to use again.
+
+    ``only`` names the one endpoint process that may be asked again about an
+    operation that it may have run.
+    """
 
     call_id: str
     excluded: tuple[str, ...] = ()
+    only: EndpointRef | None = None
 
 
 class Placed(NamedTuple):
--- a/src/poplarfold/_internal/core/messages.py
+++ b/src/poplarfold/_internal/core/messages.py
@@ -76,6 +76,10 @@
     """Asks a cell owner for a placement of one call.
 
     ``wait_s`` is the time left until the deadline, as clocks differ by host.
+    ``ask`` numbers the placements of a call: a repeat of one number gets the
+    same answer, and a higher one says that the lease of the last is over. Unless
+    ``may_wait``, the owner answers at once. ``only`` names the one endpoint
+    process that may be used. ``cell`` is the index of the cell.
     """
 
     call_id: str
@@ -89,6 +93,10 @@
     waited_s: float
     excluded: tuple[str, ...]
     is_retry: bool
+    ask: int = 0
+    may_wait: bool = True
+    only: EndpointRef | None = None
+    cell: int = 0
 
 
 class PlaceGranted(NamedTuple):
@@ -100,20 +108,29 @@
     decode: EndpointRef
     start_in_s: float
     priority: int
+    ask: int = 0
+    knows_operations: bool = False
 
 
 class PlaceDenied(NamedTuple):
-    """A cell owner's refusal, with the code of the error."""
+    """A cell owner's refusal, with the code of the error.
+
+    The code ``queued`` confirms that the call waits at the owner. ``wait_ms``
+    is the wait that the owner predicts.
+    """
 
     call_id: str
     code: str
     detail: str
+    ask: int = 0
+    wait_ms: int = 0
 
 
 class PlaceWithdrawn(NamedTuple):
-    """The caller of a waiting call has gone."""
+    """The caller of a waiting call has gone, or it waits elsewhere."""
 
     call_id: str
+    ask: int = 0
 
 
 class LeaseReleased(NamedTuple):
@@ -133,7 +150,10 @@
 
 
 class LeasesHeld(NamedTuple):
-    """Tells a new cell owner which leases this node still holds."""
+    """Tells a new cell owner which leases this node still holds.
+
+    Each row is (lease id, call id, decode address, decode incarnation).
+    """
 
     leases: tuple[tuple[str, str, str, int], ...]
 
--- a/src/poplarfold/_internal/core/model.py
+++ b/src/poplarfold/_internal/core/model.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 __all__ = [
+    "PIECE_TOKENS",
+    "PREFIX_BLOCK_TOKENS",
     "CallClass",
     "CatalogueEntry",
     "EndpointRef",
@@ -16,6 +18,11 @@
     "Placement",
 ]
 
+# Engines allocate memory in pieces of this many tokens.
+PIECE_TOKENS = 128
+# A digest of the prompt is made for each block of this many tokens.
+PREFIX_BLOCK_TOKENS = 256
+
 
 class CallClass(StrEnum):
     """How calls of an entry are treated."""
@@ -102,7 +109,9 @@
     """Where one attempt runs.
 
     ``prefill`` is None for plain services. ``start_at`` is the time at which
-    the prefill should start, in seconds of this node's clock.
+    the prefill should start, in seconds of this node's clock. ``fallback``
+    marks a placement in another region. ``knows_operations`` tells whether the
+    endpoint recognises a repeated operation id.
     """
 
     decode: EndpointRef
@@ -111,3 +120,4 @@
     start_at: float
     priority: int
     fallback: bool = False
+    knows_operations: bool = False
--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -5,8 +5,24 @@
 
 from types import ModuleType
 
-from poplarfold._internal.core.systems import calls, health, placement, retries
+from poplarfold._internal.core.systems import (
+    admission,
+    calls,
+    health,
+    leaving,
+    limits,
+    placement,
+    retries,
+)
 
 __all__ = ["ALL_SYSTEMS"]
 
-ALL_SYSTEMS: tuple[ModuleType, ...] = (calls, health, placement, retries)
+ALL_SYSTEMS: tuple[ModuleType, ...] = (
+    calls,
+    health,
+    leaving,
+    limits,
+    admission,
+    placement,
+    retries,
+)
--- a/src/poplarfold/_internal/core/systems/calls.py
+++ b/src/poplarfold/_internal/core/systems/calls.py
@@ -178,7 +178,7 @@
         # The caller has gone or the call has ended since placement was asked.
         state.post(AttemptClosed(event.call_id, "", event.placement, None))
         return
-    attempt_id = state.new_id("a")
+    attempt_id = attempt_of_lease(event.placement.lease_id)
     entry = state.entries[call.arrival.entry]
     state.attempts.put(
         attempt_id,
@@ -276,13 +276,34 @@
     # The retries system sees the same event next and decides what follows.
 
 
-def retry_call(state: NodeState, now: float, call_id: str) -> None:
+def retry_call(
+    state: NodeState, now: float, call_id: str, only: EndpointRef | None = None
+) -> None:
     """Ask for a new placement of a call whose attempt failed."""
     call = state.calls.get(call_id)
     if call is None or call.phase != "retrying":
         return
     state.calls.put(call_id, call._replace(phase="placing"))
-    state.post(PlacementWanted(call_id, call.excluded))
+    excluded = call.excluded if only is None else ()
+    state.post(PlacementWanted(call_id, excluded, only))
+
+
+def attempt_of_lease(lease_id: str) -> str:
+    """Return the id of the one attempt that runs under a lease.
+
+    A cell owner can thus tell from an engine's report which leases are in use.
+    """
+    return "a" + lease_id[1:]
+
+
+def request_cancel(
+    state: NodeState, now: float, attempt_id: str, endpoint: EndpointRef
+) -> None:
+    """Cancel an attempt on one endpoint until it is confirmed."""
+    key = (attempt_id, endpoint.address)
+    if key not in state.cancels:
+        row = CancelRow(attempt_id, endpoint.address, endpoint.incarnation, now, now, 0)
+        state.cancels.put(key, row)
 
 
 @on_event.register
--- a/src/poplarfold/_internal/core/systems/health.py
+++ b/src/poplarfold/_internal/core/systems/health.py
@@ -1,23 +1,60 @@
-"""What is known of each endpoint: the host list, load reports and failures."""
+"""What is known of each endpoint: the host list, load reports and failures.
+
+Health belongs to one endpoint process, (address, incarnation). A process that
+fails or is slow is ejected for a while, then serves single calls on probation,
+and is used normally after several successes. At most a third of a pool is
+ejected at a time, so that a fault of the callers or of the network does not
+take a whole pool away.
+"""
 
 import heapq
 from functools import singledispatch
+from statistics import median
 from typing import NamedTuple
 
+from poplarfold._internal.core.cells import Cell, cell_count, cell_of, owner_of
 from poplarfold._internal.core.commands import PollEndpoint
 from poplarfold._internal.core.events import (
     EndpointPollFailed,
     EndpointReported,
     HostsListed,
+    OwnershipChanged,
 )
+from poplarfold._internal.core.model import EndpointRef, EndpointRole, Identity
 from poplarfold._internal.core.state import NodeState, Table
 
-__all__ = ["EndpointRow", "HealthState", "next_wakeup", "on_event", "on_tick"]
+__all__ = [
+    "EndpointRow",
+    "HealthState",
+    "next_wakeup",
+    "note_outcome",
+    "on_event",
+    "on_tick",
+    "usable_report",
+]
 
 POLL_PERIOD_S = 0.25
 # A poll without an answer counts as lost after this time.
 POLL_LOST_S = 2.0
+# Without a newer report an endpoint gets no work. Reports come every 0.25 s, so
+# several were lost.
 REPORT_STALE_S = 3.0
+POLL_FAILURES_MAX = 3
+
+FAILURES_MAX = 3
+EJECT_MIN_S = 5.0
+EJECT_MAX_S = 60.0
+EJECTED_SHARE_MAX = 1 / 3
+# The gap between the two factors keeps an endpoint near the limit from
+# changing its state again and again.
+SLOW_FACTOR = 1.5
+RECOVERED_FACTOR = 1.2
+SLOW_SAMPLES_MIN = 4
+PROBATION_SUCCESSES = 3
+
+FAULT_CODES = frozenset(
+    {"endpoint_error", "endpoint_unreachable", "endpoint_stalled", "identity_mismatch"}
+)
 
 
 class EndpointRow(NamedTuple):
@@ -26,19 +63,41 @@
     address: str
     domain: str
     service: str
+    cell: Cell
     listed_leaving: bool
     report: EndpointReported | None = None
     reported_at: float = 0.0
     poll_failures: int = 0
 
 
+class HealthRow(NamedTuple):
+    """The health of one endpoint process.
+
+    ``status`` is one of healthy, ejected, probation. ``interval_s`` is the mean
+    time between outputs over the last calls.
+    """
+
+    status: str = "healthy"
+    failures: int = 0
+    successes: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    interval_s: float = 0.0
+    samples: int = 0
+
+
 class HealthState:
-    """The endpoints by address and the times of their next polls."""
+    """The endpoints by address, their health and the times of their polls."""
 
     def __init__(self) -> None:
         self.endpoints: Table[str, EndpointRow] = Table()
+        self.health: Table[EndpointRef, HealthRow] = Table()
+        self.cells: dict[Cell, list[str]] = {}
+        self.counts: dict[tuple[str, str], int] = {}
+        self.polled: set[str] = set()
         self.polls: list[tuple[float, str]] = []
         self.next_poll: dict[str, float] = {}
+        self.ejections: list[tuple[float, EndpointRef]] = []
 
 
 @singledispatch
@@ -47,71 +106,263 @@
 
 
 def on_tick(state: NodeState, now: float) -> None:
-    """Poll the endpoints that are due."""
-    health = state.part(HealthState)
-    while health.polls and health.polls[0][0] <= now:
-        due, address = heapq.heappop(health.polls)
-        if health.next_poll.get(address) != due:
+    """Poll the endpoints that are due and end ejections."""
+    part = state.part(HealthState)
+    while part.polls and part.polls[0][0] <= now:
+        due, address = heapq.heappop(part.polls)
+        if part.next_poll.get(address) != due:
             continue
-        if address not in health.endpoints:
-            del health.next_poll[address]
+        if address not in part.polled:
+            del part.next_poll[address]
             continue
-        schedule_poll(health, address, now + POLL_LOST_S)
+        schedule_poll(part, address, now + POLL_LOST_S)
         state.emit(PollEndpoint(address))
+    while part.ejections and part.ejections[0][0] <= now:
+        _, ref = heapq.heappop(part.ejections)
+        row = part.health.get(ref)
+        if row is not None and row.status == "ejected" and row.ejected_until <= now:
+            part.health.put(
+                ref,
+                row._replace(status="probation", failures=0, successes=0, samples=0),
+            )
+            state.log("PF3102", None, endpoint=ref.address, status="probation")
 
 
 def next_wakeup(state: NodeState, now: float) -> float | None:
-    """Return the time of the next poll."""
-    polls = state.part(HealthState).polls
-    return polls[0][0] if polls else None
+    """Return the time of the next poll or end of an ejection."""
+    part = state.part(HealthState)
+    times = [heap[0][0] for heap in (part.polls, part.ejections) if heap]
+    return min(times, default=None)
 
 
-def schedule_poll(health: HealthState, address: str, due: float) -> None:
+def schedule_poll(part: HealthState, address: str, due: float) -> None:
     """Set the time of the next poll of ``address``."""
-    health.next_poll[address] = due
-    heapq.heappush(health.polls, (due, address))
+    part.next_poll[address] = due
+    heapq.heappush(part.polls, (due, address))
 
 
 @on_event.register
 def _(event: HostsListed, state: NodeState, now: float) -> None:
-    health = state.part(HealthState)
+    part = state.part(HealthState)
     listed = {host.address: host for host in event.hosts if host.kind == "endpoint"}
-    for address in [a for a in health.endpoints if a not in listed]:
-        del health.endpoints[address]
+    counts: dict[tuple[str, str], int] = {}
+    for host in listed.values():
+        key = (host.domain, host.service)
+        counts[key] = counts.get(key, 0) + 1
+    part.counts = counts
+    part.cells = {}
+    for address in [a for a in part.endpoints if a not in listed]:
+        report = part.endpoints.pop(address).report
+        if report is not None:
+            part.health.pop(EndpointRef(address, report.incarnation), None)
     for address, host in listed.items():
-        row = health.endpoints.get(address)
+        count = cell_count(counts[host.domain, host.service])
+        cell = cell_of(host.domain, host.service, address, count)
+        part.cells.setdefault(cell, []).append(address)
+        row = part.endpoints.get(address)
         if row is None:
-            row = EndpointRow(address, host.domain, host.service, host.leaving)
-            schedule_poll(health, address, now)
-        health.endpoints.put(
+            row = EndpointRow(address, host.domain, host.service, cell, host.leaving)
+        part.endpoints.put(
             address,
             row._replace(
-                domain=host.domain, service=host.service, listed_leaving=host.leaving
+                domain=host.domain,
+                service=host.service,
+                cell=cell,
+                listed_leaving=host.leaving,
             ),
         )
+    choose_polled(state, now)
+
+
+@on_event.register
+def _(event: OwnershipChanged, state: NodeState, now: float) -> None:
+    choose_polled(state, now)
+
+
+def choose_polled(state: NodeState, now: float) -> None:
+    """Poll the endpoints of the cells that this node owns.
+
+    Policies without owners need the reports of all endpoints of the region.
+    """
+    part = state.part(HealthState)
+    polled: set[str] = set()
+    for cell, addresses in part.cells.items():
+        if state.settings.policy == "owner":
+            wanted = owner_of(state, cell) == state.me.host
+        else:
+            wanted = state.settings.region_of(cell.domain) == state.settings.region
+        if wanted:
+            polled.update(addresses)
+    part.polled = polled
+    for address in part.endpoints:
+        if address in polled and address not in part.next_poll:
+            schedule_poll(part, address, now)
 
 
 @on_event.register
 def _(event: EndpointReported, state: NodeState, now: float) -> None:
-    health = state.part(HealthState)
-    row = health.endpoints.get(event.address)
+    part = state.part(HealthState)
+    row = part.endpoints.get(event.address)
     if row is None:
         return
-    health.endpoints.put(
+    ref = EndpointRef(event.address, event.incarnation)
+    if row.report is not None and row.report.incarnation != event.incarnation:
+        if row.report.incarnation > event.incarnation:
+            return  # A report that was overtaken by one of the next process.
+        old = part.health.pop(EndpointRef(event.address, row.report.incarnation), None)
+        if old is not None and state.settings.health_across_incarnations:
+            part.health.put(ref, old)
+            if old.status == "ejected":
+                heapq.heappush(part.ejections, (old.ejected_until, ref))
+        state.log("PF3103", None, endpoint=event.address, incarnation=event.incarnation)
+    part.endpoints.put(
         event.address, row._replace(report=event, reported_at=now, poll_failures=0)
     )
-    schedule_poll(health, event.address, now + POLL_PERIOD_S)
+    if event.address in part.polled:
+        schedule_poll(part, event.address, now + POLL_PERIOD_S)
 
 
 @on_event.register
 def _(event: EndpointPollFailed, state: NodeState, now: float) -> None:
-    health = state.part(HealthState)
-    row = health.endpoints.get(event.address)
+    part = state.part(HealthState)
+    row = part.endpoints.get(event.address)
     if row is None:
         return
-    report = None if event.refused else row.report
     failures = row.poll_failures + 1
-    health.endpoints.put(
-        event.address, row._replace(report=report, poll_failures=failures)
+    if event.refused and row.poll_failures == 0:
+        state.log("PF3104", None, endpoint=event.address, reason="connection refused")
+    if event.refused:
+        failures = max(failures, POLL_FAILURES_MAX)
+    part.endpoints.put(event.address, row._replace(poll_failures=failures))
+    schedule_poll(part, event.address, now + POLL_PERIOD_S)
+
+
+def usable_report(
+    state: NodeState, now: float, row: EndpointRow
+) -> tuple[EndpointReported | None, str]:
+    """Return the report of an endpoint that may get work, or why it may not."""
+    report = row.report
+    if report is None:
+        return None, "no report"
+    if row.poll_failures >= POLL_FAILURES_MAX or (
+        now - row.reported_at > REPORT_STALE_S
+    ):
+        return None, "silent"
+    health = state.part(HealthState).health.get(
+        EndpointRef(row.address, report.incarnation)
+    )
+    if health is not None and health.status == "ejected":
+        return None, "ejected"
+    return report, ""
+
+
+def is_on_probation(state: NodeState, ref: EndpointRef) -> bool:
+    """Return whether an endpoint gets only one call at a time."""
+    row = state.part(HealthState).health.get(ref)
+    return row is not None and row.status == "probation"
+
+
+def note_outcome(
+    state: NodeState,
+    now: float,
+    ref: EndpointRef,
+    error_code: str,
+    interval_s: float = 0.0,
+) -> None:
+    """Record how a call on an endpoint process ended.
+
+    ``interval_s`` is the mean time between its outputs, or 0 if it made none.
+    """
+    part = state.part(HealthState)
+    endpoint = part.endpoints.get(ref.address)
+    if endpoint is None or endpoint.report is None:
+        return
+    if endpoint.report.incarnation != ref.incarnation:
+        return
+    row = part.health.get(ref, HealthRow())
+    if error_code in FAULT_CODES:
+        row = row._replace(failures=row.failures + 1, successes=0)
+    elif not error_code:
+        row = row._replace(failures=0, successes=row.successes + 1)
+    if interval_s > 0.0:
+        weight = max(0.25, 1.0 / (row.samples + 1))
+        mean = row.interval_s + weight * (interval_s - row.interval_s)
+        row = row._replace(interval_s=mean, samples=row.samples + 1)
+    part.health.put(ref, row)
+    report = endpoint.report
+    ratio = slowness(part, endpoint.cell, ref, report.identity, report.role)
+    if row.status == "healthy":
+        slow = row.samples >= SLOW_SAMPLES_MIN and ratio > SLOW_FACTOR
+        if row.failures >= FAILURES_MAX or slow:
+            reason = "slow" if slow else "failures"
+            eject(state, now, ref, row, reason, report.identity, report.role)
+    elif row.status == "probation":
+        if row.failures > 0 or (row.samples >= 2 and ratio > SLOW_FACTOR):
+            eject(state, now, ref, row, "probation", report.identity, report.role)
+        elif row.successes >= PROBATION_SUCCESSES and ratio <= RECOVERED_FACTOR:
+            part.health.put(ref, row._replace(status="healthy", ejections=0))
+            state.log("PF3102", None, endpoint=ref.address, status="healthy")
+
+
+def pool_of(
+    part: HealthState, cell: Cell, identity: Identity, role: EndpointRole
+) -> list[EndpointRef]:
+    """Return the reported endpoints of a cell that do the same work."""
+    refs = []
+    for address in part.cells.get(cell, ()):
+        report = part.endpoints[address].report
+        if report and report.identity == identity and report.role is role:
+            refs.append(EndpointRef(address, report.incarnation))
+    return refs
+
+
+def slowness(
+    part: HealthState,
+    cell: Cell,
+    ref: EndpointRef,
+    identity: Identity,
+    role: EndpointRole,
+) -> float:
+    """Return the interval of an endpoint relative to the median of the others."""
+    own = part.health.get(ref)
+    if own is None or own.samples == 0:
+        return 1.0
+    others = [
+        row.interval_s
+        for other in pool_of(part, cell, identity, role)
+        if other != ref
+        and (row := part.health.get(other)) is not None
+        and row.samples >= SLOW_SAMPLES_MIN
+    ]
+    return own.interval_s / median(others) if others else 1.0
+
+
+def eject(
+    state: NodeState,
+    now: float,
+    ref: EndpointRef,
+    row: HealthRow,
+    reason: str,
+    identity: Identity,
+    role: EndpointRole,
+) -> None:
+    """Take an endpoint out of use for a while, if the pool can spare it."""
+    part = state.part(HealthState)
+    pool = pool_of(part, part.endpoints[ref.address].cell, identity, role)
+    ejected = sum(
+        1
+        for other in pool
+        if (found := part.health.get(other)) is not None and found.status == "ejected"
+    )
+    if ejected + 1 > max(len(pool) * EJECTED_SHARE_MAX, 1.0) or len(pool) < 2:
+        state.log("PF3105", None, endpoint=ref.address, reason=reason, pool=len(pool))
+        return
+    until = now + min(EJECT_MAX_S, EJECT_MIN_S * 2**row.ejections)
+    part.health.put(
+        ref,
+        row._replace(
+            status="ejected", ejections=row.ejections + 1, ejected_until=until
+        ),
     )
-    schedule_poll(health, event.address, now + POLL_PERIOD_S)
+    heapq.heappush(part.ejections, (until, ref))
+    state.log("PF3101", None, endpoint=ref.address, reason=reason, until=until)
--- /dev/null
+++ b/src/poplarfold/_internal/core/systems/leaving.py
@@ -0,0 +1,94 @@
+"""Endpoints that are about to leave: no new work after the first sign.
+
+Signs are the host list, a report and a refusal. A sign of the process itself
+holds for its incarnation; one of the host list holds as long as it is listed.
+"""
+
+from functools import singledispatch
+from typing import NamedTuple
+
+from poplarfold._internal.core.events import (
+    EndpointLeft,
+    EndpointReported,
+    HostsListed,
+)
+from poplarfold._internal.core.model import EndpointRef
+from poplarfold._internal.core.state import NodeState
+
+__all__ = [
+    "LeavingState",
+    "is_leaving",
+    "next_wakeup",
+    "note_refusal",
+    "on_event",
+    "on_tick",
+]
+
+# A refusal may also mean that the engine is full, so it only holds until a
+# report shows that the engine stays. Reports lag by up to half a second.
+REFUSAL_HOLD_S = 0.6
+
+
+class LeavingState:
+    """The endpoints that have given a sign of leaving."""
+
+    def __init__(self) -> None:
+        self.listed: set[str] = set()
+        self.reported: set[EndpointRef] = set()
+        self.refused: dict[EndpointRef, float] = {}
+
+
+@singledispatch
+def on_event(event: NamedTuple, state: NodeState, now: float) -> None:
+    """Handle one event; events of other systems are ignored."""
+
+
+def on_tick(state: NodeState, now: float) -> None:
+    """Do nothing; signs are handled when they arrive."""
+
+
+def next_wakeup(state: NodeState, now: float) -> float | None:
+    """Return None, as nothing here depends on time."""
+    return None
+
+
+def is_leaving(state: NodeState, now: float, ref: EndpointRef) -> bool:
+    """Return whether an endpoint process must get no new work."""
+    part = state.part(LeavingState)
+    return (
+        ref.address in part.listed
+        or ref in part.reported
+        or part.refused.get(ref, now) > now
+    )
+
+
+def note_refusal(state: NodeState, now: float, ref: EndpointRef) -> None:
+    """Stop granting on an endpoint that refused work, until it reports again."""
+    state.part(LeavingState).refused[ref] = now + REFUSAL_HOLD_S
+
+
+@on_event.register
+def _(event: HostsListed, state: NodeState, now: float) -> None:
+    part = state.part(LeavingState)
+    listed = {
+        host.address for host in event.hosts if host.kind == "endpoint" and host.leaving
+    }
+    for address in sorted(listed - part.listed):
+        state.log("PF3201", None, endpoint=address, sign="host list")
+        state.post(EndpointLeft(address, 0))
+    part.listed = listed
+    present = {host.address for host in event.hosts}
+    part.reported = {ref for ref in part.reported if ref.address in present}
+
+
+@on_event.register
+def _(event: EndpointReported, state: NodeState, now: float) -> None:
+    part = state.part(LeavingState)
+    ref = EndpointRef(event.address, event.incarnation)
+    if event.leaving and ref not in part.reported:
+        part.reported.add(ref)
+        state.log("PF3201", None, endpoint=event.address, sign="report")
+        state.post(EndpointLeft(event.address, event.incarnation))
+    until = part.refused.get(ref)
+    if until is not None and until <= now:
+        del part.refused[ref]
--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -1,58 +1,114 @@
-"""Where each attempt runs."""
+"""The node of the call: which cell owner to ask, and what to do meanwhile.
+
+A node asks its own cells first, then other cells of its domain, of its region
+and, within the byte budget, of another region. Each answers at once whether it
+can start the call in time. If none can, the call waits at the owner that
+predicts the shortest wait.
+"""
 
 from functools import singledispatch
 from typing import NamedTuple
 
+from poplarfold._internal.core.cells import Cell, cell_count, owner_of
+from poplarfold._internal.core.commands import SendPeer
 from poplarfold._internal.core.events import (
     AttemptClosed,
+    AttemptEnded,
     CallEnded,
+    OwnershipChanged,
+    PeerReceived,
     Placed,
     PlacementRefused,
     PlacementWanted,
+    PrefillDone,
+)
+from poplarfold._internal.core.messages import (
+    LeaseProgress,
+    LeaseReleased,
+    LeasesHeld,
+    PeerMessage,
+    PlaceDenied,
+    PlaceGranted,
+    PlaceWanted,
+    PlaceWithdrawn,
 )
 from poplarfold._internal.core.model import (
+    CallClass,
     CatalogueEntry,
-    EndpointRef,
-    EndpointRole,
     EntryKind,
+    HostKey,
     Placement,
 )
+from poplarfold._internal.core.policies import POLICIES, LocalPolicy, choose_locally
 from poplarfold._internal.core.state import NodeState, Table
-from poplarfold._internal.core.systems.health import (
-    REPORT_STALE_S,
-    EndpointRow,
-    HealthState,
+from poplarfold._internal.core.systems import admission, calls, limits
+from poplarfold._internal.core.systems.health import HealthState
+from poplarfold._internal.exceptions import (
+    EntryNotFoundError,
+    LinkBudgetError,
+    NoEndpointError,
+    OverloadedError,
+    PoplarfoldError,
+    PromptTooLargeError,
 )
-from poplarfold._internal.exceptions import NoEndpointError
-
-__all__ = ["next_wakeup", "on_event", "on_tick"]
-
-PLACE_RETRY_S = 0.05
-# A call that finds no endpoint waits this long for one to report.
-PLACE_WAIT_S = 2.0
+from poplarfold._internal.utils.rendezvous import ranked
+
+__all__ = ["PlacementState", "next_wakeup", "on_event", "on_tick"]
+
+# An owner that does not answer within this time is passed over. The way to
+# another region and back takes 20 ms.
+SILENT_S = 0.15
+# A waiting call is announced again, so that the owner keeps it and this node
+# notices when the owner has gone silent.
+KEEP_ALIVE_S = 0.5
+QUEUE_SILENT_S = 1.2
+# Pause between two rounds over cells of which none has an endpoint.
+ROUND_PAUSE_S = 0.1
+# Bytes of an answer for each output, for the byte budget of the link.
+OUTPUT_BYTES = 64
+NO_ENDPOINT_WAIT_S = 2.0
+
+
+class AskRow(NamedTuple):
+    """A call that this node tries to place.
+
+    ``cells`` are yet to be asked in this round, and ``waits`` what others have
+    answered: (predicted wait, cell). ``waiting`` is true once the call waits at
+    the owner of ``cell`` without a limit.
+    """
+
+    wanted: PlacementWanted
+    entry: CatalogueEntry
+    since: float
+    number: int
+    cells: tuple[Cell, ...]
+    waits: tuple[tuple[int, int, Cell], ...] = ()
+    cell: Cell | None = None
+    owner: str = ""
+    waiting: bool = False
+    heard_at: float = 0.0
+    next_at: float = 0.0
+    last_code: str = ""
+    last_detail: str = ""
 
 
-class LeaseRow(NamedTuple):
-    """One grant of endpoints to an attempt."""
+class HeldRow(NamedTuple):
+    """A lease that an attempt of this node uses."""
 
     call_id: str
+    cell: Cell
     placement: Placement
 
 
-class WaitingRow(NamedTuple):
-    """A call that waits for endpoints."""
-
-    excluded: tuple[str, ...]
-    since: float
-    next_try_at: float
-
-
 class PlacementState:
-    """The grants by lease and the calls that wait for one."""
+    """The calls to place and the leases in use."""
 
     def __init__(self) -> None:
-        self.leases: Table[str, LeaseRow] = Table()
-        self.waiting: Table[str, WaitingRow] = Table()
+        self.asks: Table[str, AskRow] = Table()
+        self.held: Table[str, HeldRow] = Table()
+        self.owners: dict[Cell, str | None] = {}
+        self.failed: dict[str, AttemptEnded] = {}
+        self.round_robin = 0
 
 
 @singledispatch
@@ -61,104 +117,338 @@
 
 
 def on_tick(state: NodeState, now: float) -> None:
-    """Try again to place the calls that wait."""
+    """Ask again where an owner stays silent."""
     part = state.part(PlacementState)
-    for call_id, row in part.waiting.rows():
-        if row.next_try_at <= now:
-            part.waiting.put(call_id, row._replace(next_try_at=now + PLACE_RETRY_S))
-            place_call(state, now, call_id)
+    for call_id, ask in part.asks.rows():
+        if ask.next_at > now:
+            continue
+        if isinstance(POLICIES[state.settings.policy], LocalPolicy):
+            place_locally(state, now, call_id)
+        elif ask.cell is None:
+            start_round(state, now, call_id)
+        elif ask.waiting and now - ask.heard_at < QUEUE_SILENT_S:
+            send_ask(state, now, call_id, ask)
+        else:
+            state.log("PF3005", call_id, owner=ask.owner, cell=ask.cell.key)
+            withdraw(state, now, call_id, ask)
+            ask_next(state, now, call_id, ask)
 
 
 def next_wakeup(state: NodeState, now: float) -> float | None:
-    """Return the next time to try a waiting call."""
-    rows = state.part(PlacementState).waiting.values()
-    return min((row.next_try_at for row in rows), default=None)
+    """Return the next time to ask again."""
+    rows = state.part(PlacementState).asks.values()
+    return min((row.next_at for row in rows), default=None)
 
 
 @on_event.register
 def _(event: PlacementWanted, state: NodeState, now: float) -> None:
     part = state.part(PlacementState)
-    part.waiting.put(event.call_id, WaitingRow(event.excluded, now, now))
-    place_call(state, now, event.call_id)
+    call = state.calls.get(event.call_id)
+    if call is None or call.phase != "placing":
+        return
+    taken = limits.take_call(state, now, event.call_id)
+    if taken.is_err():
+        state.post(PlacementRefused(event.call_id, taken.unwrap_err()))
+        return
+    entry = state.entries[call.arrival.entry]
+    state.sequence += 1
+    part.asks.put(event.call_id, AskRow(event, entry, now, state.sequence, ()))
+    if isinstance(POLICIES[state.settings.policy], LocalPolicy):
+        place_locally(state, now, event.call_id)
+    else:
+        start_round(state, now, event.call_id)
+
+
+def preferred_cells(state: NodeState, ask: AskRow) -> tuple[Cell, ...]:
+    """Return the cells that may serve a call, the best first."""
+    service = ask.entry.identity.service
+    settings = state.settings
+    regional = ask.entry.kind is EntryKind.SERVICE or ask.wanted.excluded
+    found: list[tuple[int, int, Cell]] = []
+    for (domain, name), count in state.part(HealthState).counts.items():
+        if name != service:
+            continue
+        distance = 0 if domain == settings.domain else 1
+        if settings.region_of(domain) != settings.region:
+            if regional:
+                continue
+            distance = 2
+        for index in range(cell_count(count)):
+            cell = Cell(domain, service, index)
+            owner = owner_of(state, cell)
+            if owner is not None:
+                found.append((distance, owner != state.me.host, cell))
+    # Equally good cells are tried in an order of this node's own, so that the
+    # nodes of a domain do not all ask the same owner first.
+    order = ranked(state.me.host, (cell.key for _, _, cell in found))
+    place = {key: number for number, key in enumerate(order)}
+    found.sort(key=lambda row: (row[0], row[1], place[row[2].key]))
+    return tuple(cell for _, _, cell in found)
+
+
+def start_round(state: NodeState, now: float, call_id: str) -> None:
+    """Ask all cells in turn for a place without waiting."""
+    ask = state.part(PlacementState).asks[call_id]
+    cells = preferred_cells(state, ask)
+    ask_next(state, now, call_id, ask._replace(cells=cells, waits=(), waiting=False))
+
+
+def ask_next(state: NodeState, now: float, call_id: str, ask: AskRow) -> None:
+    """Ask the next cell, or wait at the one that predicts the shortest wait."""
+    part = state.part(PlacementState)
+    call = state.calls[call_id]
+    if ask.cells:
+        cell, rest = ask.cells[0], ask.cells[1:]
+        ask = ask._replace(cells=rest)
+        if not is_affordable(state, now, call_id, ask, cell):
+            ask = ask._replace(
+                last_code=ask.last_code or LinkBudgetError.code,
+                last_detail=ask.last_detail or "the byte budget of the link is used up",
+            )
+            part.asks.put(call_id, ask)
+            ask_next(state, now, call_id, ask)
+            return
+        ask_cell(state, now, call_id, ask, cell, waiting=False)
+        return
+    if ask.waits and not ask.waiting:
+        _, _, cell = min(ask.waits)
+        ask_cell(state, now, call_id, ask._replace(waits=()), cell, waiting=True)
+        return
+    target_s = ask.entry.targets.first_output_s
+    patience_s = min(NO_ENDPOINT_WAIT_S, target_s)
+    if ask.last_code == NoEndpointError.code or not ask.last_code or ask.waiting:
+        if now + ROUND_PAUSE_S < min(ask.since + patience_s, call.arrival.deadline):
+            part.asks.put(
+                call_id,
+                ask._replace(cell=None, waiting=False, next_at=now + ROUND_PAUSE_S),
+            )
+            return
+    give_up(state, call_id, ask)
+
+
+def is_affordable(
+    state: NodeState, now: float, call_id: str, ask: AskRow, cell: Cell
+) -> bool:
+    """Take the byte budget for a cell of another region."""
+    if state.settings.region_of(cell.domain) == state.settings.region:
+        return True
+    arrival = state.calls[call_id].arrival
+    received = arrival.max_outputs * OUTPUT_BYTES
+    return limits.take_link(
+        state, now, ask.entry, 2 * arrival.prompt_bytes, received
+    ).is_ok()
+
+
+def give_up(state: NodeState, call_id: str, ask: AskRow) -> None:
+    """Refuse a call for which no cell has a place in time."""
+    del state.part(PlacementState).asks[call_id]
+    types: dict[str, type[PoplarfoldError]] = {
+        kind.code: kind
+        for kind in (EntryNotFoundError, LinkBudgetError, PromptTooLargeError)
+    }
+    types[OverloadedError.code] = types["busy"] = OverloadedError
+    error = types.get(ask.last_code, NoEndpointError)
+    detail = ask.last_detail or f"no endpoint serves what {ask.entry.name!r} pins"
+    state.post(PlacementRefused(call_id, error(detail)))
+
+
+def ask_cell(
+    state: NodeState, now: float, call_id: str, ask: AskRow, cell: Cell, waiting: bool
+) -> None:
+    """Ask the owner of a cell for a place."""
+    state.sequence += 1
+    owner = owner_of(state, cell) or ""
+    ask = ask._replace(
+        cell=cell, owner=owner, waiting=waiting, heard_at=now, number=state.sequence
+    )
+    send_ask(state, now, call_id, ask)
+
+
+def send_ask(state: NodeState, now: float, call_id: str, ask: AskRow) -> None:
+    """Send a request for a place; a repeat carries the same number."""
+    part = state.part(PlacementState)
+    assert ask.cell is not None
+    pause_s = KEEP_ALIVE_S if ask.waiting else SILENT_S
+    if ask.owner == state.me.host:
+        pause_s = 3600.0
+    part.asks.put(call_id, ask._replace(next_at=now + pause_s))
+    call = state.calls[call_id]
+    arrival = call.arrival
+    message = PlaceWanted(
+        call_id=call_id,
+        entry=arrival.entry,
+        account=arrival.account,
+        prompt_tokens=arrival.prompt_tokens + call.outputs,
+        prompt_bytes=arrival.prompt_bytes,
+        prefixes=arrival.prefixes if ask.entry.kind is EntryKind.MODEL else (),
+        max_outputs=max(1, arrival.max_outputs - call.outputs),
+        wait_s=arrival.deadline - now,
+        waited_s=now - call.arrived_at if call.outputs == 0 else now - ask.since,
+        excluded=ask.wanted.excluded,
+        is_retry=call.attempts > 0,
+        ask=ask.number,
+        may_wait=ask.waiting,
+        only=ask.wanted.only,
+        cell=ask.cell.number,
+    )
+    tell(state, now, ask.owner, message)
+
+
+def tell(state: NodeState, now: float, host: str, message: PeerMessage) -> None:
+    """Send a message to the owner of a cell, which may be this node."""
+    if host == state.me.host:
+        admission.receive(message, state.me, state, now)
+    elif host:
+        state.emit(SendPeer(host, message))
+
+
+def withdraw(state: NodeState, now: float, call_id: str, ask: AskRow) -> None:
+    """Tell the owner that a call no longer waits there."""
+    tell(state, now, ask.owner, PlaceWithdrawn(call_id, ask.number))
+
+
+@on_event.register
+def _(event: PeerReceived, state: NodeState, now: float) -> None:
+    receive(event.message, event.sender, state, now)
+
+
+@singledispatch
+def receive(
+    message: PeerMessage, sender: HostKey, state: NodeState, now: float
+) -> None:
+    """Handle an owner's answer; other messages are ignored."""
+
+
+@receive.register
+def _(message: PlaceGranted, sender: HostKey, state: NodeState, now: float) -> None:
+    part = state.part(PlacementState)
+    ask = part.asks.get(message.call_id)
+    if message.lease_id in part.held:
+        return
+    if ask is None or ask.number != message.ask or ask.cell is None:
+        # The call has ended or was placed elsewhere: the lease is not used.
+        release = LeaseReleased(message.lease_id, "unused", "", 0.0)
+        tell(state, now, sender.host, release)
+        return
+    del part.asks[message.call_id]
+    placement = Placement(
+        decode=message.decode,
+        prefill=message.prefill,
+        lease_id=message.lease_id,
+        start_at=now + message.start_in_s,
+        priority=message.priority,
+        fallback=state.settings.region_of(ask.cell.domain) != state.settings.region,
+        knows_operations=message.knows_operations,
+    )
+    part.held.put(message.lease_id, HeldRow(message.call_id, ask.cell, placement))
+    state.post(Placed(message.call_id, placement))
+
+
+@receive.register
+def _(message: PlaceDenied, sender: HostKey, state: NodeState, now: float) -> None:
+    part = state.part(PlacementState)
+    ask = part.asks.get(message.call_id)
+    if ask is None or ask.number != message.ask or ask.cell is None:
+        return
+    if message.code == "queued":
+        part.asks.put(message.call_id, ask._replace(heard_at=now))
+        return
+    if message.code == "busy":
+        # Of equal waits the nearer cell, which was asked earlier, is better.
+        wait = (message.wait_ms, len(ask.waits), ask.cell)
+        same_region = state.settings.region_of(ask.cell.domain) == state.settings.region
+        if same_region:
+            ask = ask._replace(waits=ask.waits + (wait,))
+    elif message.code == "not_owner":
+        ask = ask._replace(waiting=True)  # Look for the owner again.
+    ask = ask._replace(last_code=message.code, last_detail=message.detail)
+    ask_next(state, now, message.call_id, ask)
 
 
 @on_event.register
 def _(event: CallEnded, state: NodeState, now: float) -> None:
-    state.part(PlacementState).waiting.pop(event.call_id, None)
+    part = state.part(PlacementState)
+    ask = part.asks.pop(event.call_id, None)
+    if ask is not None and ask.cell is not None:
+        withdraw(state, now, event.call_id, ask)
 
 
 @on_event.register
-def _(event: AttemptClosed, state: NodeState, now: float) -> None:
-    state.part(PlacementState).leases.pop(event.placement.lease_id, None)
+def _(event: PrefillDone, state: NodeState, now: float) -> None:
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return
+    held = state.part(PlacementState).held.get(attempt.placement.lease_id)
+    if held is not None:
+        message = LeaseProgress(attempt.placement.lease_id, event.duration_s)
+        tell(state, now, owner_of(state, held.cell) or "", message)
 
 
-def place_call(state: NodeState, now: float, call_id: str) -> None:
-    """Grant the least used endpoints that serve the pinned identity."""
+@on_event.register
+def _(event: AttemptEnded, state: NodeState, now: float) -> None:
+    state.part(PlacementState).failed[event.attempt_id] = event
+
+
+@on_event.register
+def _(event: AttemptClosed, state: NodeState, now: float) -> None:
     part = state.part(PlacementState)
-    call = state.calls.get(call_id)
-    if call is None:
-        part.waiting.pop(call_id, None)
+    lease_id = event.placement.lease_id
+    ended = part.failed.pop(calls.attempt_of_lease(lease_id), None)
+    held = part.held.pop(lease_id, None)
+    if held is None:
         return
-    waiting = part.waiting[call_id]
-    entry = state.entries[call.arrival.entry]
-    if entry.kind is EntryKind.MODEL:
-        prefill = least_used(state, now, entry, EndpointRole.PREFILL, waiting.excluded)
-        decode = least_used(state, now, entry, EndpointRole.DECODE, waiting.excluded)
-        found = prefill is not None and decode is not None
-    else:
-        prefill = None
-        decode = least_used(state, now, entry, EndpointRole.SERVICE, waiting.excluded)
-        found = decode is not None
-    if found and decode is not None:
-        placement = Placement(decode, prefill, state.new_id("l"), now, 0)
-        del part.waiting[call_id]
-        part.leases.put(placement.lease_id, LeaseRow(call_id, placement))
-        state.log("PF3001", call_id, lease=placement.lease_id)
-        state.post(Placed(call_id, placement))
-    elif now - waiting.since >= PLACE_WAIT_S:
-        del part.waiting[call_id]
-        message = f"no endpoint serves what entry {entry.name!r} pins"
-        state.post(PlacementRefused(call_id, NoEndpointError(message)))
-
-
-def least_used(
-    state: NodeState,
-    now: float,
-    entry: CatalogueEntry,
-    role: EndpointRole,
-    excluded: tuple[str, ...],
-) -> EndpointRef | None:
-    """Return the endpoint of ``role`` with the most free slots, if any."""
-    granted: dict[EndpointRef | None, int] = {}
-    for lease in state.part(PlacementState).leases.values():
-        for ref in (lease.placement.prefill, lease.placement.decode):
-            granted[ref] = granted.get(ref, 0) + 1
-
-    best: tuple[int, EndpointRef] | None = None
-    for row in state.part(HealthState).endpoints.values():
-        if row.address in excluded or not is_usable(row, entry, role, now):
-            continue
-        report = row.report
-        assert report is not None
-        ref = EndpointRef(row.address, report.incarnation)
-        used = granted.get(ref, 0)
-        if role is EndpointRole.DECODE and max(used, report.busy) >= report.slots:
+    message = LeaseReleased(
+        lease_id,
+        event.error.code if event.error else "",
+        (ended.failed_endpoint or "") if ended else "",
+        ended.mean_interval_s if ended else 0.0,
+    )
+    tell(state, now, owner_of(state, held.cell) or "", message)
+
+
+@on_event.register
+def _(event: OwnershipChanged, state: NodeState, now: float) -> None:
+    part = state.part(PlacementState)
+    held: dict[str, list[tuple[str, str, str, int]]] = {}
+    for lease_id, row in part.held.items():
+        owner = owner_of(state, row.cell)
+        if owner is None or part.owners.get(row.cell, "") == owner:
             continue
-        if best is None or used < best[0]:
-            best = (used, ref)
-    return best[1] if best else None
+        decode = row.placement.decode
+        fact = (lease_id, row.call_id, decode.address, decode.incarnation)
+        held.setdefault(owner, []).append(fact)
+    for owner, facts in held.items():
+        tell(state, now, owner, LeasesHeld(tuple(facts)))
+    cells = {row.cell for row in part.held.values()}
+    part.owners = {cell: owner_of(state, cell) for cell in cells}
+    for call_id, ask in part.asks.rows():
+        if ask.cell is not None and owner_of(state, ask.cell) != ask.owner:
+            start_round(state, now, call_id)
 
 
-def is_usable(
-    row: EndpointRow, entry: CatalogueEntry, role: EndpointRole, now: float
-) -> bool:
-    """Return whether an endpoint may get a call of ``entry`` at all."""
-    report = row.report
-    return (
-        report is not None
-        and now - row.reported_at <= REPORT_STALE_S
-        and report.identity == entry.identity
-        and report.role is role
-        and not report.leaving
-        and not row.listed_leaving
-    )
+# Policies that decide on each node from lagging reports.
+
+
+def place_locally(state: NodeState, now: float, call_id: str) -> None:
+    """Choose endpoints without asking an owner."""
+    part = state.part(PlacementState)
+    ask = part.asks[call_id]
+    call = state.calls[call_id]
+    leases = [row.placement for row in part.held.values()]
+    policy = POLICIES[state.settings.policy]
+    found = choose_locally(policy, state, now, ask.entry, ask.wanted, leases)
+    if found is not None:
+        decode, prefill = found
+        lease_id = state.new_id("l")
+        priority = 1 if ask.entry.call_class is CallClass.PATIENT else 0
+        placement = Placement(decode, prefill, lease_id, now, priority)
+        del part.asks[call_id]
+        part.held.put(lease_id, HeldRow(call_id, Cell("", "", 0), placement))
+        state.log("PF3001", call_id, lease=lease_id, decode=decode.address)
+        state.post(Placed(call_id, placement))
+        return
+    patience_s = max(ask.entry.targets.first_output_s, NO_ENDPOINT_WAIT_S)
+    if now >= min(call.arrived_at + patience_s, call.arrival.deadline):
+        give_up(state, call_id, ask)
+        return
+    part.asks.put(call_id, ask._replace(next_at=now + 0.02))
--- a/src/poplarfold/_internal/core/systems/retries.py
+++ b/src/poplarfold/_internal/core/systems/retries.py
@@ -4,8 +4,13 @@
 from functools import singledispatch
 from typing import NamedTuple
 
-from poplarfold._internal.core.events import AttemptEnded, CallArrived
-from poplarfold._internal.core.model import CallClass
+from poplarfold._internal.core.events import (
+    AttemptEnded,
+    CallArrived,
+    CallEnded,
+    Placed,
+)
+from poplarfold._internal.core.model import CallClass, EndpointRef, Placement
 from poplarfold._internal.core.state import CallRow, NodeState
 from poplarfold._internal.core.systems import calls
 from poplarfold._internal.exceptions import (
@@ -30,7 +35,8 @@
 
     def __init__(self) -> None:
         self.budgets: dict[str, float] = {}
-        self.due: list[tuple[float, str]] = []
+        self.due: list[tuple[float, str, EndpointRef | None]] = []
+        self.placed: dict[str, Placement] = {}
 
 
 @singledispatch
@@ -42,7 +48,8 @@
     """Start the retries that are due."""
     due = state.part(RetryState).due
     while due and due[0][0] <= now:
-        calls.retry_call(state, now, heapq.heappop(due)[1])
+        _, call_id, only = heapq.heappop(due)
+        calls.retry_call(state, now, call_id, only)
 
 
 def next_wakeup(state: NodeState, now: float) -> float | None:
@@ -62,6 +69,7 @@
 def _(event: AttemptEnded, state: NodeState, now: float) -> None:
     if event.error is None:
         return
+    part = state.part(RetryState)
     for call_id, call in state.calls.rows():
         if call.phase != "retrying" or call.last_error is not event.error:
             continue
@@ -71,21 +79,50 @@
             continue
         delay = min(DELAY_MAX_S, DELAY_MIN_S * 2**call.attempts)
         start_at = now + delay * state.rng.random()
-        heapq.heappush(state.part(RetryState).due, (start_at, call_id))
+        heapq.heappush(part.due, (start_at, call_id, repeat_at(part, call)))
         state.log("PF4001", call_id, code=event.error.code, start_at=start_at)
 
 
+def repeat_at(part: RetryState, call: CallRow) -> EndpointRef | None:
+    """Return the endpoint process that may be asked about a sent operation.
+
+    It recognises the operation id, so that asking again runs nothing twice. A
+    process that has restarted may have forgotten the operation.
+    """
+    if not call.sent:
+        return None
+    placement = part.placed.get(call.arrival.call_id)
+    if placement is None or not placement.knows_operations:
+        return None
+    return placement.decode
+
+
+@on_event.register
+def _(event: Placed, state: NodeState, now: float) -> None:
+    call = state.calls.get(event.call_id)
+    if call is not None and call.operation_id is not None:
+        state.part(RetryState).placed[event.call_id] = event.placement
+
+
+@on_event.register
+def _(event: CallEnded, state: NodeState, now: float) -> None:
+    state.part(RetryState).placed.pop(event.call_id, None)
+
+
 def refusal(
     state: NodeState, now: float, call: CallRow, error: PoplarfoldError
 ) -> PoplarfoldError | None:
     """Return why the call gets no other attempt, or None and take budget."""
     entry = state.entries.get(call.arrival.entry)
     repeatable = entry is not None and entry.call_class is not CallClass.NON_REPEATABLE
-    if not repeatable and call.sent:
+    part = state.part(RetryState)
+    if not repeatable and call.sent and repeat_at(part, call) is None:
         return OutcomeUnknownError(f"the endpoint failed after the send: {error}")
-    budgets = state.part(RetryState).budgets
+    budgets = part.budgets
     budget = budgets.get(call.arrival.entry, BUDGET_MAX)
     if now >= call.arrival.deadline or budget < 1.0:
+        if not repeatable and call.sent:
+            return OutcomeUnknownError(f"no answer from the endpoint: {error}")
         return UpstreamFailedError(f"{error.code}: {error}")
     budgets[call.arrival.entry] = budget - 1.0
     return None
--- a/src/poplarfold/_internal/settings.py
+++ b/src/poplarfold/_internal/settings.py
@@ -32,6 +32,7 @@
     claim_horizon_s: float = 7 * 86400.0
     endpoint_rules: tuple[tuple[str, bool, bool], ...] = ()
     strict_invariants: bool = False
+    health_across_incarnations: bool = False
 
     @property
     def region(self) -> str:
--- /dev/null
+++ b/src/poplarfold/_internal/utils/rendezvous.py
@@ -0,0 +1,33 @@
+"""Rendezvous (highest random weight) hashing.
+
+Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
+rates", IEEE/ACM Transactions on Networking 6(1), 1998. When a host leaves,
+only the keys that it owned move.
+
+    >>> choose("cell-1", ["a", "b"]) in {"a", "b"}
+    True
+"""
+
+from collections.abc import Iterable
+from functools import lru_cache
+from hashlib import blake2b
+
+__all__ = ["choose", "ranked"]
+
+
+@lru_cache(maxsize=65536)
+def weight(key: str, host: str) -> bytes:
+    """Return the weight of ``host`` for ``key``: 8 bytes, compared as such."""
+    # The length prefix keeps ("ab", "c") and ("a", "bc") apart.
+    text = f"{len(key)}:{key}:{host}"
+    return blake2b(text.encode(), digest_size=8).digest()
+
+
+def ranked(key: str, hosts: Iterable[str]) -> list[str]:
+    """Return ``hosts`` without repeats, the preferred owner of ``key`` first."""
+    return sorted(set(hosts), key=lambda host: (weight(key, host), host), reverse=True)
+
+
+def choose(key: str, hosts: Iterable[str]) -> str | None:
+    """Return the host that owns ``key``, or None if there are no hosts."""
+    return max(hosts, key=lambda host: (weight(key, host), host), default=None)
