--- a/src/poplarfold/_internal/core/cells.py
+++ b/src/poplarfold/_internal/core/cells.py
@@ -9,9 +9,10 @@
 from typing import NamedTuple
 
 from poplarfold._internal.core.state import NodeState
+from poplarfold._internal.core.systems.membership import live_hosts
 from poplarfold._internal.utils.rendezvous import choose
 
-__all__ = ["CELL_SIZE_MAX", "Cell", "cell_count", "cell_of", "live_hosts", "owner_of"]
+__all__ = ["CELL_SIZE_MAX", "Cell", "cell_count", "cell_of", "owner_of"]
 
 CELL_SIZE_MAX = 10
 
@@ -42,11 +43,6 @@
     return Cell(domain, service, int(choose(address, indices) or 0))
 
 
-def live_hosts(state: NodeState, domain: str) -> tuple[str, ...]:
-    """Return the live nodes of a domain as this node sees them."""
-    return (state.me.host,) if domain == state.settings.domain else ()
-
-
 def owner_of(state: NodeState, cell: Cell) -> str | None:
     """Return the node that owns ``cell``, or None if its domain has none."""
     return choose(cell.key, live_hosts(state, cell.domain))
--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -1,6 +1,7 @@
 """The systems of a node, in the order in which they see each event.
 
 ``calls`` comes first, since the others read the rows that it has just changed.
+``membership`` comes before ``health``, which needs the owners of the cells.
 """
 
 from types import ModuleType
@@ -8,9 +9,11 @@
 from poplarfold._internal.core.systems import (
     admission,
     calls,
+    catalogue,
     health,
     leaving,
     limits,
+    membership,
     placement,
     retries,
 )
@@ -19,6 +22,8 @@
 
 ALL_SYSTEMS: tuple[ModuleType, ...] = (
     calls,
+    catalogue,
+    membership,
     health,
     leaving,
     limits,
--- a/src/poplarfold/_internal/core/systems/admission.py
+++ b/src/poplarfold/_internal/core/systems/admission.py
@@ -344,7 +344,8 @@
     endpoints = state.part(HealthState).endpoints
     for lease_id, call_id, address, incarnation in message.leases:
         endpoint = endpoints.get(address)
-        if lease_id in part.leases or endpoint is None or lease_id in part.released:
+        attempt_id = calls.attempt_of_lease(lease_id)
+        if lease_id in part.leases or endpoint is None or attempt_id in part.released:
             continue
         if owner_of(state, endpoint.cell) != state.me.host:
             continue
@@ -447,17 +448,18 @@
         del part.granted[key]
     part.released[calls.attempt_of_lease(lease_id)] = now
     while part.released:
-        attempt_id = next(iter(part.released))
-        if now - part.released[attempt_id] <= 2 * RELEASED_KEPT_S:
+        oldest = next(iter(part.released))
+        if now - part.released[oldest] <= 2 * RELEASED_KEPT_S:
             break
-        del part.released[attempt_id]
+        del part.released[oldest]
     load = decode_load(part, lease.decode)
     load.leases.pop(lease_id, None)
     load.pieces -= lease.pieces
     load.repeat_unsafe -= lease.call_class is CallClass.NON_REPEATABLE
     if lease.prefill is not None:
         prefill = part.prefill_loads.get(lease.prefill)
-        if prefill is not None and prefill.pending.pop(lease_id, None):
+        if prefill is not None and lease_id in prefill.pending:
+            del prefill.pending[lease_id]
             prefill.last_done_at = now
     if message is None:
         return
