Add operator and caller documentation, examples and their tests

Operators had the design page only. The pages cover settings, events, metrics, the catalogue, calls, operations and one runbook section for each failure of the design page. The tables of settings, events, error codes and exit codes are written by tools/update_docs.py, and a test compares them with the code, the event numbers with the calls that write them, and links with pages.

--- a/src/poplarfold/_internal/logs/routes.py
+++ b/src/poplarfold/_internal/logs/routes.py
@@ -19,6 +19,7 @@
 
 ENDPOINT_FIELDS = ("endpoint", "prefill", "decode", "address", "failed_endpoint")
 LINKING_FIELDS = ("attempt", "lease", "operation")
+CANDIDATES = "considered"
 ATTEMPT_STARTED = "PF1003"
 FIRST_OUTPUT = "PF1004"
 CALL_REFUSED = "PF1002"
@@ -74,9 +75,9 @@
         call_id=call_id,
         events=events,
         candidates=[
-            (row, candidate_lines(row.event.fields["candidates"]))
+            (row, candidate_lines(row.event.fields[CANDIDATES]))
             for row in events
-            if "candidates" in row.event.fields
+            if CANDIDATES in row.event.fields
         ],
         attempts=attempts,
         confirmed=confirmed,
@@ -213,7 +214,7 @@
     fields = " ".join(
         f"{key}={as_text(value)}"
         for key, value in event.fields.items()
-        if key != "candidates"
+        if key != CANDIDATES
     )
     return f"{event.number} {name} {fields}".rstrip()
 
--- /dev/null
+++ b/tests/unit/test_documents.py
@@ -0,0 +1,99 @@
+"""The documentation against the code."""
+
+import ast
+import importlib.util
+import re
+from pathlib import Path
+
+import pytest
+
+from poplarfold._internal.cli.commands import COMMANDS
+from poplarfold._internal.logs.catalogue import EVENTS
+
+ROOT = Path(__file__).resolve().parents[2]
+SOURCE = ROOT / "src"
+PAGES = [*ROOT.glob("docs/*.md"), *ROOT.glob("*.md"), ROOT / "examples/README.md"]
+
+
+def load_tool():
+    path = ROOT / "tools/update_docs.py"
+    spec = importlib.util.spec_from_file_location("update_docs", path)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+TOOL = load_tool()
+
+
+@pytest.mark.parametrize("name", TOOL.TABLES)
+def test_reference_tables_are_current(name):
+    """Guards against a key, event or code whose page tells something else.
+
+    ``PYTHONPATH=src python tools/update_docs.py`` writes the tables.
+    """
+    page, table = TOOL.TABLES[name]
+    text = (ROOT / page).read_text("utf-8")
+    assert TOOL.updated(text, name, table()) == text
+
+
+def written_events():
+    """Yield (number, field names, place) for each event that the code writes."""
+    for path in sorted(SOURCE.rglob("*.py")):
+        if path.parent.name == "logs":
+            continue
+        for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+            if isinstance(node, ast.Constant) and re.fullmatch(
+                r"PF\d{4}", str(node.value)
+            ):
+                yield node.value, set(), f"{path.name}:{node.lineno}"
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            first = node.args[0]
+            if isinstance(first, ast.Constant) and str(first.value).startswith("PF"):
+                fields = {keyword.arg for keyword in node.keywords}
+                for value in node.args[1:]:
+                    if isinstance(value, ast.Dict):
+                        fields |= {key.value for key in value.keys}
+                yield first.value, fields, f"{path.name}:{node.lineno}"
+
+
+def test_the_code_writes_exactly_the_events_of_the_catalogue():
+    """Guards against a number without a meaning, and one with two meanings."""
+    wrong = [
+        (number, place, fields)
+        for number, fields, place in written_events()
+        if number not in EVENTS or not fields <= set(EVENTS[number].fields)
+    ]
+    assert wrong == []
+    assert {number for number, _, _ in written_events()} == set(EVENTS)
+
+
+def test_links_between_pages_lead_somewhere():
+    """Guards against links to pages and sections that do not exist."""
+    for page in PAGES:
+        for target in re.findall(r"\]\(([^)\s]+)\)", page.read_text("utf-8")):
+            name, _, section = target.partition("#")
+            path = page.parent / name if name else page
+            assert path.exists(), (page.name, target)
+            if section:
+                headings = re.findall(r"^#+ (.*)$", path.read_text("utf-8"), re.M)
+                slugs = {heading.lower().replace(" ", "-") for heading in headings}
+                assert section in slugs, (page.name, target)
+
+
+def test_event_numbers_and_commands_in_the_pages_exist():
+    """Guards against a runbook that names an event which was renumbered."""
+    for page in PAGES:
+        text = page.read_text("utf-8")
+        if page.name != "design.md":
+            assert set(re.findall(r"\bPF\d{4}\b", text)) <= set(EVENTS), page.name
+        for command in re.findall(r"`poplarfold ([a-z]+)", text):
+            assert command in COMMANDS, (page.name, command)
+
+
+def test_the_readme_keeps_the_commands_that_ci_reads():
+    """Guards against a CI run that finds no test command."""
+    lines = (ROOT / "README.md").read_text("utf-8").split("\n")
+    assert "    bash tools/test.sh" in lines
+    assert any(line.endswith("demo --input examples/transcript.txt") for line in lines)
--- a/tests/unit/test_timeline.py
+++ b/tests/unit/test_timeline.py
@@ -109,7 +109,7 @@
 def route_of_a_retried_call(tmp_path):
     node = Clocks("g1", 0.0)
     node.write(0.0, "PF1001", "c-1", entry="captions", account="studio")
-    node.write(0.1, "PF3001", "c-1", lease="l", candidates=[["e:2", "full"]])
+    node.write(0.1, "PF3001", "c-1", lease="l", considered=[["e:2", "full"]])
     node.write(0.1, "PF1003", "c-1", attempt="a-1", prefill="e:1", decode="e:2")
     node.write(0.2, "PF4001", "c-1", code="kv_gone", start_at=0.2)
     node.write(0.3, "PF1003", "c-1", attempt="a-2", prefill="e:1", decode="e:3")
