--- /dev/null
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -0,0 +1,335 @@
+"""HTTP to the endpoints: kept connections, streams, and what a failure proves.
+
+A refused connection proves that nothing was sent. Any other failure after the
+first byte of the request leaves open whether the endpoint has acted on it.
+"""
+
+import http.client
+import json
+import socket
+import threading
+import time
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.response import BaseHTTPResponse
+
+from poplarfold._internal.exceptions import (
+    EndpointError,
+    EndpointStalledError,
+    EndpointUnreachableError,
+)
+
+__all__ = [
+    "AbortHandle",
+    "Answer",
+    "EndpointClient",
+    "EndpointStream",
+    "Failure",
+    "Target",
+]
+
+IDLE_CONNECTIONS_PER_ADDRESS = 64
+# Below the 10 s after which common HTTP servers close an idle connection.
+IDLE_LIMIT_S = 5.0
+READ_BYTES = 65536
+ANSWER_LIMIT_BYTES = 16_000_000
+
+NETWORK_ERRORS = (OSError, http.client.HTTPException, HTTPError)
+
+
+class Target(NamedTuple):
+    """A method and path at one address."""
+
+    address: str
+    method: str
+    path: str
+
+
+class Answer(NamedTuple):
+    """A whole HTTP answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def json(self) -> dict[str, Any]:
+        """Return the body as a JSON object, or an empty one if it is not one."""
+        try:
+            found = json.loads(self.body)
+        except ValueError:
+            return {}
+        return found if isinstance(found, dict) else {}
+
+
+class Failure(NamedTuple):
+    """A request without a whole answer.
+
+    ``sent`` is true if any byte may have reached the endpoint, ``refused`` if
+    no process listens at the address.
+    """
+
+    error: EndpointError
+    sent: bool
+    refused: bool = False
+
+
+class AbortHandle:
+    """Lets the core thread interrupt the blocking I/O of an attempt."""
+
+    def __init__(self) -> None:
+        self.aborted = threading.Event()
+        self.lock = threading.Lock()
+        self.sock: socket.socket | None = None
+
+    def attach(self, sock: socket.socket | None) -> None:
+        """Make ``sock`` the one that abort() shuts down."""
+        with self.lock:
+            self.sock = sock
+            if self.aborted.is_set():
+                shut_down(sock)
+
+    def abort(self) -> None:
+        """Wake the thread that reads from the attached socket."""
+        with self.lock:
+            self.aborted.set()
+            shut_down(self.sock)
+
+
+def shut_down(sock: socket.socket | None) -> None:
+    """Shut a socket down in both directions; it may be closed already."""
+    if sock is None:
+        return
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+
+
+class EndpointStream:
+    """The body of an answer, read as it arrives."""
+
+    def __init__(
+        self, connection: HTTPConnection, response: BaseHTTPResponse, address: str
+    ) -> None:
+        self.connection = connection
+        self.response = response
+        self.address = address
+        self.status = response.status
+        self.headers: Mapping[str, str] = response.headers
+
+    def read(self) -> Result[bytes, Failure]:
+        """Return the next bytes, or no bytes at the end of the answer.
+
+        Waits up to the silence limit that the stream was opened with.
+        """
+        try:
+            data = self.response.read1(READ_BYTES, decode_content=False)
+        except NETWORK_ERRORS as error:
+            return Err(failure_of(error, self.address, sent=True))
+        return Ok(data or b"")
+
+    def close(self) -> None:
+        """Close the connection; the endpoint notices that nobody reads."""
+        self.response.close()
+        self.connection.close()
+
+
+class EndpointClient:
+    """Connections to all endpoints of one daemon. Safe for many threads."""
+
+    def __init__(self, connect_timeout_s: float) -> None:
+        self.connect_timeout_s = connect_timeout_s
+        self.idle: dict[str, list[tuple[HTTPConnection, float]]] = {}
+        self.lock = threading.Lock()
+
+    def exchange(
+        self,
+        target: Target,
+        body: bytes | None,
+        headers: Mapping[str, str],
+        timeout_s: float,
+        fresh: bool = False,
+        handle: AbortHandle | None = None,
+    ) -> Result[Answer, Failure]:
+        """Make one request and read its whole answer.
+
+        A request on a kept connection that the endpoint has closed meanwhile is
+        repeated once on a new one, so requests without ``fresh`` must be safe
+        to repeat. ``timeout_s`` bounds each wait for bytes.
+        """
+        if not fresh:
+            connection = self.take_idle(target.address)
+            if connection is not None:
+                result = self._try(connection, target, body, headers, timeout_s, handle)
+                stalled = result.is_err() and isinstance(
+                    result.unwrap_err().error, EndpointStalledError
+                )
+                if result.is_ok() or stalled or is_aborted(handle):
+                    return result
+        connection = self._new_connection(target.address)
+        return self._try(connection, target, body, headers, timeout_s, handle)
+
+    def open_stream(
+        self,
+        target: Target,
+        body: bytes,
+        headers: Mapping[str, str],
+        silence_s: float,
+        handle: AbortHandle | None = None,
+    ) -> Result[EndpointStream, Failure]:
+        """Make one request on a new connection and read its answer as it comes."""
+        connection = self._new_connection(target.address)
+        opened = self._send(connection, target, body, headers, silence_s, handle)
+        if opened.is_err():
+            connection.close()
+            return Err(opened.unwrap_err())
+        return Ok(EndpointStream(connection, opened.unwrap(), target.address))
+
+    def take_idle(self, address: str) -> HTTPConnection | None:
+        """Return a kept connection that is still open, if there is one."""
+        while True:
+            with self.lock:
+                kept = self.idle.get(address)
+                if not kept:
+                    return None
+                connection, since = kept.pop()
+            if time.monotonic() - since < IDLE_LIMIT_S and connection.is_connected:
+                return connection
+            connection.close()
+
+    def keep(self, address: str, connection: HTTPConnection) -> None:
+        """Keep a connection whose last answer was read to its end."""
+        with self.lock:
+            kept = self.idle.setdefault(address, [])
+            if len(kept) < IDLE_CONNECTIONS_PER_ADDRESS:
+                kept.append((connection, time.monotonic()))
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        with self.lock:
+            kept, self.idle = self.idle, {}
+        for rows in kept.values():
+            for connection, _ in rows:
+                connection.close()
+
+    def _new_connection(self, address: str) -> HTTPConnection:
+        host, _, port = address.rpartition(":")
+        return HTTPConnection(
+            host.strip("[]"), int(port), timeout=self.connect_timeout_s
+        )
+
+    def _try(
+        self,
+        connection: HTTPConnection,
+        target: Target,
+        body: bytes | None,
+        headers: Mapping[str, str],
+        timeout_s: float,
+        handle: AbortHandle | None,
+    ) -> Result[Answer, Failure]:
+        opened = self._send(connection, target, body, headers, timeout_s, handle)
+        if opened.is_err():
+            connection.close()
+            return Err(opened.unwrap_err())
+        response = opened.unwrap()
+        try:
+            data = response.read(ANSWER_LIMIT_BYTES + 1, decode_content=False)
+            if len(data) > ANSWER_LIMIT_BYTES:
+                connection.close()
+                message = f"{target.address} answered more than {ANSWER_LIMIT_BYTES} B"
+                return Err(Failure(EndpointError(message), sent=True))
+        except NETWORK_ERRORS as error:
+            connection.close()
+            return Err(failure_of(error, target.address, sent=True))
+        finally:
+            if handle is not None:
+                handle.attach(None)
+        if is_aborted(handle) or will_close(response):
+            connection.close()
+        else:
+            response.close()
+            self.keep(target.address, connection)
+        return Ok(Answer(response.status, response.headers, data))
+
+    def _send(
+        self,
+        connection: HTTPConnection,
+        target: Target,
+        body: bytes | None,
+        headers: Mapping[str, str],
+        timeout_s: float,
+        handle: AbortHandle | None,
+    ) -> Result[BaseHTTPResponse, Failure]:
+        """Send a request and read the head of the answer."""
+        sent = False
+        try:
+            if connection.sock is None:
+                connection.connect()
+            sock = connection.sock
+            if handle is not None:
+                handle.attach(sock)
+                if handle.aborted.is_set():
+                    return Err(Failure(EndpointError("the attempt was aborted"), False))
+            if sock is not None:
+                sock.settimeout(timeout_s)
+            connection.timeout = timeout_s
+            sent = True
+            connection.request(
+                target.method,
+                target.path,
+                body=body,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+                enforce_content_length=True,
+            )
+            return Ok(connection.getresponse())
+        except NETWORK_ERRORS as error:
+            return Err(failure_of(error, target.address, sent))
+
+
+def will_close(response: BaseHTTPResponse) -> bool:
+    """Return whether the endpoint closes the connection after this answer."""
+    return response.headers.get("Connection", "").lower() == "close"
+
+
+def is_aborted(handle: AbortHandle | None) -> bool:
+    """Return whether the core gave the attempt up."""
+    return handle is not None and handle.aborted.is_set()
+
+
+def failure_of(error: Exception, address: str, sent: bool) -> Failure:
+    """Return the typed failure for an exception of the network."""
+    refused = is_refused(error)
+    if not sent:
+        message = f"no connection to {address}: {error}"
+        return Failure(EndpointUnreachableError(message), False, refused)
+    if is_timeout(error):
+        return Failure(EndpointStalledError(f"{address} went silent"), True)
+    return Failure(EndpointError(f"connection to {address} failed: {error}"), True)
+
+
+def is_refused(error: BaseException) -> bool:
+    """Return whether a connection was refused, by the chain of causes."""
+    found: BaseException | None = error
+    while found is not None:
+        if isinstance(found, ConnectionRefusedError):
+            return True
+        found = found.__cause__ or found.__context__
+    return False
+
+
+def is_timeout(error: BaseException) -> bool:
+    """Return whether a wait for bytes timed out, by the chain of causes."""
+    found: BaseException | None = error
+    while found is not None:
+        if isinstance(found, TimeoutError):
+            return True
+        found = found.__cause__ or found.__context__
+    return False
--- /dev/null
+++ b/src/poplarfold/_internal/daemon/endpoint_reports.py
@@ -0,0 +1,124 @@
+"""Load reports, cache events and orders: the control side of endpoints."""
+
+import json
+from typing import Any
+
+from poplarfold._internal.core.commands import FetchCacheEvents, SendOrder
+from poplarfold._internal.core.events import (
+    CacheChange,
+    CacheChanged,
+    EndpointPollFailed,
+    EndpointReported,
+    OrderAnswered,
+    WorkItem,
+)
+from poplarfold._internal.core.model import EndpointRole, HostKey, Identity
+from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
+
+__all__ = ["EndpointPoller", "parse_cache_events", "parse_report"]
+
+POLL_TIMEOUT_S = 1.0
+
+
+class EndpointPoller:
+    """Fetches what endpoints report and sends them orders."""
+
+    def __init__(self, client: EndpointClient, me: HostKey) -> None:
+        self.client = client
+        self.me = me
+
+    def report(self, address: str) -> EndpointReported | EndpointPollFailed:
+        """Return a load report, or a failure on a fresh connection."""
+        target = Target(address, "GET", "/report")
+        result = self.client.exchange(target, None, {}, POLL_TIMEOUT_S)
+        if result.is_err() and not result.unwrap_err().refused:
+            # A kept connection that went silent says nothing about the process.
+            result = self.client.exchange(target, None, {}, POLL_TIMEOUT_S, fresh=True)
+        if result.is_err():
+            return EndpointPollFailed(address, result.unwrap_err().refused)
+        answer = result.unwrap()
+        report = parse_report(address, answer.json()) if answer.status == 200 else None
+        return report or EndpointPollFailed(address, False)
+
+    def cache_events(self, command: FetchCacheEvents) -> CacheChanged | None:
+        """Return the engine's cache events, or None if it does not answer."""
+        target = Target(
+            command.address, "GET", f"/cache_events?after={command.after}"
+        )
+        result = self.client.exchange(target, None, {}, POLL_TIMEOUT_S)
+        if result.is_err() or result.unwrap().status != 200:
+            return None
+        return parse_cache_events(command.address, result.unwrap().json())
+
+    def order(self, command: SendOrder, timeout_s: float) -> OrderAnswered | None:
+        """Send an order; None means that its effect is unknown."""
+        body = {
+            "order_id": command.order_id,
+            "kind": command.kind,
+            "fencing": command.fencing,
+            "identity": command.identity._asdict(),
+            "role": command.role,
+            "host": self.me.host,
+            "incarnation": self.me.incarnation,
+        }
+        result = self.client.exchange(
+            Target(command.address, "POST", "/orders"),
+            json.dumps(body).encode(),
+            {"Content-Type": "application/json"},
+            timeout_s,
+        )
+        if result.is_err():
+            return None
+        answer = result.unwrap()
+        stale = answer.json().get("code") == "stale_fencing"
+        accepted = answer.status == 200
+        return OrderAnswered(command.order_id, command.address, accepted, stale)
+
+
+def parse_report(address: str, body: dict[str, Any]) -> EndpointReported | None:
+    """Return the event for a report, or None if the report is malformed."""
+    try:
+        identity = body["identity"]
+        return EndpointReported(
+            address=address,
+            incarnation=int(body["incarnation"]),
+            identity=Identity(
+                str(identity["owner"]),
+                str(identity["service"]),
+                str(identity["version"]),
+            ),
+            role=EndpointRole(body["role"]),
+            slots=int(body["slots"]),
+            busy=int(body["busy"]),
+            queued_tokens=int(body["queued_tokens"]),
+            pieces_total=int(body["pieces_total"]),
+            pieces_free=int(body["pieces_free"]),
+            leaving=bool(body["leaving"]),
+            fences=bool(body["fences"]),
+            knows_operations=bool(body["knows_operations"]),
+            work=tuple(
+                WorkItem(
+                    str(row["attempt"]),
+                    HostKey(str(row["host"]), int(row["incarnation"])),
+                    str(row["state"]),
+                )
+                for row in body["work"]
+            ),
+            cache_seq=int(body["cache_seq"]),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def parse_cache_events(address: str, body: dict[str, Any]) -> CacheChanged | None:
+    """Return the event for cache events, or None if they are malformed."""
+    try:
+        changes = tuple(
+            CacheChange(int(row["seq"]), row["kind"] == "stored", str(row["prefix"]))
+            for row in body["events"]
+        )
+        return CacheChanged(
+            address, int(body.get("incarnation", 0)), changes, int(body["oldest"])
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/src/poplarfold/_internal/daemon/host_list_client.py
@@ -0,0 +1,57 @@
+"""HTTP to the platform's list of live and leaving hosts."""
+
+import json
+
+from result import Err, Ok, Result
+
+from poplarfold._internal.core.events import HostsListed, ListedHost
+from poplarfold._internal.daemon.endpoint_client import (
+    EndpointClient,
+    Target,
+)
+from poplarfold._internal.daemon.log_client import address_of
+from poplarfold._internal.exceptions import EndpointError
+
+__all__ = ["HostListClient", "parse_hosts"]
+
+READ_TIMEOUT_S = 2.0
+
+
+class HostListClient:
+    """Fetches the host list."""
+
+    def __init__(self, client: EndpointClient, url: str) -> None:
+        self.client = client
+        self.address = address_of(url)
+
+    def fetch(self) -> Result[HostsListed, EndpointError]:
+        """Return the present list, or why it could not be read."""
+        result = self.client.exchange(
+            Target(self.address, "GET", "/hosts"), None, {}, READ_TIMEOUT_S
+        )
+        if result.is_err():
+            return Err(result.unwrap_err().error)
+        answer = result.unwrap()
+        if answer.status != 200:
+            return Err(EndpointError(f"the host list answered {answer.status}"))
+        return parse_hosts(answer.body)
+
+
+def parse_hosts(body: bytes) -> Result[HostsListed, EndpointError]:
+    """Return the event for the body of a host list."""
+    try:
+        found = json.loads(body)
+        rows = tuple(
+            ListedHost(
+                host=str(row["host"]),
+                address=str(row["address"]),
+                kind=str(row["kind"]),
+                domain=str(row["domain"]),
+                service=str(row.get("service") or ""),
+                leaving=row["state"] == "leaving",
+            )
+            for row in found["hosts"]
+        )
+        return Ok(HostsListed(int(found["version"]), rows))
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return Err(EndpointError(f"malformed host list: {error!r}"))
--- /dev/null
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -0,0 +1,240 @@
+"""cheroot with read deadlines, typed errors and strict request heads.
+
+A caller has a limited time to send its whole request, however slowly the bytes
+come, so that slow senders do not hold threads.
+"""
+
+import io
+import json
+import re
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+from cheroot import server as cheroot_server
+from cheroot.wsgi import Gateway_10, Server
+
+from poplarfold._internal.exceptions import (
+    PoplarfoldError,
+    PromptTooLargeError,
+    RequestError,
+    RequestTimeoutError,
+)
+
+__all__ = ["CONNECTION_KEY", "CallerConnection", "CallerServer"]
+
+CONNECTION_KEY = "poplarfold.connection"
+WRITE_TIMEOUT_S = 10.0
+KEEP_ALIVE_S = 30.0
+HEADER_LIMIT_BYTES = 32_768
+BACKLOG = 1024
+# The kernel holds a new connection back for so long until its first bytes come,
+# so that idle connections take no thread.
+DEFER_ACCEPT_S = 5
+READ_BUFFER_BYTES = 65536
+
+FORBIDDEN_IN_HEADER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+CONTENT_LENGTH = re.compile(rb"[0-9]{1,15}")
+
+
+class CallerReader(io.RawIOBase):
+    """Reads from a socket until a deadline that covers many reads."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.deadline = 0.0
+        self.is_peek = False
+
+    def readable(self) -> bool:
+        """Return True, as BufferedReader requires."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read what has come, or raise TimeoutError at the deadline."""
+        if self.is_peek:
+            return None
+        remaining = self.deadline - time.monotonic()
+        if remaining <= 0:
+            raise TimeoutError("timed out")
+        self.sock.settimeout(remaining)
+        return self.sock.recv_into(buffer)
+
+
+class BufferedCallerReader(io.BufferedReader):
+    """The buffered form, with what cheroot asks of its readers."""
+
+    raw: CallerReader
+
+    def has_data(self) -> bool:
+        """Return whether bytes of another request are in the buffer."""
+        self.raw.is_peek = True
+        try:
+            return bool(self.peek(1))
+        finally:
+            self.raw.is_peek = False
+
+
+class CallerWriter:
+    """Writes to a socket without a buffer, as each output is flushed anyway."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.closed = False
+
+    def write(self, data: bytes) -> int:
+        """Write all bytes, or raise TimeoutError if the caller does not read."""
+        self.sock.settimeout(WRITE_TIMEOUT_S)
+        self.sock.sendall(data)
+        return len(data)
+
+    def close(self) -> None:
+        """Nothing is buffered, and the connection closes the socket."""
+        self.closed = True
+
+
+def make_file(
+    sock: socket.socket, mode: str = "r", size: int = READ_BUFFER_BYTES
+) -> BufferedCallerReader | CallerWriter:
+    """Return a reader or writer of the socket, as cheroot's MakeFile does."""
+    if "r" in mode:
+        return BufferedCallerReader(CallerReader(sock), READ_BUFFER_BYTES)
+    return CallerWriter(sock)
+
+
+class StrictHeaderReader(cheroot_server.HeaderReader):
+    """Refuses heads that two programs could read in different ways."""
+
+    def __call__(
+        self, rfile: Any, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        """Read the head of a request. Raises ValueError if it is malformed."""
+        headers: dict[bytes, bytes] = {} if hdict is None else hdict
+        while True:
+            line = rfile.readline()
+            if line == b"\r\n":
+                break
+            if not line.endswith(b"\r\n"):
+                raise ValueError("a header line does not end in CRLF")
+            name, colon, value = line[:-2].partition(b":")
+            value = value.strip(b" \t")
+            if not colon or not TOKEN.fullmatch(name):
+                raise ValueError("a header line is malformed")
+            if FORBIDDEN_IN_HEADER.search(value):
+                raise ValueError("a header value has control characters")
+            key = name.title()
+            if key in headers:
+                if key in {b"Content-Length", b"Transfer-Encoding", b"Host"}:
+                    raise ValueError(f"the header {key.decode()} is repeated")
+                value = headers[key] + b", " + value
+            headers[key] = value
+        length = headers.get(b"Content-Length")
+        if length is not None:
+            if b"Transfer-Encoding" in headers:
+                raise ValueError("both Content-Length and Transfer-Encoding are set")
+            if not CONTENT_LENGTH.fullmatch(length):
+                raise ValueError("Content-Length is not a number")
+        return headers
+
+
+ERROR_TYPES: dict[str, type[PoplarfoldError]] = {
+    "408": RequestTimeoutError,
+    "413": PromptTooLargeError,
+    "500": PoplarfoldError,
+}
+
+
+class CallerRequest(cheroot_server.HTTPRequest):
+    """A request whose protocol errors are answered with typed JSON."""
+
+    header_reader = StrictHeaderReader()
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer an error of the HTTP layer and close the connection."""
+        code, _, reason = str(status).partition(" ")
+        kind = ERROR_TYPES.get(code, RequestError)
+        body = json.dumps(kind(msg or reason).as_body()).encode()
+        self.close_connection = True
+        head = (
+            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        try:
+            self.conn.wfile.write(head.encode("latin-1") + body)
+        except OSError:
+            # The caller has gone; there is nobody to tell.
+            pass
+
+    def respond(self) -> None:
+        """Answer the request; a chunked request ends its connection."""
+        if self.chunked_read:
+            # cheroot leaves the trailer unread, where a request could hide.
+            self.close_connection = True
+        super().respond()
+
+
+class CallerConnection(cheroot_server.HTTPConnection):
+    """A connection with a deadline for each request."""
+
+    RequestHandlerClass = CallerRequest
+    rfile: BufferedCallerReader
+    socket: socket.socket
+
+    def __init__(self, server: Any, sock: socket.socket, makefile: Any) -> None:
+        super().__init__(server, sock, make_file)
+
+    def communicate(self) -> bool:
+        """Serve one request; its deadline starts with its first byte."""
+        self.rfile.raw.deadline = time.monotonic() + self.server.request_read_s
+        return bool(super().communicate())
+
+
+class CallerGateway(Gateway_10):
+    """Tells the application which connection a request came on."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment with the connection."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[CONNECTION_KEY] = self.req.conn
+        return environ
+
+
+class CallerServer(Server):
+    """One listener of a daemon. Several can run in one process."""
+
+    ConnectionClass = CallerConnection
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        application: Callable[..., Any],
+        threads: int,
+        body_limit_bytes: int,
+        request_read_s: float,
+        on_error: Callable[[str], None],
+    ) -> None:
+        super().__init__(
+            address,
+            application,
+            numthreads=threads,
+            server_name="poplarfold",
+            request_queue_size=BACKLOG,
+            timeout=KEEP_ALIVE_S,
+            shutdown_timeout=1,
+        )
+        self.gateway = CallerGateway
+        self.max_request_body_size = body_limit_bytes
+        self.max_request_header_size = HEADER_LIMIT_BYTES
+        self.request_read_s = request_read_s
+        self.on_error = on_error
+
+    def bind(self, family: int, type: int, proto: int = 0) -> socket.socket:
+        """Bind the listener and let the kernel hold idle connections back."""
+        sock = super().bind(family, type, proto)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_ACCEPT_S)
+        return sock
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Pass cheroot's own messages on to the numbered events."""
+        self.on_error(msg)
--- /dev/null
+++ b/src/poplarfold/_internal/daemon/main.py
@@ -0,0 +1,98 @@
+"""The daemon: ``poplarfoldd --settings FILE``."""
+
+import argparse
+import json
+import os
+import signal
+import sys
+import threading
+import time
+from pathlib import Path
+
+from poplarfold._internal.core.events import DrainRequested
+from poplarfold._internal.core.node import Node
+from poplarfold._internal.daemon.frontend import FrontEnd
+from poplarfold._internal.daemon.metrics import DaemonMetrics
+from poplarfold._internal.daemon.runtime import LogWriter, Runtime
+from poplarfold._internal.settings_file import DaemonSettings, read_settings
+
+__all__ = ["Daemon", "main"]
+
+EXIT_SETTINGS = 2
+EXIT_INVARIANT = 70
+EXIT_STOPPED_AT_ONCE = 1
+
+
+class Daemon:
+    """One node with its listeners. Several may run in one process.
+
+        daemon = Daemon(settings, write_log)
+        daemon.start()
+        daemon.drain()
+        daemon.wait()
+        daemon.stop()
+    """
+
+    def __init__(self, settings: DaemonSettings, write_log: LogWriter) -> None:
+        incarnation = int(time.time() * 1000)
+        seed = int.from_bytes(os.urandom(8), "big")
+        node = Node(settings.node, incarnation, seed)
+        self.runtime = Runtime(settings, node, DaemonMetrics(), write_log)
+        self.frontend = FrontEnd(self.runtime)
+
+    def start(self) -> None:
+        """Start all threads and listen."""
+        self.runtime.start()
+        self.frontend.start()
+
+    def drain(self) -> None:
+        """Take no new calls and finish the open ones."""
+        self.runtime.post(DrainRequested())
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Wait for the end of a drain and return whether it came in time."""
+        return self.runtime.drained.wait(timeout_s)
+
+    def stop(self) -> None:
+        """Stop at once; calls that are still open are cut off."""
+        self.runtime.stop()
+        self.frontend.stop()
+
+
+def write_plain_log(
+    number: str, call_id: str | None, fields: dict[str, object]
+) -> None:
+    """Write an event as one line of JSON on standard error."""
+    row = {"event": number, "call_id": call_id, **fields}
+    print(json.dumps(row, default=str), file=sys.stderr)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the daemon until it is told to stop and return the exit code."""
+    parser = argparse.ArgumentParser(prog="poplarfoldd", description=__doc__)
+    parser.add_argument("--settings", type=Path, required=True, metavar="FILE")
+    options = parser.parse_args(argv)
+    read = read_settings(options.settings)
+    if read.is_err():
+        print(f"poplarfoldd: {read.unwrap_err()}", file=sys.stderr)
+        return EXIT_SETTINGS
+    daemon = Daemon(read.unwrap(), write_plain_log)
+    signals = 0
+
+    def on_signal(number: int, frame: object) -> None:
+        nonlocal signals
+        signals += 1
+        if signals > 1:
+            os._exit(EXIT_STOPPED_AT_ONCE)
+        threading.Thread(target=daemon.drain).start()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    daemon.start()
+    daemon.wait()
+    daemon.stop()
+    return EXIT_INVARIANT if daemon.runtime.failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/poplarfold/_internal/daemon/metrics.py
@@ -0,0 +1,127 @@
+"""The daemon's metrics and their text form."""
+
+import threading
+from bisect import bisect_left
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus.histogram import Histogram as Buckets
+
+__all__ = ["DaemonMetrics", "IntervalRecorder"]
+
+TTFT_BOUNDS_S = (0.05, 0.1, 0.2, 0.3, 0.46, 0.7, 1.0, 2.0, 5.0, 15.0, 60.0)
+INTERVAL_BOUNDS_S = (0.005, 0.01, 0.02, 0.029, 0.04, 0.06, 0.1, 0.2, 0.5, 1.0, 2.0)
+INFINITY = float("inf")
+
+
+class IntervalRecorder:
+    """Counts the times between the outputs of one call without locks.
+
+    Outputs that arrive together count as one interval and zero-length ones.
+    """
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(INTERVAL_BOUNDS_S) + 1)
+        self.total_s = 0.0
+        self.outputs = 0
+        self.last_at = 0.0
+
+    def restart(self, now: float, outputs: int) -> None:
+        """Begin at the first output of an attempt."""
+        self.last_at = now
+        self.outputs += outputs
+        self.counts[0] += outputs - 1
+
+    def add(self, now: float, outputs: int) -> None:
+        """Count outputs that have come after the last ones."""
+        interval = now - self.last_at
+        self.last_at = now
+        self.total_s += interval
+        self.outputs += outputs
+        self.counts[bisect_left(INTERVAL_BOUNDS_S, interval)] += 1
+        self.counts[0] += outputs - 1
+
+
+class DaemonMetrics:
+    """The registry of one daemon, so that several can run in one process."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        registry = self.registry = Registry()
+        self.calls = Counter(
+            "poplarfold_calls_total", "Calls by entry and result.", registry=registry
+        )
+        self.refusals = Counter(
+            "poplarfold_refusals_total", "Error answers by code.", registry=registry
+        )
+        self.open_calls = Gauge(
+            "poplarfold_open_calls", "Calls in progress.", registry=registry
+        )
+        self.outputs = Counter(
+            "poplarfold_outputs_total", "Outputs passed on.", registry=registry
+        )
+        self.first_output = Histogram(
+            "poplarfold_first_output_seconds",
+            "Time from the request to the first output.",
+            registry=registry,
+            buckets=(*TTFT_BOUNDS_S, INFINITY),
+        )
+        self.between_outputs = Histogram(
+            "poplarfold_between_outputs_seconds",
+            "Time between two outputs of one call.",
+            registry=registry,
+            buckets=(*INTERVAL_BOUNDS_S, INFINITY),
+        )
+        self.steps = Counter(
+            "poplarfold_core_steps_total", "Steps of the core.", registry=registry
+        )
+        self.violations = Counter(
+            "poplarfold_invariant_violations_total",
+            "Violated invariants by name.",
+            registry=registry,
+        )
+        self.open = 0
+
+    def call_opened(self) -> None:
+        """Count a call that was read."""
+        with self.lock:
+            self.open += 1
+            self.open_calls.set({}, self.open)
+
+    def call_closed(
+        self, entry: str, code: str, first_output_s: float | None
+    ) -> None:
+        """Count a call that is over. ``entry`` must exist, to bound the labels."""
+        with self.lock:
+            self.open -= 1
+            self.open_calls.set({}, self.open)
+            self.calls.inc({"entry": entry, "result": code})
+            if first_output_s is not None:
+                self.first_output.observe({"entry": entry}, float(first_output_s))
+
+    def call_refused(self, code: str) -> None:
+        """Count an error answer."""
+        with self.lock:
+            self.refusals.inc({"code": code})
+
+    def add_intervals(self, entry: str, recorder: IntervalRecorder) -> None:
+        """Add what one call has recorded."""
+        labels = {"entry": entry}
+        with self.lock:
+            self.outputs.add(labels, recorder.outputs)
+            try:
+                merged = self.between_outputs.get_value(labels)
+            except KeyError:
+                merged = Buckets(*INTERVAL_BOUNDS_S, INFINITY)
+                self.between_outputs.set_value(labels, merged)
+            below = 0
+            for bound, count in zip(merged.buckets, recorder.counts, strict=True):
+                below += count
+                merged.buckets[bound] += below
+            merged.observations += below
+            merged.sum += recorder.total_s
+
+    def render(self) -> bytes:
+        """Return the text exposition format."""
+        with self.lock:
+            content, _ = render(self.registry, ["text/plain"])
+        return bytes(content)
--- /dev/null
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -0,0 +1,352 @@
+"""The core thread of a daemon: feeds the node and carries out its commands."""
+
+import queue
+import threading
+import time
+import traceback
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import singledispatch
+from typing import Any, NamedTuple, Protocol
+
+from poplarfold._internal.core.commands import (
+    AbortAttempt,
+    AnswerOperator,
+    AppendLog,
+    CancelWork,
+    FetchCacheEvents,
+    FinishCall,
+    Log,
+    PollEndpoint,
+    ReadLog,
+    SendOrder,
+    SendPeer,
+    StartAttempt,
+    Stop,
+)
+from poplarfold._internal.core.events import (
+    AttemptEnded,
+    CancelConfirmed,
+    CancelFailed,
+    OrderAnswered,
+)
+from poplarfold._internal.core.messages import PeerMessage
+from poplarfold._internal.core.node import Node
+from poplarfold._internal.core.state import NodeState
+from poplarfold._internal.daemon.endpoint_client import (
+    AbortHandle,
+    EndpointClient,
+    Target,
+)
+from poplarfold._internal.daemon.endpoint_reports import EndpointPoller
+from poplarfold._internal.daemon.host_list_client import HostListClient
+from poplarfold._internal.daemon.log_client import LogClient
+from poplarfold._internal.daemon.metrics import DaemonMetrics
+from poplarfold._internal.exceptions import InvariantViolation
+from poplarfold._internal.settings_file import DaemonSettings
+
+__all__ = ["LogWriter", "Mailbox", "PeerSender", "Runtime"]
+
+CANCEL_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 2.0
+HOST_LIST_PERIOD_S = 0.5
+QUERY_TIMEOUT_S = 5.0
+# Bounds a step, so that timers are not late under a burst of events.
+EVENTS_PER_STEP = 256
+
+Mailbox = queue.SimpleQueue
+"""The commands for one waiting thread, in order."""
+
+LogWriter = Callable[[str, str | None, dict[str, object]], None]
+"""Writes a numbered event: number, call id, fields."""
+
+
+class PeerSender(Protocol):
+    """What the runtime needs from the peer link."""
+
+    def send(self, host: str, message: PeerMessage) -> None:
+        """Send a message to a node, or drop it."""
+
+
+class Query(NamedTuple):
+    """A question to the core thread, answered between two steps."""
+
+    question: Callable[[NodeState], Any]
+    answers: "queue.SimpleQueue[Any]"
+
+
+class Attempt(NamedTuple):
+    """A StartAttempt on its way to the call's thread."""
+
+    command: StartAttempt
+    handle: AbortHandle
+
+
+class Runtime:
+    """One node with its inbox, timers, mailboxes and worker threads.
+
+    All times are those of the monotonic clock. ``post`` may be called from any
+    thread; the node itself is touched by the core thread only.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        node: Node,
+        metrics: DaemonMetrics,
+        write_log: LogWriter,
+    ) -> None:
+        self.settings = settings
+        self.node = node
+        self.metrics = metrics
+        self.write_log = write_log
+        timeouts = settings.timeouts
+        self.client = EndpointClient(timeouts.connect_s)
+        self.poller = EndpointPoller(self.client, node.state.me)
+        self.log = LogClient(self.client, settings.log_url, timeouts.log_append_s)
+        self.hosts = HostListClient(self.client, settings.host_list_url)
+        self.peers: PeerSender | None = None
+        self.inbox: queue.SimpleQueue[NamedTuple] = queue.SimpleQueue()
+        self.mailboxes: dict[str, Mailbox[NamedTuple]] = {}
+        self.handles: dict[str, AbortHandle] = {}
+        self.stopping = threading.Event()
+        self.drained = threading.Event()
+        self.failed = False
+        # Separate pools, so that calls to stalled endpoints hold up no others.
+        self.polls = ThreadPoolExecutor(8, "poll")
+        self.cancels = ThreadPoolExecutor(8, "cancel")
+        self.log_reads = ThreadPoolExecutor(6, "log-read")
+        self.appends = ThreadPoolExecutor(4, "log-append")
+        self.polling: set[str] = set()
+        self.thread = threading.Thread(target=self.run, name="core", daemon=True)
+        self.host_thread = threading.Thread(
+            target=self.poll_hosts, name="host-list", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the threads."""
+        self.thread.start()
+        self.host_thread.start()
+
+    def stop(self) -> None:
+        """Stop the threads; open attempts are aborted."""
+        self.stopping.set()
+        self.inbox.put(Query(lambda state: None, queue.SimpleQueue()))
+        if self.thread is not threading.current_thread():
+            self.thread.join()
+        for handle in list(self.handles.values()):
+            handle.abort()
+        for pool in (self.polls, self.cancels, self.log_reads, self.appends):
+            pool.shutdown(wait=False, cancel_futures=True)
+        self.client.close()
+
+    def post(self, event: NamedTuple) -> None:
+        """Queue an event for the next step."""
+        if isinstance(event, AttemptEnded):
+            self.handles.pop(event.attempt_id, None)
+        self.inbox.put(event)
+
+    def open_mailbox(self, key: str) -> "Mailbox[NamedTuple]":
+        """Create the mailbox of a call or of an operator's request."""
+        mailbox: Mailbox[NamedTuple] = queue.SimpleQueue()
+        self.mailboxes[key] = mailbox
+        return mailbox
+
+    def close_mailbox(self, key: str) -> None:
+        """Drop what still comes for the call."""
+        self.mailboxes.pop(key, None)
+
+    def ask(self, question: Callable[[NodeState], Any]) -> Any:
+        """Return what ``question`` finds in the state, asked between steps.
+
+        Raises queue.Empty if the core thread does not answer in time.
+        """
+        answers: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self.inbox.put(Query(question, answers))
+        return answers.get(timeout=QUERY_TIMEOUT_S)
+
+    # The core thread.
+
+    def run(self) -> None:
+        """Step the node whenever an event arrives or a timer is due."""
+        while not self.stopping.is_set():
+            events = self.take_events()
+            queries = [event for event in events if isinstance(event, Query)]
+            if queries:
+                events = [event for event in events if not isinstance(event, Query)]
+            self.step(events)
+            for query in queries:
+                query.answers.put(query.question(self.node.state))
+
+    def take_events(self) -> list[NamedTuple]:
+        """Wait for an event or the next timer and return all events so far."""
+        now = time.monotonic()
+        wakeup = self.node.next_wakeup(now)
+        try:
+            if wakeup is None:
+                events = [self.inbox.get()]
+            elif wakeup <= now:
+                events = [self.inbox.get_nowait()]
+            else:
+                events = [self.inbox.get(timeout=wakeup - now)]
+            while len(events) < EVENTS_PER_STEP:
+                events.append(self.inbox.get_nowait())
+        except queue.Empty:
+            return events if "events" in locals() else []
+        return events
+
+    def step(self, events: list[NamedTuple]) -> None:
+        """Make one step and carry out its commands."""
+        try:
+            commands = self.node.step(time.monotonic(), events)
+        except InvariantViolation as violation:
+            self.write_log("PF9001", None, {"problem": str(violation)})
+            self.failed = True
+            self.stopping.set()
+            self.drained.set()
+            return
+        except Exception:
+            # A fault in one system must not end the streams of all callers.
+            self.write_log("PF9002", None, {"traceback": traceback.format_exc()})
+            commands, self.node.state.outbox = self.node.state.outbox, []
+        for command in commands:
+            carry_out(command, self)
+
+    def poll_hosts(self) -> None:
+        """Post the host list once per period; the last list stays otherwise."""
+        while not self.stopping.is_set():
+            result = self.hosts.fetch()
+            if result.is_ok():
+                self.post(result.unwrap())
+            self.stopping.wait(HOST_LIST_PERIOD_S)
+
+    # Work of the pools.
+
+    def submit(
+        self, pool: ThreadPoolExecutor, work: Callable[[], NamedTuple | None]
+    ) -> None:
+        """Run blocking work and post the event that it returns."""
+
+        def run() -> None:
+            try:
+                event = work()
+            except Exception:
+                self.write_log("PF9002", None, {"traceback": traceback.format_exc()})
+                return
+            if event is not None:
+                self.post(event)
+
+        if not self.stopping.is_set():
+            pool.submit(run)
+
+    def cancel(self, command: CancelWork) -> NamedTuple:
+        """Cancel an attempt on an endpoint."""
+        body = b'{"attempt": "%s"}' % command.attempt_id.encode()
+        result = self.client.exchange(
+            Target(command.address, "POST", "/cancel"),
+            body,
+            {"Content-Type": "application/json"},
+            CANCEL_TIMEOUT_S,
+        )
+        if result.is_err():
+            refused = result.unwrap_err().refused
+            return CancelFailed(command.attempt_id, command.address, refused)
+        answer = result.unwrap()
+        if answer.status == 200 and answer.json().get("confirmed") is True:
+            return CancelConfirmed(command.attempt_id, command.address)
+        return CancelFailed(command.attempt_id, command.address, False)
+
+    def poll(self, address: str) -> NamedTuple:
+        """Fetch a report; one poll per endpoint runs at a time."""
+        try:
+            return self.poller.report(address)
+        finally:
+            self.polling.discard(address)
+
+    def order(self, command: SendOrder) -> NamedTuple | None:
+        """Send an order; without an answer, the orders system repeats it."""
+        return self.poller.order(command, ORDER_TIMEOUT_S)
+
+
+@singledispatch
+def carry_out(command: NamedTuple, runtime: Runtime) -> None:
+    """Carry out one command of the core."""
+    raise NotImplementedError(type(command).__name__)
+
+
+@carry_out.register
+def _(command: StartAttempt, runtime: Runtime) -> None:
+    handle = AbortHandle()
+    runtime.handles[command.attempt_id] = handle
+    mailbox = runtime.mailboxes.get(command.call_id)
+    if mailbox is not None:
+        mailbox.put(Attempt(command, handle))
+
+
+@carry_out.register
+def _(command: FinishCall, runtime: Runtime) -> None:
+    mailbox = runtime.mailboxes.get(command.call_id)
+    if mailbox is not None:
+        mailbox.put(command)
+
+
+@carry_out.register
+def _(command: AnswerOperator, runtime: Runtime) -> None:
+    mailbox = runtime.mailboxes.get(command.request_id)
+    if mailbox is not None:
+        mailbox.put(command)
+
+
+@carry_out.register
+def _(command: AbortAttempt, runtime: Runtime) -> None:
+    handle = runtime.handles.pop(command.attempt_id, None)
+    if handle is not None:
+        handle.abort()
+
+
+@carry_out.register
+def _(command: CancelWork, runtime: Runtime) -> None:
+    runtime.submit(runtime.cancels, lambda: runtime.cancel(command))
+
+
+@carry_out.register
+def _(command: PollEndpoint, runtime: Runtime) -> None:
+    if command.address not in runtime.polling:
+        runtime.polling.add(command.address)
+        runtime.submit(runtime.polls, lambda: runtime.poll(command.address))
+
+
+@carry_out.register
+def _(command: FetchCacheEvents, runtime: Runtime) -> None:
+    runtime.submit(runtime.polls, lambda: runtime.poller.cache_events(command))
+
+
+@carry_out.register
+def _(command: SendOrder, runtime: Runtime) -> None:
+    runtime.submit(runtime.polls, lambda: runtime.order(command))
+
+
+@carry_out.register
+def _(command: ReadLog, runtime: Runtime) -> None:
+    runtime.submit(runtime.log_reads, lambda: runtime.log.read(command))
+
+
+@carry_out.register
+def _(command: AppendLog, runtime: Runtime) -> None:
+    runtime.submit(runtime.appends, lambda: runtime.log.append(command))
+
+
+@carry_out.register
+def _(command: SendPeer, runtime: Runtime) -> None:
+    if runtime.peers is not None:
+        runtime.peers.send(command.host, command.message)
+
+
+@carry_out.register
+def _(command: Log, runtime: Runtime) -> None:
+    runtime.write_log(command.number, command.call_id, command.fields)
+
+
+@carry_out.register
+def _(command: Stop, runtime: Runtime) -> None:
+    runtime.drained.set()
--- /dev/null
+++ b/src/poplarfold/_internal/daemon/socket_watcher.py
@@ -0,0 +1,73 @@
+"""Notices at once when a caller closes its socket."""
+
+import select
+import socket
+import threading
+from collections.abc import Callable
+
+__all__ = ["SocketWatcher"]
+
+CLOSED_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+
+
+class SocketWatcher:
+    """One thread that waits for end-of-file on the sockets of open calls.
+
+    It never reads, so a request that a client has sent ahead stays in the
+    socket. A half-closed socket counts as closed.
+    """
+
+    def __init__(self) -> None:
+        self.epoll = select.epoll()
+        self.lock = threading.Lock()
+        self.callbacks: dict[int, Callable[[], None]] = {}
+        self.wake_read, self.wake_write = socket.socketpair()
+        self.epoll.register(self.wake_read.fileno(), select.EPOLLIN)
+        self.thread = threading.Thread(
+            target=self.run, name="socket-watcher", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread and release its descriptors."""
+        self.wake_write.send(b"\0")
+        self.thread.join()
+        self.epoll.close()
+        self.wake_read.close()
+        self.wake_write.close()
+
+    def watch(self, sock: socket.socket, on_close: Callable[[], None]) -> int:
+        """Call ``on_close`` once from the watcher's thread when the peer closes.
+
+        Returns the descriptor to pass to ``forget`` before the socket is closed.
+        """
+        descriptor = sock.fileno()
+        with self.lock:
+            self.callbacks[descriptor] = on_close
+            self.epoll.register(descriptor, CLOSED_EVENTS | select.EPOLLONESHOT)
+        return descriptor
+
+    def forget(self, descriptor: int) -> None:
+        """Stop watching; afterwards the callback is not called any more."""
+        with self.lock:
+            if self.callbacks.pop(descriptor, None) is None:
+                return
+            try:
+                self.epoll.unregister(descriptor)
+            except (OSError, ValueError):
+                pass
+
+    def run(self) -> None:
+        """Wait for closed sockets until ``stop``."""
+        wake = self.wake_read.fileno()
+        while True:
+            for descriptor, _ in self.epoll.poll():
+                if descriptor == wake:
+                    return
+                with self.lock:
+                    callback = self.callbacks.get(descriptor)
+                    if callback is not None:
+                        callback()
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -140,6 +140,27 @@
     status = 422
 
 
+class PathNotFoundError(PoplarfoldError):
+    """The HTTP path does not exist."""
+
+    code = "path_not_found"
+    status = 404
+
+
+class MethodNotAllowedError(PoplarfoldError):
+    """The HTTP path does not support this method."""
+
+    code = "method_not_allowed"
+    status = 405
+
+
+class RequestTimeoutError(PoplarfoldError):
+    """The request did not arrive in time."""
+
+    code = "request_timeout"
+    status = 408
+
+
 class PromptTooLargeError(PoplarfoldError):
     """The prompt does not fit any engine or the request limit."""
 
