--- a/src/poplarfold/_internal/daemon/attempt.py
+++ b/src/poplarfold/_internal/daemon/attempt.py
@@ -342,6 +342,8 @@
         "Entry-Service": start.identity.service,
         "Entry-Version": start.identity.version,
         "Operation-Id": start.operation_id or start.attempt_id,
+        "Call-Host": io.me.host,
+        "Call-Incarnation": str(io.me.incarnation),
     }
     if once:
         headers["Fencing-Number"] = str(start.fencing)
@@ -361,9 +363,7 @@
         failure = result.unwrap_err()
         blamed = None if handle.aborted.is_set() else endpoint.address
         io.post(
-            AttemptEnded(
-                start.attempt_id, failure.error, failure.sent, 0, 0.0, blamed
-            )
+            AttemptEnded(start.attempt_id, failure.error, failure.sent, 0, 0.0, blamed)
         )
         return
     answer = result.unwrap()
@@ -371,9 +371,7 @@
     if error is not None:
         # An explicit refusal says that the endpoint did not run the call.
         sent = not isinstance(error, EndpointRefusedError | IdentityMismatchError)
-        io.post(
-            AttemptEnded(start.attempt_id, error, sent, 0, 0.0, endpoint.address)
-        )
+        io.post(AttemptEnded(start.attempt_id, error, sent, 0, 0.0, endpoint.address))
         return
     io.post(
         AttemptEnded(
--- a/src/poplarfold/_internal/daemon/endpoint_reports.py
+++ b/src/poplarfold/_internal/daemon/endpoint_reports.py
@@ -42,9 +42,7 @@
 
     def cache_events(self, command: FetchCacheEvents) -> CacheChanged | None:
         """Return the engine's cache events, or None if it does not answer."""
-        target = Target(
-            command.address, "GET", f"/cache_events?after={command.after}"
-        )
+        target = Target(command.address, "GET", f"/cache_events?after={command.after}")
         result = self.client.exchange(target, None, {}, POLL_TIMEOUT_S)
         if result.is_err() or result.unwrap().status != 200:
             return None
--- a/src/poplarfold/_internal/daemon/frontend.py
+++ b/src/poplarfold/_internal/daemon/frontend.py
@@ -145,9 +145,7 @@
 class CallOutputs:
     """Runs a model call in the handler's thread and yields its outputs."""
 
-    def __init__(
-        self, services: Services, call_id: str, request: ModelRequest
-    ) -> None:
+    def __init__(self, services: Services, call_id: str, request: ModelRequest) -> None:
         self.services = services
         self.call_id = call_id
         self.request = request
@@ -459,9 +457,7 @@
 
     index = default
 
-    def serve(
-        self, segments: tuple[str, ...], call_id: str
-    ) -> bytes | Iterator[bytes]:
+    def serve(self, segments: tuple[str, ...], call_id: str) -> bytes | Iterator[bytes]:
         """Serve one path. Raises PoplarfoldError."""
         match segments:
             case ("healthz",):
@@ -486,9 +482,7 @@
 class CallerRoot(Root):
     """The callers' paths."""
 
-    def serve(
-        self, segments: tuple[str, ...], call_id: str
-    ) -> bytes | Iterator[bytes]:
+    def serve(self, segments: tuple[str, ...], call_id: str) -> bytes | Iterator[bytes]:
         """Serve a call. Raises PoplarfoldError."""
         match segments:
             case ("v1", "completions"):
@@ -511,9 +505,7 @@
 class OperatorRoot(Root):
     """The operators' paths."""
 
-    def serve(
-        self, segments: tuple[str, ...], call_id: str
-    ) -> bytes | Iterator[bytes]:
+    def serve(self, segments: tuple[str, ...], call_id: str) -> bytes | Iterator[bytes]:
         """Serve an operator's request. Raises PoplarfoldError."""
         if segments[:2] != ("operator", "v1"):
             return super().serve(segments, call_id)
--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -26,7 +26,7 @@
 
 CONNECTION_KEY = "poplarfold.connection"
 WRITE_TIMEOUT_S = 10.0
-KEEP_ALIVE_S = 30.0
+KEEP_ALIVE_S = 30
 HEADER_LIMIT_BYTES = 32_768
 BACKLOG = 1024
 # The kernel holds a new connection back for so long until its first bytes come,
@@ -179,7 +179,7 @@
 
     RequestHandlerClass = CallerRequest
     rfile: BufferedCallerReader
-    socket: socket.socket
+    socket: Any
 
     def __init__(self, server: Any, sock: socket.socket, makefile: Any) -> None:
         super().__init__(server, sock, make_file)
@@ -193,9 +193,9 @@
 class CallerGateway(Gateway_10):
     """Tells the application which connection a request came on."""
 
-    def get_environ(self) -> dict[str, Any]:
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
         """Return the WSGI environment with the connection."""
-        environ: dict[str, Any] = super().get_environ()
+        environ = dict(super().get_environ())
         environ[CONNECTION_KEY] = self.req.conn
         return environ
 
@@ -235,6 +235,8 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_ACCEPT_S)
         return sock
 
-    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
         """Pass cheroot's own messages on to the numbered events."""
         self.on_error(msg)
--- a/src/poplarfold/_internal/daemon/main.py
+++ b/src/poplarfold/_internal/daemon/main.py
@@ -1,7 +1,6 @@
 """The daemon: ``poplarfoldd --settings FILE``."""
 
 import argparse
-import json
 import os
 import signal
 import sys
@@ -14,6 +13,7 @@
 from poplarfold._internal.daemon.frontend import FrontEnd
 from poplarfold._internal.daemon.metrics import DaemonMetrics
 from poplarfold._internal.daemon.runtime import LogWriter, Runtime
+from poplarfold._internal.logs.writer import open_writer
 from poplarfold._internal.settings_file import DaemonSettings, read_settings
 
 __all__ = ["Daemon", "main"]
@@ -26,15 +26,16 @@
 class Daemon:
     """One node with its listeners. Several may run in one process.
 
-        daemon = Daemon(settings, write_log)
-        daemon.start()
-        daemon.drain()
-        daemon.wait()
-        daemon.stop()
+    daemon = Daemon(settings, incarnation, write_log)
+    daemon.start()
+    daemon.drain()
+    daemon.wait()
+    daemon.stop()
     """
 
-    def __init__(self, settings: DaemonSettings, write_log: LogWriter) -> None:
-        incarnation = int(time.time() * 1000)
+    def __init__(
+        self, settings: DaemonSettings, incarnation: int, write_log: LogWriter
+    ) -> None:
         seed = int.from_bytes(os.urandom(8), "big")
         node = Node(settings.node, incarnation, seed)
         self.runtime = Runtime(settings, node, DaemonMetrics(), write_log)
@@ -59,14 +60,6 @@
         self.frontend.stop()
 
 
-def write_plain_log(
-    number: str, call_id: str | None, fields: dict[str, object]
-) -> None:
-    """Write an event as one line of JSON on standard error."""
-    row = {"event": number, "call_id": call_id, **fields}
-    print(json.dumps(row, default=str), file=sys.stderr)
-
-
 def main(argv: list[str] | None = None) -> int:
     """Run the daemon until it is told to stop and return the exit code."""
     parser = argparse.ArgumentParser(prog="poplarfoldd", description=__doc__)
@@ -76,7 +69,10 @@
     if read.is_err():
         print(f"poplarfoldd: {read.unwrap_err()}", file=sys.stderr)
         return EXIT_SETTINGS
-    daemon = Daemon(read.unwrap(), write_plain_log)
+    settings = read.unwrap()
+    incarnation = int(time.time() * 1000)
+    writer = open_writer(settings.log_path, settings.node.host, incarnation)
+    daemon = Daemon(settings, incarnation, writer.write_event)
     signals = 0
 
     def on_signal(number: int, frame: object) -> None:
--- a/src/poplarfold/_internal/daemon/metrics.py
+++ b/src/poplarfold/_internal/daemon/metrics.py
@@ -87,9 +87,7 @@
             self.open += 1
             self.open_calls.set({}, self.open)
 
-    def call_closed(
-        self, entry: str, code: str, first_output_s: float | None
-    ) -> None:
+    def call_closed(self, entry: str, code: str, first_output_s: float | None) -> None:
         """Count a call that is over. ``entry`` must exist, to bound the labels."""
         with self.lock:
             self.open -= 1
--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -28,7 +28,6 @@
     AttemptEnded,
     CancelConfirmed,
     CancelFailed,
-    OrderAnswered,
 )
 from poplarfold._internal.core.messages import PeerMessage
 from poplarfold._internal.core.node import Node
--- a/src/poplarfold/_internal/daemon/stream_assembler.py
+++ b/src/poplarfold/_internal/daemon/stream_assembler.py
@@ -54,6 +54,8 @@
             if event.startswith(b"data: "):
                 try:
                     self._accept(json.loads(event[6:]), due)
+                except EndpointError as error:
+                    return Err(error)
                 except (ValueError, TypeError, KeyError) as error:
                     return Err(EndpointError(f"malformed event in a stream: {error}"))
         if len(self.early) > EARLY_LIMIT:
@@ -63,6 +65,8 @@
     def _accept(self, event: dict[str, object], due: list[str]) -> None:
         if event["attempt"] != self.attempt_id:
             return
+        if "error" in event:
+            raise EndpointError(f"the engine ended the stream: {event['error']}")
         if event.get("done"):
             outputs = event["outputs"]
             if not isinstance(outputs, int):
