--- a/src/poplarfold/_internal/standins/engine_model.py
+++ b/src/poplarfold/_internal/standins/engine_model.py
@@ -1051,7 +1051,7 @@
     def report(self, now: float) -> EndpointReported:
         """Return a load report. The load lags; who and what it serves does not."""
         self.run_until(now)
-        if self.config.report_lag_s > 0:
+        if self.config.report_lag_s > 0 and self.snapshots:
             load = self.snapshots[0][1]
             for at, candidate in self.snapshots:
                 if at <= now - self.config.report_lag_s:
