--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -9,8 +9,9 @@
     'entry_not_found'
 """
 
+from collections.abc import Sequence
 from enum import StrEnum
-from typing import ClassVar, TypedDict
+from typing import ClassVar, NamedTuple, TypedDict
 
 
 class Outcome(StrEnum):
@@ -61,10 +62,31 @@
         return self
 
 
+class SettingsProblem(NamedTuple):
+    """One thing that is wrong in a file. ``key`` is empty for the whole file."""
+
+    file: str
+    line: int
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        subject = f"{self.key}: " if self.key else ""
+        return f"{self.file}:{self.line}: {subject}{self.message}"
+
+
 class SettingsError(PoplarfoldError):
-    """A settings file is invalid. The message names the key and the line."""
+    """A settings file is invalid. The message names each key and its line."""
 
     code = "invalid_settings"
+    problems: tuple[SettingsProblem, ...] = ()
+
+    @classmethod
+    def from_problems(cls, problems: Sequence[SettingsProblem]) -> "SettingsError":
+        """Return one error that lists all problems, one a line."""
+        error = cls("\n".join(map(str, problems)))
+        error.problems = tuple(problems)
+        return error
 
 
 class UsageError(PoplarfoldError):
@@ -73,6 +95,37 @@
     code = "usage"
 
 
+class CommandUnavailableError(PoplarfoldError):
+    """The installation does not contain the command."""
+
+    code = "command_unavailable"
+
+
+class DaemonUnreachableError(PoplarfoldError):
+    """The daemon did not answer the command-line tool."""
+
+    code = "daemon_unreachable"
+
+
+class DaemonRefusedError(PoplarfoldError):
+    """The daemon answered the command-line tool with an error.
+
+    ``remote_code`` is the code that the daemon gave, ``remote_status`` its
+    HTTP status and ``body`` the whole answer.
+    """
+
+    code = "daemon_refused"
+    remote_code: str = ""
+    remote_status: int = 0
+    body: dict[str, object] = {}
+
+
+class LogFileError(PoplarfoldError):
+    """A log file cannot be read, or contains nothing that is asked for."""
+
+    code = "invalid_log_file"
+
+
 # Requests that are wrong in themselves.
 
 
@@ -221,10 +274,14 @@
 
 
 class RevisionConflictError(PoplarfoldError):
-    """An amendment named a revision that is not current."""
+    """An amendment named a revision that is not current.
+
+    ``current`` holds the fields of the current entry, if they are known.
+    """
 
     code = "revision_conflict"
     status = 409
+    current: object = None
 
 
 class LogGapError(PoplarfoldError):
