--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -222,7 +222,7 @@
     # Work of the pools.
 
     def submit(
-        self, pool: ThreadPoolExecutor, work: Callable[[], NamedTuple | None]
+        self, pool: ThreadPoolExecutor, work: "Callable[[], NamedTuple | None]"
     ) -> None:
         """Run blocking work and post the event that it returns."""
 
@@ -262,7 +262,7 @@
         finally:
             self.polling.discard(address)
 
-    def order(self, command: SendOrder) -> NamedTuple | None:
+    def order(self, command: SendOrder) -> "NamedTuple | None":
         """Send an order; without an answer, the orders system repeats it."""
         return self.poller.order(command, ORDER_TIMEOUT_S)
 
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -363,6 +363,12 @@
     code = "stale_fencing"
 
 
+class FleetError(PoplarfoldError):
+    """A local fleet of stand-ins and daemons did not do what it should."""
+
+    code = "fleet_failed"
+
+
 class PeerProtocolError(PoplarfoldError):
     """A peer sent a malformed or oversized message."""
 
