--- a/src/poplarfold/_internal/bench/local_fleet.py
+++ b/src/poplarfold/_internal/bench/local_fleet.py
@@ -206,6 +206,7 @@
             f"{domain.name}-1",
             domain.name,
             self.deployment.domains,
+            endpoint_rules=((self.deployment.once_entry.identity.service, True, True),),
             strict_invariants=True,
         )
         return DaemonSettings(
