--- /dev/null
+++ b/src/poplarfold/_internal/bench/deployments.py
@@ -0,0 +1,233 @@
+"""The two sample deployments with their sizes, and the calls that they get."""
+
+import random
+from typing import NamedTuple
+
+from poplarfold._internal.core.events import CallArrived
+from poplarfold._internal.core.model import (
+    PREFIX_BLOCK_TOKENS,
+    CallClass,
+    CatalogueEntry,
+    EndpointRole,
+    EntryKind,
+    EntryLimits,
+    Identity,
+    LatencyTargets,
+)
+from poplarfold._internal.settings import DomainSettings
+
+__all__ = ["DEPLOYMENTS", "Deployment", "PlannedCall", "Workload", "plan_calls"]
+
+BYTES_PER_TOKEN = 4
+
+
+class Workload(NamedTuple):
+    """The calls of one entry.
+
+    ``prompt_tokens`` is the median of a log-normal law with ``sigma``, cut at
+    ``prompt_max``; ``shared_blocks`` of each prompt are one of
+    ``shared_variants`` common beginnings. ``outputs`` are uniform in a range.
+    ``share`` is the part of the engines' capacity that the entry uses at load 1,
+    or the calls per second of a plain service.
+    """
+
+    entry: CatalogueEntry
+    accounts: tuple[str, ...]
+    prompt_tokens: int
+    sigma: float
+    prompt_max: int
+    shared_blocks: int
+    shared_variants: int
+    outputs: tuple[int, int]
+    share: float
+    deadline_s: float
+
+
+class Deployment(NamedTuple):
+    """Domains, endpoints by (domain, role, identity) and workloads."""
+
+    name: str
+    domains: tuple[DomainSettings, ...]
+    caller_delay_s: float
+    endpoints: tuple[tuple[str, EndpointRole, Identity], ...]
+    workloads: tuple[Workload, ...]
+
+
+class PlannedCall(NamedTuple):
+    """A call that will be made: through which node, and when it hangs up."""
+
+    at: float
+    domain: str
+    slot: int
+    arrival: CallArrived
+    workload: Workload
+    gone_after_s: float | None
+
+
+def engines(
+    identity: Identity, sizes: dict[str, tuple[int, int]]
+) -> tuple[tuple[str, EndpointRole, Identity], ...]:
+    """Return (prefill, decode) engines for each domain."""
+    rows = []
+    for domain, (prefills, decodes) in sizes.items():
+        rows += [(domain, EndpointRole.PREFILL, identity)] * prefills
+        rows += [(domain, EndpointRole.DECODE, identity)] * decodes
+    return tuple(rows)
+
+
+ABSTRACTOR = Identity("association", "abstractor", "sha256:a1")
+OTHER_ABSTRACTOR = Identity("glasscairn", "abstractor", "sha256:b1")
+REGISTRY = Identity("association", "registry", "sha256:a2")
+DESIGN = Identity("glasscairn", "design-llm", "sha256:c1")
+OTHER_DESIGN = Identity("association", "design-llm", "sha256:d1")
+DESK = Identity("glasscairn", "order-desk", "sha256:c2")
+
+ABSTRACTS = Workload(
+    CatalogueEntry(
+        "abstracts",
+        EntryKind.MODEL,
+        ABSTRACTOR,
+        CallClass.PATIENT,
+        LatencyTargets(30.0, 0.029),
+        EntryLimits(),
+    ),
+    ("north", "south", "east"),
+    prompt_tokens=7000,
+    sigma=0.7,
+    prompt_max=50_000,
+    shared_blocks=4,
+    shared_variants=6,
+    outputs=(150, 350),
+    share=1.0,
+    deadline_s=90.0,
+)
+CAPTIONS = Workload(
+    CatalogueEntry(
+        "captions",
+        EntryKind.MODEL,
+        DESIGN,
+        CallClass.INTERACTIVE,
+        LatencyTargets(0.46, 0.029),
+        EntryLimits(),
+    ),
+    ("studio-1", "studio-2", "studio-3"),
+    prompt_tokens=3500,
+    sigma=0.5,
+    prompt_max=12_000,
+    shared_blocks=3,
+    shared_variants=6,
+    outputs=(50, 110),
+    share=1.0,
+    deadline_s=30.0,
+)
+
+
+def lookups(identity: Identity) -> Workload:
+    """Return the lookups of a plain service."""
+    return Workload(
+        CatalogueEntry(
+            "lookups",
+            EntryKind.SERVICE,
+            identity,
+            CallClass.INTERACTIVE,
+            LatencyTargets(0.1, 1.0),
+            EntryLimits(),
+        ),
+        ("studio-1", "studio-2"),
+        prompt_tokens=50,
+        sigma=0.3,
+        prompt_max=500,
+        shared_blocks=0,
+        shared_variants=1,
+        outputs=(1, 1),
+        share=20.0,
+        deadline_s=5.0,
+    )
+
+
+LAHORE = {"lhr-a": (2, 2), "lhr-b": (1, 2), "khi-a": (1, 2)}
+WEST = {"galway-a": (1, 1), "galway-b": (1, 1), "dublin-a": (1, 1)}
+
+DEPLOYMENTS = {
+    "association": Deployment(
+        "association",
+        (
+            DomainSettings("lhr-a", "lahore", 3),
+            DomainSettings("lhr-b", "lahore", 3),
+            DomainSettings("khi-a", "karachi", 3),
+        ),
+        0.003,
+        engines(ABSTRACTOR, LAHORE)
+        + engines(OTHER_ABSTRACTOR, {"lhr-a": (1, 1), "khi-a": (1, 1)})
+        + tuple((domain, EndpointRole.SERVICE, REGISTRY) for domain in LAHORE),
+        (ABSTRACTS, lookups(REGISTRY)),
+    ),
+    "glasscairn": Deployment(
+        "glasscairn",
+        (
+            DomainSettings("galway-a", "west", 2),
+            DomainSettings("galway-b", "west", 2),
+            DomainSettings("dublin-a", "east", 2),
+        ),
+        0.001,
+        engines(DESIGN, WEST)
+        + engines(OTHER_DESIGN, {"galway-a": (1, 1), "dublin-a": (1, 1)})
+        + tuple((domain, EndpointRole.SERVICE, DESK) for domain in WEST),
+        (CAPTIONS, lookups(DESK)),
+    ),
+}
+
+
+def plan_calls(
+    deployment: Deployment,
+    rates: dict[str, float],
+    seconds: float,
+    gone_share: float,
+    rng: random.Random,
+) -> list[PlannedCall]:
+    """Return the calls of a run in order of their times: Poisson arrivals."""
+    planned = []
+    for workload in deployment.workloads:
+        at = 0.0
+        number = 0
+        while True:
+            at += rng.expovariate(rates[workload.entry.name])
+            if at >= seconds:
+                break
+            number += 1
+            domain = rng.choice(deployment.domains)
+            arrival = plan_arrival(workload, number, at, rng)
+            gone = rng.random() < gone_share
+            gone_after_s = rng.expovariate(0.5) if gone else None
+            slot = rng.randrange(domain.host_slots)
+            planned.append(
+                PlannedCall(at, domain.name, slot, arrival, workload, gone_after_s)
+            )
+    return sorted(planned, key=lambda call: (call.at, call.arrival.call_id))
+
+
+def plan_arrival(
+    workload: Workload, number: int, at: float, rng: random.Random
+) -> CallArrived:
+    """Return one call with a prompt from the workload's laws."""
+    name = workload.entry.name
+    own = int(rng.lognormvariate(0.0, workload.sigma) * workload.prompt_tokens)
+    shared = workload.shared_blocks * PREFIX_BLOCK_TOKENS
+    tokens = min(workload.prompt_max, max(16, own, shared + 16 if shared else 16))
+    variant = rng.randrange(workload.shared_variants)
+    prefixes = []
+    if workload.entry.kind is EntryKind.MODEL:
+        for block in range(tokens // PREFIX_BLOCK_TOKENS):
+            owner = f"v{variant}" if block < workload.shared_blocks else f"c{number}"
+            prefixes.append(f"{name}-{owner}-{block}")
+    return CallArrived(
+        call_id=f"{name}-{number}",
+        account=rng.choice(workload.accounts),
+        entry=name,
+        is_model_call=workload.entry.kind is EntryKind.MODEL,
+        prompt_tokens=tokens,
+        prompt_bytes=tokens * BYTES_PER_TOKEN,
+        prefixes=tuple(prefixes),
+        max_outputs=rng.randint(*workload.outputs),
+        deadline=at + workload.deadline_s,
+    )
--- /dev/null
+++ b/src/poplarfold/_internal/bench/goodput.py
@@ -0,0 +1,365 @@
+"""Goodput under both latency targets, on the deployments' real sizes."""
+
+import random
+from collections import Counter
+from typing import Any, NamedTuple
+
+from poplarfold._internal.bench.bound import Job, calls_in_time_at_most
+from poplarfold._internal.bench.deployments import (
+    DEPLOYMENTS,
+    Deployment,
+    PlannedCall,
+    Workload,
+    plan_arrival,
+    plan_calls,
+)
+from poplarfold._internal.bench.world import CallRecord, World
+from poplarfold._internal.core.events import ListedHost
+from poplarfold._internal.core.model import (
+    PREFIX_BLOCK_TOKENS,
+    EndpointRole,
+    EntryKind,
+)
+from poplarfold._internal.core.policies import POLICIES
+from poplarfold._internal.core.systems import (
+    admission,
+    calls,
+    health,
+    leaving,
+    limits,
+    membership,
+    placement,
+    retries,
+)
+from poplarfold._internal.settings import NodeSettings
+from poplarfold._internal.standins.engine_model import EngineConfig, EngineModel
+from poplarfold._internal.standins.service_model import ServiceConfig, ServiceModel
+
+__all__ = ["GoodputRun", "run_goodput", "run_world"]
+
+SYSTEMS = (
+    calls,
+    membership,
+    health,
+    leaving,
+    limits,
+    admission,
+    placement,
+    retries,
+)
+# Nodes poll the endpoints before the first call.
+WARM_UP_S = 2.0
+DRAIN_S = 60.0
+GONE_SHARE = 0.05
+SAMPLES = 4000
+# A mean over the outputs of a stream; the callers' clocks round to 0.1 ms.
+INTERVAL_TOLERANCE_S = 1e-4
+
+
+class GoodputRun(NamedTuple):
+    """One run to make. ``load`` is a factor of the engines' capacity."""
+
+    deployment: str
+    policy: str
+    load: float
+    seed: int
+    seconds: float = 60.0
+    faults: bool = False
+    health_across_incarnations: bool = False
+
+
+def capacity_rate(deployment: Deployment, workload: Workload) -> float:
+    """Return the calls per second at which the busier pool is fully used.
+
+    Prefill is counted with its fixed cost and without cached prefixes, decode
+    at the rate of a full batch.
+    """
+    config = EngineConfig("", workload.entry.identity, EndpointRole.DECODE)
+    rng = random.Random(0)
+    prefill_s = decode_s = 0.0
+    for number in range(SAMPLES):
+        call = plan_arrival(workload, number, 0.0, rng)
+        prefill_s += config.prefill_overhead_s
+        prefill_s += call.prompt_tokens / config.prefill_tokens_per_s
+        decode_s += call.max_outputs / full_batch_rate(config)
+    pools = Counter(
+        role
+        for _, role, identity in deployment.endpoints
+        if identity == workload.entry.identity
+    )
+    return SAMPLES * min(
+        pools[EndpointRole.PREFILL] / prefill_s, pools[EndpointRole.DECODE] / decode_s
+    )
+
+
+def full_batch_rate(config: EngineConfig) -> float:
+    """Return the outputs per second of a decode engine with a full batch."""
+    return config.slots / (
+        config.step_base_s + config.step_per_request_s * config.slots
+    )
+
+
+def build_world(run: GoodputRun, deployment: Deployment) -> World:
+    """Return a world with the deployment's nodes and endpoints."""
+    settings = NodeSettings("", "", deployment.domains)
+    world = World(run.seed, settings.link_bytes_per_s, deployment.caller_delay_s)
+    world.regions = {domain.name: domain.region for domain in deployment.domains}
+    for number, (domain, role, identity) in enumerate(deployment.endpoints):
+        address = f"{domain}-{identity.service}-{number}:80"
+        model: EngineModel | ServiceModel
+        if role is EndpointRole.SERVICE:
+            model = ServiceModel(ServiceConfig(address, identity))
+        else:
+            model = EngineModel(
+                EngineConfig(
+                    address,
+                    identity,
+                    role,
+                    cache_gap_share=0.02,
+                    checks_identity=False,
+                )
+            )
+        world.add_endpoint(model, domain, identity.service)
+    for domain_settings in deployment.domains:
+        for slot in range(domain_settings.host_slots):
+            host = f"{domain_settings.name}-{slot}"
+            row = ListedHost(host, host, "entry", domain_settings.name, "", False)
+            world.host_list.put(0.0, row)
+    for domain_settings in deployment.domains:
+        for slot in range(domain_settings.host_slots):
+            node = world.add_node(
+                settings._replace(
+                    host=f"{domain_settings.name}-{slot}",
+                    domain=domain_settings.name,
+                    host_slot=slot,
+                    policy=run.policy,
+                    strict_invariants=True,
+                    health_across_incarnations=run.health_across_incarnations,
+                ),
+                systems=SYSTEMS,
+            )
+            for workload in deployment.workloads:
+                node.state.entries.put(workload.entry.name, workload.entry)
+            node.state.catalogue_ready = True
+    return world
+
+
+def run_world(run: GoodputRun) -> tuple[World, list[PlannedCall]]:
+    """Make a run and return the world after it, with the calls made."""
+    deployment = DEPLOYMENTS[run.deployment]
+    world = build_world(run, deployment)
+    rates = {}
+    for workload in deployment.workloads:
+        rate = workload.share
+        if workload.entry.kind is EntryKind.MODEL:
+            rate *= capacity_rate(deployment, workload) * run.load
+        rates[workload.entry.name] = rate
+    # The calls depend on the seed and the load, not on the policy.
+    rng = random.Random(f"{run.deployment}/{run.load}/{run.seed}")
+    planned = plan_calls(deployment, rates, run.seconds, GONE_SHARE, rng)
+    planned = [
+        call._replace(
+            at=call.at + WARM_UP_S,
+            arrival=call.arrival._replace(deadline=call.arrival.deadline + WARM_UP_S),
+        )
+        for call in planned
+    ]
+    for call in planned:
+        host = f"{call.domain}-{call.slot}"
+        world.at(call.at, world.call, host, call.arrival)
+        if call.gone_after_s is not None:
+            gone_at = call.at + call.gone_after_s
+            world.at(gone_at, world.hang_up, host, call.arrival.call_id)
+    if run.faults:
+        plan_faults(world, run, rng)
+    world.run(WARM_UP_S + run.seconds + DRAIN_S)
+    return world, planned
+
+
+def plan_faults(world: World, run: GoodputRun, rng: random.Random) -> None:
+    """Stall transfers, slow, kill, restart and drain endpoints at random times."""
+    targets = [
+        address
+        for address, endpoint in world.endpoints.items()
+        if isinstance(endpoint.model, EngineModel)
+    ]
+
+    def stall(address: str) -> None:
+        model = world.endpoints[address].model
+        if isinstance(model, EngineModel):
+            model.stall_transfers(world.now, 1.0)
+
+    def slow(address: str, factor: float) -> None:
+        world.endpoints[address].model.set_slow(world.now, factor)
+
+    def restart(address: str, incarnation: int) -> None:
+        old = world.endpoints[address]
+        if isinstance(old.model, EngineModel):
+            config = old.model.config._replace(incarnation=incarnation)
+            world.add_endpoint(EngineModel(config), old.domain, config.identity.service)
+
+    def leave(address: str) -> None:
+        world.endpoints[address].model.leave(world.now)
+
+    at = WARM_UP_S + 2.0
+    number = 1
+    while at < WARM_UP_S + run.seconds:
+        address = rng.choice(targets)
+        kind = rng.choice(("stall", "slow", "kill", "leave"))
+        number += 1
+        if kind == "stall":
+            world.at(at, stall, address)
+        elif kind == "slow":
+            world.at(at, slow, address, 3.0)
+            world.at(at + 8.0, slow, address, 1.0)
+        elif kind == "kill":
+            world.at(at, world.kill_endpoint, address)
+            world.at(at + 3.0, restart, address, number)
+        else:
+            world.at(at, leave, address)
+            world.at(at + 6.0, restart, address, number)
+        at += rng.expovariate(1 / 6.0)
+
+
+def met_targets(call: PlannedCall, record: CallRecord) -> bool:
+    """Return whether a call was answered in full within both targets."""
+    if record.error is not None or record.first_at is None or record.last_at is None:
+        return False
+    targets = call.workload.entry.targets
+    if record.first_at - record.at > targets.first_output_s:
+        return False
+    gaps = max(1, call.arrival.max_outputs - 1)
+    interval_s = (record.last_at - record.first_at) / gaps
+    return interval_s <= targets.between_outputs_s + INTERVAL_TOLERANCE_S
+
+
+def bound_of(deployment: Deployment, calls: list[PlannedCall]) -> int:
+    """Return how many of the calls of one model entry could be in time at most.
+
+    Calls that their callers gave up count neither here nor as goodput.
+    """
+    entry = calls[0].workload.entry
+    config = EngineConfig("", entry.identity, EndpointRole.DECODE)
+    pools = Counter(
+        role for _, role, identity in deployment.endpoints if identity == entry.identity
+    )
+    prefill_rate = pools[EndpointRole.PREFILL] * config.prefill_tokens_per_s
+    decode_rate = pools[EndpointRole.DECODE] * full_batch_rate(config)
+    seen: set[str] = set()
+    prefills = []
+    decodes = []
+    for call in calls:
+        cached = 0
+        for prefix in call.arrival.prefixes:
+            if prefix not in seen:
+                break
+            cached += 1
+        seen.update(call.arrival.prefixes)
+        if call.gone_after_s is not None:
+            continue
+        tokens = max(1, call.arrival.prompt_tokens - cached * PREFIX_BLOCK_TOKENS)
+        due = call.at + entry.targets.first_output_s
+        own_s = tokens / config.prefill_tokens_per_s
+        prefills.append(Job(call.at, due, tokens / prefill_rate))
+        outputs = call.arrival.max_outputs
+        interval_s = entry.targets.between_outputs_s + INTERVAL_TOLERANCE_S
+        last_due = due + (outputs - 1) * interval_s
+        decodes.append(Job(call.at + own_s, last_due, outputs / decode_rate))
+    return min(calls_in_time_at_most(prefills), calls_in_time_at_most(decodes))
+
+
+def percentiles(values: list[float]) -> dict[str, float]:
+    """Return the distribution of some seconds, in milliseconds."""
+    if not values:
+        return {}
+    values = sorted(values)
+    last = len(values) - 1
+    return {
+        name: round(1000 * values[round(last * share)], 1)
+        for name, share in (("p50", 0.5), ("p95", 0.95), ("p99", 0.99), ("max", 1.0))
+    }
+
+
+def class_report(
+    deployment: Deployment, world: World, calls: list[PlannedCall]
+) -> dict[str, Any]:
+    """Return the results of the calls of one entry."""
+    workload = calls[0].workload
+    stayed = [call for call in calls if call.gone_after_s is None]
+    records = world.calls
+    good = sum(met_targets(call, records[call.arrival.call_id]) for call in stayed)
+    firsts = []
+    gaps = []
+    refusals: Counter[str] = Counter()
+    for call in stayed:
+        record = records[call.arrival.call_id]
+        if record.error is not None:
+            refusals[record.error.code] += 1
+        elif record.ended_at is None:
+            refusals["unanswered"] += 1
+        if record.first_at is not None:
+            firsts.append(record.first_at - record.at)
+            if record.last_at is not None and call.arrival.max_outputs > 1:
+                count = call.arrival.max_outputs - 1
+                gaps.append((record.last_at - record.first_at) / count)
+    is_model = workload.entry.kind is EntryKind.MODEL
+    bound = bound_of(deployment, calls) if is_model else len(stayed)
+    return {
+        "class": workload.entry.call_class.value,
+        "calls": len(stayed),
+        "good": good,
+        "bound": bound,
+        "share_of_bound": round(good / bound, 4) if bound else None,
+        "first_output_ms": percentiles(firsts),
+        "between_outputs_ms": percentiles(gaps),
+        "refusals": dict(sorted(refusals.items())),
+    }
+
+
+def run_goodput(run: GoodputRun) -> dict[str, Any]:
+    """Make a run and return its results as JSON values."""
+    world, planned = run_world(run)
+    deployment = DEPLOYMENTS[run.deployment]
+    entries: dict[str, Any] = {}
+    for workload in deployment.workloads:
+        own = [call for call in planned if call.workload is workload]
+        if own:
+            entries[workload.entry.name] = class_report(deployment, world, own)
+    computed = wasted = foreign = late = 0
+    for endpoint in world.endpoints.values():
+        foreign += endpoint.model.served_unpinned
+        late += endpoint.model.late_work_after_leaving
+        if isinstance(endpoint.model, EngineModel):
+            computed += endpoint.model.prefill_tokens_computed
+            wasted += endpoint.model.prefill_tokens_wasted
+    held = sorted(
+        max(0.0, world.memory_freed.get(attempt, 0.0) - record.gone_at)
+        for record in world.calls.values()
+        if record.gone_at is not None
+        for attempt in record.attempts
+    )
+    retried = sum(len(record.attempts) > 1 for record in world.calls.values())
+    return {
+        **run._asdict(),
+        "entries": entries,
+        "prefill_tokens": computed,
+        "wasted_prefill_share": round(wasted / computed, 5) if computed else 0.0,
+        "held_after_gone_ms": percentiles(held),
+        "calls_to_others": foreign,
+        "work_to_leaving": late,
+        "calls_retried": retried,
+        "engine_refusals": dict(sorted(world.errors.items())),
+        "peer_messages": world.peer_messages,
+        "links": {
+            f"{source}>{target}": {
+                "bytes": link.total,
+                "peak_share": round(link.window_max / link.bytes_per_s, 4),
+            }
+            for (source, target), link in sorted(world.links.items())
+        },
+    }
+
+
+def policy_names(policy: str) -> list[str]:
+    """Return the policies that a name stands for."""
+    return list(POLICIES) if policy == "all" else [policy]
--- a/src/poplarfold/_internal/bench/world.py
+++ b/src/poplarfold/_internal/bench/world.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 from types import ModuleType
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from poplarfold._internal.core import commands, events
 from poplarfold._internal.core.model import EndpointRef, EndpointRole
@@ -34,6 +34,8 @@
 
 __all__ = ["CallRecord", "Link", "World"]
 
+Event = tuple[Any, ...]
+
 DOMAIN_DELAY_S = 0.0002
 HOST_LIST_PERIOD_S = 1.0
 REQUEST_BYTES = 400
@@ -87,7 +89,7 @@
         self.domain = domain
         self.alive = True
         self.paused = False
-        self.held: list[NamedTuple] = []
+        self.held: list[Any] = []
         self.wake_at: float | None = None
 
 
@@ -129,7 +131,9 @@
     def __init__(self, seed: int, link_bytes_per_s: float, caller_delay_s: float):
         self.rng = random.Random(seed)
         self.now = 0.0
-        self.heap: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
+        self.heap: list[
+            tuple[float, int, Callable[..., object], tuple[object, ...]]
+        ] = []
         self.sequence = 0
         self.caller_delay_s = caller_delay_s
         self.link_bytes_per_s = link_bytes_per_s
@@ -150,7 +154,7 @@
 
     # Time.
 
-    def at(self, when: float, function: Callable[..., None], *args: object) -> None:
+    def at(self, when: float, function: Callable[..., object], *args: object) -> None:
         """Call a function at a time."""
         self.sequence += 1
         heapq.heappush(self.heap, (when, self.sequence, function, args))
@@ -216,7 +220,7 @@
             self.step(host, [self.host_list.listed(self.now)])
         self.at(self.now + HOST_LIST_PERIOD_S, self.poll_host_list, host)
 
-    def step(self, host: NodeHost, inbox: list[NamedTuple]) -> None:
+    def step(self, host: NodeHost, inbox: list[Any]) -> None:
         """Let a node handle events and carry out its commands."""
         if not host.alive:
             return
@@ -238,7 +242,7 @@
             host.wake_at = None
             self.step(host, [])
 
-    def post(self, host: NodeHost, event: NamedTuple, delay_s: float = 0.0) -> None:
+    def post(self, host: NodeHost, event: Event, delay_s: float = 0.0) -> None:
         """Deliver an event to a node."""
         self.at(self.now + delay_s, self.step, host, [event])
 
@@ -302,7 +306,7 @@
 
     @carry_out.register
     def _(self, command: commands.FetchCacheEvents, host: NodeHost) -> None:
-        def fetch(endpoint: Endpoint) -> NamedTuple | None:
+        def fetch(endpoint: Endpoint) -> Event | None:
             model = endpoint.model
             if not isinstance(model, engine_model.EngineModel):
                 return None
@@ -408,9 +412,9 @@
         self,
         host: NodeHost,
         address: str,
-        act: Callable[[Endpoint], NamedTuple | None],
-        failed: NamedTuple | None,
-        refused: NamedTuple | None,
+        act: Callable[[Endpoint], Event | None],
+        failed: Event | None,
+        refused: Event | None,
     ) -> None:
         """Do something at an endpoint and post what follows at the node."""
         endpoint = self.endpoints.get(address)
@@ -431,8 +435,8 @@
         self,
         host: NodeHost,
         address: str,
-        act: Callable[[Endpoint], NamedTuple | None],
-        refused: NamedTuple | None,
+        act: Callable[[Endpoint], Event | None],
+        refused: Event | None,
     ) -> None:
         """Serve a request at an endpoint."""
         endpoint = self.endpoints[address]
@@ -665,7 +669,7 @@
             endpoint.wake_at = None
             self.pump(endpoint)
 
-    def on_endpoint_event(self, happened: NamedTuple, endpoint: Endpoint) -> None:
+    def on_endpoint_event(self, happened: Any, endpoint: Endpoint) -> None:
         """Pass an event of an endpoint on to the attempt that it concerns."""
         if isinstance(happened, engine_model.KvImported):
             source = self.endpoints.get(happened.source)
@@ -692,9 +696,7 @@
             return
         self.at(self.now + delay_s, self.on_answer, attempt, happened, endpoint)
 
-    def on_answer(
-        self, attempt: Attempt, happened: NamedTuple, endpoint: Endpoint
-    ) -> None:
+    def on_answer(self, attempt: Attempt, happened: Any, endpoint: Endpoint) -> None:
         """Handle an endpoint's answer at the node of the attempt."""
         if not attempt.open or not attempt.host.alive:
             return
