Let stand-ins answer readers that come back without KV

A daemon that reattaches to a decode names no prefill result; the engine stand-in answered 400 for an attempt it did not know, where the protocol has kv_gone. A repeat of an operation that runs at another process of the service now waits for its answer, since a refusal would not be part of the protocol. Runs are counted per request body as well, and held memory carries the answer key, so that a test can match both with its own calls. The incarnation is the start time in ms.

--- a/src/poplarfold/_internal/standins/engine.py
+++ b/src/poplarfold/_internal/standins/engine.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import time
 from typing import Any
 
 from poplarfold._internal.core.events import EndpointReported
@@ -131,7 +132,7 @@
 
     def on_start(self) -> None:
         """Create an empty engine with a new incarnation."""
-        self.incarnation = max(self.incarnation + 1, int(self.now() * 1000))
+        self.incarnation = max(self.incarnation + 1, int(time.time() * 1000))
         self.config = self.config._replace(
             address=self.address, incarnation=self.incarnation
         )
@@ -246,8 +247,9 @@
         if self.model.outputs_of(work.attempt) is not None:
             self.attach(Reader(reply, work.attempt, resume_from))
             return
-        source = str(body["kv"]["source"])
-        handle = str(body["kv"]["handle"])
+        # A reader that comes back to an unknown decode has no result to name.
+        kv = body.get("kv") or {"source": "", "handle": ""}
+        source, handle = str(kv["source"]), str(kv["handle"])
         prompt_tokens = int(body["prompt_tokens"])
         max_outputs = int(body["max_outputs"])
 
@@ -260,6 +262,9 @@
             else:
                 self.refuse(reply, code)
 
+        if not handle:
+            start(None)
+            return
         local = self.server.standins.get(source)
         if isinstance(local, EngineStandIn) and not local.paused:
             start(local.model.export(self.now(), handle))
--- a/src/poplarfold/_internal/standins/engine_model.py
+++ b/src/poplarfold/_internal/standins/engine_model.py
@@ -338,7 +338,7 @@
         self.late_work_after_leaving = 0
         self.stale_orders_applied = 0
         self.orders_applied = 0
-        self.holds: deque[tuple[str, float, float]] = deque(maxlen=HOLDS_KEPT)
+        self.holds: deque[tuple[str, str, float, float]] = deque(maxlen=HOLDS_KEPT)
         self.longest_hold_s = 0.0
         if config.report_lag_s > 0:
             self.take_snapshot(0.0)
@@ -583,7 +583,7 @@
         del self.jobs[attempt]
         if wasted_reason is not None:
             self.count_waste(attempt, job.tokens - job.cached, wasted_reason)
-        self.free_pieces(attempt, job.pieces, job.started_at)
+        self.free_pieces(attempt, job.pieces, job.started_at, job.key)
         self.start_prefill_batch()
         self.start_change()
         return True
@@ -610,7 +610,7 @@
             self.prefill_tokens_computed += spent
             self.count_waste(attempt, spent, "cancelled")
             self.batch_jobs.remove(job)
-            self.free_pieces(attempt, job.pieces, job.started_at)
+            self.free_pieces(attempt, job.pieces, job.started_at, job.key)
             if self.batch_jobs:
                 saved_s = todo * left / self.config.prefill_tokens_per_s
                 saved_s *= self.slow_factor
@@ -816,15 +816,15 @@
                 if self.joining:
                     self.step_at = self.now
                     self.rebuild_batch()
-        self.free_pieces(attempt, stream.pieces, stream.held_since)
+        self.free_pieces(attempt, stream.pieces, stream.held_since, stream.key)
         self.start_change()
 
-    def free_pieces(self, attempt: str, pieces: int, since: float) -> None:
+    def free_pieces(self, attempt: str, pieces: int, since: float, key: str) -> None:
         """Give memory back and account for the time it was held."""
         self.pieces_free += pieces
         held_s = self.now - since
         self.longest_hold_s = max(self.longest_hold_s, held_s)
-        self.holds.append((attempt, since, self.now))
+        self.holds.append((attempt, key, since, self.now))
         self.events.append(MemoryFreed(self.now, attempt, pieces, held_s))
 
     def outputs_of(self, attempt: str) -> tuple[str, int, int, int] | None:
@@ -1102,8 +1102,8 @@
             "orders_applied": self.orders_applied,
             "longest_hold_s": self.longest_hold_s,
             "holds": [
-                {"attempt": attempt, "since": since, "until": until}
-                for attempt, since, until in self.holds
+                {"attempt": attempt, "key": key, "since": since, "until": until}
+                for attempt, key, since, until in self.holds
             ],
             "held": [
                 {
--- a/src/poplarfold/_internal/standins/service.py
+++ b/src/poplarfold/_internal/standins/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 from poplarfold._internal.core.model import HostKey, Identity
 from poplarfold._internal.standins.engine import (
@@ -50,7 +51,7 @@
 
     def on_start(self) -> None:
         """Create an idle process with a new incarnation."""
-        self.incarnation = max(self.incarnation + 1, int(self.now() * 1000))
+        self.incarnation = max(self.incarnation + 1, int(time.time() * 1000))
         self.config = self.config._replace(
             address=self.address, incarnation=self.incarnation
         )
--- a/src/poplarfold/_internal/standins/service_model.py
+++ b/src/poplarfold/_internal/standins/service_model.py
@@ -1,8 +1,9 @@
 """A plain service as a pure model: a queue, a few workers and service times.
 
 A run takes effect when a worker takes it from the queue, and from then on it
-cannot be undone. ``runs`` counts effects per operation id, so that a test sees a
-filing that was filed twice.
+cannot be undone. ``runs`` counts effects per operation id and
+``runs_by_request`` per request body, so that a test sees a filing that was filed
+twice, even under two operation ids.
 
     >>> service = ServiceModel(ServiceConfig("s1", Identity("a", "registry", "v1")))
     >>> service.call(0.0, Call("c1", "op-1", 7, service.identity, b"{}"))
@@ -27,10 +28,13 @@
     "ServiceConfig",
     "ServiceModel",
     "answer_body",
+    "request_digest",
 ]
 
 OPERATIONS_KEPT = 100_000
 LEAVING_GRACE_S = 3.0
+# How often a process looks whether another one has finished an operation.
+RECHECK_S = 0.05
 
 
 class ServiceConfig(NamedTuple):
@@ -87,15 +91,19 @@
     body: bytes = b""
 
 
+def request_digest(body: bytes) -> str:
+    """Return the digest under which runs of a request body are counted."""
+    return hashlib.sha256(body).hexdigest()[:16]
+
+
 def answer_body(identity: Identity, call: Call, run: int) -> bytes:
     """Return the answer of a run: it names the operation and echoes the request."""
-    digest = hashlib.sha256(call.body).hexdigest()[:16]
     answer = {
         "owner": identity.owner,
         "service": identity.service,
         "version": identity.version,
         "operation_id": call.operation_id,
-        "request_sha256": digest,
+        "request_sha256": request_digest(call.body),
         "run": run,
     }
     return json.dumps(answer, separators=(",", ":")).encode()
@@ -110,6 +118,7 @@
 
     def __init__(self) -> None:
         self.runs: Counter[str] = Counter()
+        self.runs_by_request: Counter[str] = Counter()
         self.operations: OrderedDict[str, Operation] = OrderedDict()
         self.highest_fencing: dict[str, int] = {}
 
@@ -140,6 +149,7 @@
         self.sequence = 0
         self.events: list[CallDone] = []
         self.waiting: dict[str, list[str]] = {}
+        self.rechecks: deque[tuple[float, int, Call]] = deque()
         self.runs_here = 0
         self.served: Counter[Identity] = Counter()
         self.served_unpinned = 0
@@ -152,7 +162,8 @@
 
     def next_event_at(self) -> float | None:
         """Return the time of the next answer, or None when idle."""
-        return self.running[0][0] if self.running else None
+        times = [rows[0][0] for rows in (self.running, self.rechecks) if rows]
+        return min(times, default=None)
 
     def advance(self, now: float) -> list[CallDone]:
         """Carry the service to ``now`` and return the answers made on the way."""
@@ -162,10 +173,14 @@
 
     def run_until(self, now: float) -> None:
         """Finish runs and start queued calls up to ``now``."""
-        while self.running and self.running[0][0] <= now:
-            self.now, _, call, body = heapq.heappop(self.running)
-            self.finish(call, 200, body)
-            self.start_queued()
+        while (at := self.next_event_at()) is not None and at <= now:
+            self.now = max(self.now, at)
+            if self.running and self.running[0][0] <= at:
+                _, _, call, body = heapq.heappop(self.running)
+                self.finish(call, 200, body)
+                self.start_queued()
+            else:
+                self.take(self.rechecks.popleft()[2])
         self.now = max(self.now, now)
 
     def call(self, now: float, call: Call) -> str | None:
@@ -175,9 +190,14 @@
         if code is not None:
             self.refusals[code] += 1
             return code
-        backend = self.backend
         if call.operation_id and self.config.fences:
-            backend.highest_fencing[call.operation_id] = call.fencing
+            self.backend.highest_fencing[call.operation_id] = call.fencing
+        self.take(call)
+        return None
+
+    def take(self, call: Call) -> None:
+        """Queue an accepted call, or answer it from the record."""
+        backend = self.backend
         if call.operation_id and self.config.knows_operations:
             known = backend.operations.get(call.operation_id)
             if known is not None:
@@ -188,14 +208,14 @@
                 elif self.holds(call.operation_id):
                     self.waiting.setdefault(call.operation_id, []).append(call.call)
                 else:
-                    self.refusals["running_elsewhere"] += 1
-                    return "running_elsewhere"
-                return None
+                    self.sequence += 1
+                    recheck_at = self.now + RECHECK_S
+                    self.rechecks.append((recheck_at, self.sequence, call))
+                return
         if call.operation_id:
             backend.record(call.operation_id, Operation("running"))
         self.queue.append(call)
         self.start_queued()
-        return None
 
     def refusal_of(self, call: Call) -> str | None:
         """Return why a call is refused, or None."""
@@ -229,6 +249,7 @@
             if call.operation_id:
                 self.backend.runs[call.operation_id] += 1
                 run = self.backend.runs[call.operation_id]
+                self.backend.runs_by_request[request_digest(call.body)] += 1
             self.served[self.identity] += 1
             self.served_unpinned += call.identity != self.identity
             body = answer_body(self.identity, call, run)
@@ -265,6 +286,7 @@
                 del self.backend.operations[call.operation_id]
         self.running.clear()
         self.queue.clear()
+        self.rechecks.clear()
         self.waiting.clear()
 
     def operation(self, now: float, operation_id: str) -> Operation:
@@ -335,6 +357,7 @@
             "address": self.address,
             "incarnation": self.incarnation,
             "runs": dict(self.backend.runs),
+            "runs_by_request": dict(self.backend.runs_by_request),
             "runs_here": self.runs_here,
             "answered_again": self.answered_again,
             "served": [
--- a/tests/functional/test_standins.py
+++ b/tests/functional/test_standins.py
@@ -118,6 +118,7 @@
     time.sleep(0.15)
     gone = decode(pool, sink, "a", kv)
     assert (gone.status, gone.json()) == (409, {"code": "kv_gone"})
+    assert decode(pool, sink, "unknown", None).json() == {"code": "kv_gone"}
     kv = prefill(pool, source, "c")["kv"]
     stream = decode(pool, sink, "c", kv, outputs=10_000)
     assert stream.status == 200
--- a/tests/unit/test_standin_models.py
+++ b/tests/unit/test_standin_models.py
@@ -230,8 +230,12 @@
     assert second.call(1.0, filing("c3", fencing=6)) is None
     assert second.advance(1.0)[0].body == answers[0].body
     assert second.call(1.0, filing("c4", fencing=5)) == "stale_fencing"
-    assert backend.runs == {"op": 1}
     assert second.operation(1.0, "op").state == "done"
+    assert first.call(2.0, filing("c5", "op2")) is None
+    assert second.call(2.0, filing("c6", "op2")) is None
+    assert first.advance(3.0)[0].body == second.advance(3.0)[0].body
+    assert backend.runs == {"op": 1, "op2": 1}
+    assert list(backend.runs_by_request.values()) == [2]
 
 
 def test_double_runs_are_counted():
