--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -1,15 +1,18 @@
 """The systems of a node, in the order in which they see each event.
 
-``calls`` comes before ``retries``, which decides on the attempt that ``calls``
-has just closed.
+``calls`` comes first, since the others read the rows that it has just changed.
+``membership`` comes before ``health``, which needs the owners of the cells.
 """
 
 from types import ModuleType
 
 from poplarfold._internal.core.systems import (
+    admission,
     calls,
     catalogue,
     health,
+    leaving,
+    limits,
     membership,
     placement,
     retries,
@@ -19,9 +22,12 @@
 
 ALL_SYSTEMS: tuple[ModuleType, ...] = (
     calls,
-    membership,
     catalogue,
+    membership,
     health,
+    leaving,
+    limits,
+    admission,
     placement,
     retries,
 )
