--- a/src/poplarfold/_internal/core/events.py
+++ b/src/poplarfold/_internal/core/events.py
@@ -274,11 +274,15 @@
 
 
 class ClaimWon(NamedTuple):
-    """The call holds the first claim; ``fencing`` is its log offset."""
+    """The call holds the first claim; ``fencing`` is its log offset.
+
+    ``may_have_run`` is set if the call continues the operation of a dead node.
+    """
 
     call_id: str
     operation_id: str
     fencing: int
+    may_have_run: bool = False
 
 
 class ClaimLost(NamedTuple):
@@ -351,6 +355,26 @@
     member: HostKey
 
 
+class NodePaused(NamedTuple):
+    """This process did not run for ``seconds``; others may have given it up."""
+
+    seconds: float
+
+
+class Checkpoint(NamedTuple):
+    """The newest whole checkpoint of a stream: all records below ``offset``."""
+
+    offset: int
+    bodies: tuple[bytes, ...]
+
+
+class CheckpointsRead(NamedTuple):
+    """The checkpoints that the log holds; None if there is no valid one."""
+
+    catalogue: Checkpoint | None
+    claims: Checkpoint | None
+
+
 class OwnershipChanged(NamedTuple):
     """The live members of this node's domain changed."""
 
--- a/src/poplarfold/_internal/core/log_reader.py
+++ b/src/poplarfold/_internal/core/log_reader.py
@@ -5,6 +5,8 @@
 reader settles with a checkpoint or with the state of a peer.
 """
 
+import math
+
 from result import Err, Ok, Result
 
 from poplarfold._internal.core.commands import ReadLog
@@ -27,6 +29,7 @@
 class StreamReader:
     """Reads one stream from ``next`` on, with one long poll at a time.
 
+    A reader waits until ``start`` tells it where to begin.
     ``caught_up_at`` is the start of the latest read whose answer reached the
     end of the stream: every record confirmed before that time was delivered.
     """
@@ -34,6 +37,7 @@
     def __init__(self, stream: str, wait_s: float) -> None:
         self.stream = stream
         self.wait_s = wait_s
+        self.is_waiting = True
         self.next = 0
         self.first = 0
         self.known_end = 0
@@ -44,6 +48,11 @@
         self.failures = 0
         self.caught_up_at: float | None = None
 
+    def start(self, offset: int) -> None:
+        """Begin to read at ``offset``."""
+        self.is_waiting = False
+        self.jump(offset)
+
     def jump(self, offset: int) -> None:
         """Continue at ``offset``, as the records before it are known."""
         self.next = offset
@@ -61,6 +70,8 @@
 
     def due_at(self) -> float:
         """Return the time of the next read."""
+        if self.is_waiting:
+            return math.inf
         if self.asked_at is None:
             return self.try_at
         lost_at = self.asked_at + self.asked_wait_s + READ_GRACE_S
--- a/src/poplarfold/_internal/core/messages.py
+++ b/src/poplarfold/_internal/core/messages.py
@@ -51,12 +51,17 @@
     """What a relay tells the relays of other domains, once a second.
 
     ``capacity`` rows are (owner, service, version, free slots, backlog ms).
+    ``in_force`` is the lowest revision of the domain's live nodes. ``version``
+    numbers the summaries of the relay ``origin``, as members pass them on.
     """
 
     domain: str
     members: tuple[tuple[str, int, str, str, str], ...]
     revision: int
     capacity: tuple[tuple[str, str, str, int, int], ...]
+    in_force: int = -1
+    origin: str = ""
+    version: int = 0
 
 
 class CatalogueWanted(NamedTuple):
--- a/src/poplarfold/_internal/core/state.py
+++ b/src/poplarfold/_internal/core/state.py
@@ -99,7 +99,10 @@
         self.cancels: Table[tuple[str, str], CancelRow] = Table()
         self.entries: Table[str, CatalogueEntry] = Table()
         self.draining = False
+        # What a system still has to finish before a drained process may end.
+        self.stop_holds: set[str] = set()
         self.catalogue_ready = False
+        self.catalogue_revision = -1
         self.sequence = 0
         self.parts: dict[type, object] = {}
 
--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -10,11 +10,14 @@
     admission,
     calls,
     catalogue,
+    checkpoints,
+    claims,
     health,
     leaving,
     limits,
     membership,
     placement,
+    recovery,
     retries,
 )
 
@@ -22,9 +25,12 @@
 
 ALL_SYSTEMS: tuple[ModuleType, ...] = (
     calls,
+    checkpoints,
     catalogue,
+    claims,
     membership,
     health,
+    recovery,
     leaving,
     limits,
     admission,
--- a/src/poplarfold/_internal/core/systems/calls.py
+++ b/src/poplarfold/_internal/core/systems/calls.py
@@ -32,6 +32,7 @@
 )
 from poplarfold._internal.core.model import CallClass, EndpointRef, EntryKind
 from poplarfold._internal.core.state import AttemptRow, CallRow, CancelRow, NodeState
+from poplarfold._internal.core.systems import claims
 from poplarfold._internal.exceptions import (
     CallerGoneError,
     DeadlineExceededError,
@@ -67,7 +68,8 @@
                 cancel._replace(next_try_at=now + delay, tries=cancel.tries + 1),
             )
             state.emit(CancelWork(cancel.attempt_id, cancel.address))
-    if state.draining and not state.calls and not state.cancels:
+    busy = state.calls or state.cancels or state.stop_holds
+    if state.draining and not busy:
         state.emit(Stop())
 
 
@@ -96,8 +98,9 @@
         return
     error = admission_error(event, state)
     if error is not None:
-        entry = state.entries.get(event.entry)
-        if entry and entry.call_class is CallClass.NON_REPEATABLE:
+        if isinstance(error, IdempotencyKeyError):
+            # Without a key there was no earlier request that may have run. For
+            # all other refusals the key may be claimed, so they say nothing.
             error.with_outcome(Outcome.NOT_RUN)
         state.log("PF1002", call_id, code=error.code, entry=event.entry)
         state.emit(FinishCall(call_id, error))
@@ -147,6 +150,7 @@
             phase="placing",
             operation_id=event.operation_id,
             fencing=event.fencing,
+            sent=event.may_have_run,
         ),
     )
     state.post(PlacementWanted(event.call_id))
@@ -363,15 +367,19 @@
 ) -> None:
     """End a call: close its attempt, cancel its work, release its thread."""
     call = state.calls.pop(call_id)
+    # The thread of an open attempt may be sending at this moment.
+    sent = call.sent or call.phase == "running"
     if call.attempt_id is not None:
         attempt = state.attempts.pop(call.attempt_id)
         close_attempt(state, call.attempt_id, attempt, error)
         cancel_work(state, now, call.attempt_id, attempt)
         state.emit(AbortAttempt(call.attempt_id))
-    if error is not None and error.outcome is None and is_unsent(call, state):
-        error = error.with_outcome(Outcome.NOT_RUN)
+    if error is not None and error.outcome is None:
+        outcome = outcome_of(call, state, sent)
+        if outcome is not None:
+            error = error.with_outcome(outcome)
     state.emit(FinishCall(call_id, error, answer_status, answer_body))
-    state.post(CallEnded(call_id, error, call.sent, answer_status, answer_body))
+    state.post(CallEnded(call_id, error, sent, answer_status, answer_body))
     state.log(
         "PF1005",
         call_id,
@@ -382,15 +390,17 @@
     )
 
 
-def is_unsent(call: CallRow, state: NodeState) -> bool:
-    """Return whether a non-repeatable call never left this node.
+def outcome_of(call: CallRow, state: NodeState, sent: bool) -> Outcome | None:
+    """Return what is known of a non-repeatable call that ends with an error.
 
-    The call is no longer in its table, so no later event can send it.
+    The call is no longer in its table, so no later event can send it. Only a
+    call that held its claim and never had an open attempt is surely not run.
     """
-    entry = state.entries.get(call.arrival.entry)
-    if entry is None or entry.call_class is not CallClass.NON_REPEATABLE:
-        return False
-    return not call.sent and call.phase != "running"
+    if call.phase == "claiming":
+        return claims.outcome_of_unclaimed(state, call)
+    if call.operation_id is None:
+        return None
+    return Outcome.UNKNOWN if sent else Outcome.NOT_RUN
 
 
 def close_attempt(
--- a/src/poplarfold/_internal/core/systems/catalogue.py
+++ b/src/poplarfold/_internal/core/systems/catalogue.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 from functools import singledispatch
 from typing import NamedTuple
 
@@ -23,6 +24,7 @@
 from poplarfold._internal.core.commands import AnswerOperator, AppendLog, SendPeer
 from poplarfold._internal.core.entry_codec import decode_entry, entry_fields
 from poplarfold._internal.core.events import (
+    CheckpointsRead,
     EntryInForce,
     EntryProposed,
     LogAppended,
@@ -30,8 +32,10 @@
     LogRead,
     LogReadFailed,
     LogRecord,
+    NodePaused,
     PeerReceived,
 )
+from poplarfold._internal.core.invariants import invariant
 from poplarfold._internal.core.log_reader import StreamReader
 from poplarfold._internal.core.messages import (
     Ack,
@@ -86,6 +90,7 @@
         self.started_at: float | None = None
         self.revision = -1
         self.known = False
+        self.log_fails = False
         self.peer_revision = -1
         self.peer_host: str | None = None
         self.behind_since: float | None = None
@@ -118,7 +123,7 @@
     ask_peers(state, fold, now)
     if not state.catalogue_ready and is_ready(state, fold, now):
         state.catalogue_ready = True
-        state.log("PF3001", None, revision=fold.revision, offset=fold.reader.next)
+        state.log("PF5001", None, revision=fold.revision, offset=fold.reader.next)
 
 
 def next_wakeup(state: NodeState, now: float) -> float | None:
@@ -135,11 +140,14 @@
         times.append(max(fold.ask_peer_at, now))
     if not state.catalogue_ready and fold.known:
         times.append(max(now, fold.started_at + PEER_REVISION_WAIT_S))
-    return min(times)
+    time = min(times)
+    return None if time == math.inf else time
 
 
 def wants_peers(fold: CatalogueFold) -> bool:
-    return fold.behind_since is not None or (not fold.known and fold.reader.is_failing)
+    """Return whether the log does not deliver what this node lacks."""
+    is_stuck = fold.reader.is_failing or fold.log_fails
+    return fold.behind_since is not None or (not fold.known and is_stuck)
 
 
 def ask_peers(state: NodeState, fold: CatalogueFold, now: float) -> None:
@@ -169,6 +177,27 @@
     return heard or now >= started_at + PEER_REVISION_WAIT_S
 
 
+@on_event.register
+def _(event: CheckpointsRead, state: NodeState, now: float) -> None:
+    fold = state.part(CatalogueFold)
+    fold.log_fails = False
+    if not fold.reader.is_waiting:
+        return
+    if event.catalogue is not None:
+        decoded = decode_state(b"".join(event.catalogue.bodies))
+        if isinstance(decoded, Err):
+            problem = str(decoded.err_value)
+            state.log("PF5203", None, kind=STREAM, problem=problem)
+        else:
+            adopt(state, fold, decoded.ok_value, "checkpoint")
+    fold.reader.start(fold.reader.next)
+
+
+@on_event.register
+def _(event: NodePaused, state: NodeState, now: float) -> None:
+    state.part(CatalogueFold).reader.refresh(now)
+
+
 @on_event.register
 def _(event: LogRead, state: NodeState, now: float) -> None:
     if event.stream != STREAM:
@@ -176,7 +205,8 @@
     fold = state.part(CatalogueFold)
     records = fold.reader.on_read(event, now)
     if isinstance(records, Err):
-        state.log("PF3005", None, stream=STREAM, problem=str(records.err_value))
+        state.log("PF5005", None, stream=STREAM, problem=str(records.err_value))
+        fold.reader.is_waiting = True
         return
     for record in records.ok_value:
         fold_record(state, fold, record)
@@ -192,15 +222,24 @@
         return
     fold = state.part(CatalogueFold)
     if not fold.reader.is_failing:
-        state.log("PF3004", None, stream=STREAM, expired=event.expired)
+        state.log("PF5004", None, stream=STREAM, expired=event.expired)
     fold.reader.on_failure(event, now, state)
+    if event.expired and event.start == fold.reader.next:
+        # Records below the retention are gone: only a checkpoint can tell them.
+        fold.reader.is_waiting = True
 
 
 def fold_record(state: NodeState, fold: CatalogueFold, record: LogRecord) -> None:
     """Apply one record. This must not depend on anything but the log."""
     change = decode_change(record.data)
     if isinstance(change, Err):
-        state.log("PF3003", None, offset=record.offset, problem=str(change.err_value))
+        state.log(
+            "PF5003",
+            None,
+            stream=STREAM,
+            offset=record.offset,
+            problem=str(change.err_value),
+        )
         return
     base, operator, entry = change.ok_value
     current = state.entries.get(entry.name)
@@ -208,7 +247,7 @@
     if accepted:
         put_entry(state, fold, entry._replace(revision=record.offset))
         state.log(
-            "PF3002",
+            "PF5002",
             None,
             entry=entry.name,
             revision=record.offset,
@@ -223,6 +262,7 @@
 def put_entry(state: NodeState, fold: CatalogueFold, entry: CatalogueEntry) -> None:
     state.entries.put(entry.name, entry)
     fold.revision = max(fold.revision, entry.revision)
+    state.catalogue_revision = fold.revision
     state.post(EntryInForce(entry.name, entry.revision))
 
 
@@ -353,7 +393,7 @@
     elif isinstance(message, CatalogueState):
         body = decode_state(message.body)
         if isinstance(body, Err):
-            state.log("PF3006", None, peer=event.sender.host, problem=str(body.err()))
+            state.log("PF5006", None, peer=event.sender.host, problem=str(body.err()))
             return
         adopt(state, fold, body.ok_value, event.sender.host)
 
@@ -384,9 +424,13 @@
     """Take over a state that covers more of the log than this node's."""
     if body.offset <= fold.reader.next or body.above > fold.reader.next - 1:
         return
-    state.log("PF3007", None, source=source, offset=body.offset)
-    fold.reader.jump(body.offset)
-    fold.known = True
+    state.log("PF5007", None, source=source, offset=body.offset)
+    if fold.reader.is_waiting:
+        # The log is still being searched, so reading starts at its end.
+        fold.reader.next = body.offset
+    else:
+        fold.reader.jump(body.offset)
+    fold.known = fold.known or source != "checkpoint"
     for entry in body.entries:
         current = state.entries.get(entry.name)
         if current is None or entry.revision > current.revision:
@@ -410,3 +454,32 @@
     )
     body = entry_body(current) if current is not None else b""
     state.emit(AnswerOperator(row.request_id, error, body))
+
+
+class RevisionMemory:
+    """The revisions that were in force after the previous step."""
+
+    def __init__(self) -> None:
+        self.highest = -1
+        self.count = 0
+        self.by_name: dict[str, int] = {}
+
+
+@invariant("catalogue-in-force")
+def check_revisions_never_fall(state: NodeState, now: float) -> str | None:
+    """Check that neither the catalogue nor an entry reverts."""
+    memory = state.part(RevisionMemory)
+    if state.catalogue_revision == memory.highest:
+        if len(state.entries) == memory.count:
+            return None
+    if state.catalogue_revision < memory.highest:
+        return f"revision {memory.highest} fell to {state.catalogue_revision}"
+    for name, revision in memory.by_name.items():
+        entry = state.entries.get(name)
+        if entry is None or entry.revision < revision:
+            return f"entry {name} fell below revision {revision}"
+    if state.part(CatalogueFold).known:
+        memory.highest = state.catalogue_revision
+        memory.count = len(state.entries)
+        memory.by_name = {n: e.revision for n, e in state.entries.items()}
+    return None
--- /dev/null
+++ b/src/poplarfold/_internal/core/systems/checkpoints.py
@@ -0,0 +1,315 @@
+"""Checkpoints of the catalogue and of the claims, in a log stream of their own.
+
+A starting node reads the stream backwards until it has the newest whole
+checkpoint of each kind, and hands them to the folds. One node writes new ones,
+well before the log drops the records that they replace; two writers at the same
+time do no harm.
+"""
+
+import math
+from functools import singledispatch
+from typing import NamedTuple
+
+from result import Err
+
+from poplarfold._internal.core.catalogue_codec import CatalogueBody, encode_state
+from poplarfold._internal.core.checkpoint_codec import (
+    CheckpointPart,
+    decode_part,
+    encode_part,
+)
+from poplarfold._internal.core.claims_codec import ClaimRow, Expire, encode_rows
+from poplarfold._internal.core.commands import AppendLog, ReadLog
+from poplarfold._internal.core.events import (
+    Checkpoint,
+    CheckpointsRead,
+    LogAppended,
+    LogAppendFailed,
+    LogRead,
+    LogReadFailed,
+    LogRecord,
+)
+from poplarfold._internal.core.log_reader import StreamReader
+from poplarfold._internal.core.state import NodeState
+from poplarfold._internal.core.systems.catalogue import CatalogueFold
+from poplarfold._internal.core.systems.claims import Claims
+from poplarfold._internal.core.systems.membership import all_live_hosts
+from poplarfold._internal.utils.rendezvous import choose
+
+__all__ = ["Checkpoints", "next_wakeup", "on_event", "on_tick"]
+
+STREAM = "checkpoints"
+WINDOW = 20
+# Nodes that start together spread their first reads over this time.
+START_JITTER_S = 0.3
+SEARCH_TIMEOUT_S = 3.0
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 2.0
+# After a gap, the writer may not have written a newer checkpoint yet.
+SEARCH_AGAIN_S = 5.0
+PERIOD_S = 600.0
+RECORDS_MAX = 5_000
+# A checkpoint is renewed when the log has dropped half of what it covers.
+RETAINED_SHARE = 0.25
+WRITER_SETTLES_S = 30.0
+BODY_MAX_BYTES = 500_000
+ROWS_PER_PART = 2_000
+APPEND_RETRY_S = 1.0
+APPEND_TIMEOUT_S = 10.0
+# A key is kept longer than the horizon, since the age that a caller states
+# depends on its clock.
+EXPIRY_FACTOR = 1.1
+
+
+class Checkpoints:
+    """The search at the start, and the checkpoints being written."""
+
+    def __init__(self) -> None:
+        self.started = False
+        self.search_at: float | None = None
+        self.asked_at: float | None = None
+        self.ask_start = 0
+        self.ask_limit = 1
+        self.failures = 0
+        self.first = 0
+        self.position: int | None = None
+        self.found: dict[str, Checkpoint] = {}
+        self.partial: dict[str, dict[int, CheckpointPart]] = {}
+        self.writer_since: float | None = None
+        self.written: dict[str, tuple[int, float]] = {}
+        self.parts: list[tuple[str, bytes]] = []
+        self.append_at = 0.0
+        self.appended_at: float | None = None
+
+
+@singledispatch
+def on_event(event: NamedTuple, state: NodeState, now: float) -> None:
+    """Handle one event; events of other systems are ignored."""
+
+
+def on_tick(state: NodeState, now: float) -> None:
+    """Search for checkpoints when a fold needs one; write new ones."""
+    part = state.part(Checkpoints)
+    if not part.started:
+        part.started = True
+        part.search_at = now + START_JITTER_S * state.rng.random()
+    elif part.search_at is None and needs_search(state):
+        part.position = None
+        part.search_at = now + SEARCH_AGAIN_S * (0.5 + state.rng.random())
+    if part.search_at is not None and now >= part.search_at:
+        part.search_at = now + SEARCH_TIMEOUT_S
+        part.asked_at = now
+        if part.position is None:
+            part.ask_start, part.ask_limit = part.first, 1
+        state.emit(ReadLog(STREAM, part.ask_start, part.ask_limit, 0.0))
+    write(state, part, now)
+
+
+def next_wakeup(state: NodeState, now: float) -> float | None:
+    """Return the time of the next read or write."""
+    part = state.part(Checkpoints)
+    if not part.started:
+        return now
+    times = [part.search_at] if part.search_at is not None else []
+    if part.parts:
+        lost_at = math.inf
+        if part.appended_at is not None:
+            lost_at = part.appended_at + APPEND_TIMEOUT_S
+        times.append(min(lost_at, max(part.append_at, now)))
+    elif part.writer_since is not None:
+        times.append(now + 1.0)
+    return min(times, default=None)
+
+
+def needs_search(state: NodeState) -> bool:
+    catalogue = state.part(CatalogueFold).reader
+    return catalogue.is_waiting or state.part(Claims).reader.is_waiting
+
+
+# The search.
+
+
+@on_event.register
+def _(event: LogReadFailed, state: NodeState, now: float) -> None:
+    part = state.part(Checkpoints)
+    if event.stream != STREAM or part.search_at is None:
+        return
+    part.asked_at = None
+    if event.expired:
+        part.first = max(part.first, event.first)
+        part.position = None
+        part.search_at = now
+        return
+    delay = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(part.failures, 8))
+    part.failures += 1
+    # The folds ask peers as long as the log fails.
+    state.part(CatalogueFold).log_fails = True
+    part.search_at = now + delay * (0.5 + state.rng.random())
+
+
+@on_event.register
+def _(event: LogRead, state: NodeState, now: float) -> None:
+    part = state.part(Checkpoints)
+    if event.stream != STREAM or part.search_at is None:
+        return
+    if event.start != part.ask_start:
+        return
+    part.failures = 0
+    part.asked_at = None
+    part.first = max(part.first, event.first)
+    if part.position is None:
+        part.found.clear()
+        part.partial.clear()
+        part.position = event.next_offset
+    else:
+        for record in reversed(event.records):
+            take_record(state, part, record)
+        part.position = part.ask_start
+    is_complete = {"catalogue", "claims"} <= part.found.keys()
+    if is_complete or part.position <= part.first:
+        part.search_at = None
+        part.position = None
+        found = part.found
+        state.post(CheckpointsRead(found.get("catalogue"), found.get("claims")))
+        return
+    part.ask_start = max(part.first, part.position - WINDOW)
+    part.ask_limit = part.position - part.ask_start
+    part.search_at = now
+
+
+def take_record(state: NodeState, part: Checkpoints, record: LogRecord) -> None:
+    """Collect one part; the newest checkpoint of which all parts are valid wins."""
+    decoded = decode_part(record.data)
+    if isinstance(decoded, Err):
+        problem = str(decoded.err_value)
+        state.log("PF5203", None, kind=STREAM, problem=problem)
+        return
+    piece = decoded.ok_value
+    if piece.kind in part.found:
+        return
+    pieces = part.partial.setdefault(piece.checkpoint_id, {})
+    pieces[piece.number] = piece
+    if len(pieces) == piece.parts:
+        bodies = tuple(pieces[index].body for index in range(piece.parts))
+        part.found[piece.kind] = Checkpoint(piece.offset, bodies)
+
+
+# The writer.
+
+
+def write(state: NodeState, part: Checkpoints, now: float) -> None:
+    """Append the next part, or begin a checkpoint if one is due."""
+    if choose("checkpoints", all_live_hosts(state)) != state.me.host or state.draining:
+        part.writer_since = None
+        part.parts.clear()
+        part.appended_at = None
+        return
+    if part.writer_since is None:
+        part.writer_since = now
+    if part.parts:
+        lost = part.appended_at is not None
+        if lost and now < (part.appended_at or 0.0) + APPEND_TIMEOUT_S:
+            return
+        if now >= part.append_at:
+            part.appended_at = now
+            record_id, data = part.parts[0]
+            state.emit(AppendLog(STREAM, record_id, data))
+        return
+    if now < part.writer_since + WRITER_SETTLES_S:
+        return
+    fold = state.part(CatalogueFold)
+    if fold.known and is_due(part, fold.reader, now):
+        begin(state, part, "catalogue", fold.reader.next, now)
+        return
+    claims = state.part(Claims)
+    if claims.reader.caught_up_at is not None and is_due(part, claims.reader, now):
+        expire_claims(state, claims, now)
+        begin(state, part, "claims", claims.reader.next, now)
+
+
+def is_due(part: Checkpoints, reader: StreamReader, now: float) -> bool:
+    """Return whether the last checkpoint of a stream should be renewed."""
+    if reader.is_waiting or reader.caught_up_at is None:
+        return False
+    written = part.written.get(reader.stream)
+    if written is None:
+        return True
+    offset, at = written
+    limit = RECORDS_MAX
+    if reader.first > 0:
+        retained = reader.next - reader.first
+        limit = min(limit, max(1, int(retained * RETAINED_SHARE)))
+    return now >= at + PERIOD_S or reader.next - offset >= limit
+
+
+def begin(
+    state: NodeState, part: Checkpoints, kind: str, offset: int, now: float
+) -> None:
+    checkpoint_id = state.new_id("cp")
+    bodies = (
+        catalogue_bodies(state) if kind == "catalogue" else claim_bodies(state, now)
+    )
+    for index, body in enumerate(bodies):
+        piece = CheckpointPart(kind, checkpoint_id, offset, index, len(bodies), body)
+        part.parts.append((f"{checkpoint_id}-{index}", encode_part(piece)))
+    part.written[kind] = (offset, now)
+    state.log("PF5202", None, kind=kind, offset=offset, parts=len(bodies))
+
+
+def catalogue_bodies(state: NodeState) -> list[bytes]:
+    fold = state.part(CatalogueFold)
+    body = CatalogueBody(fold.reader.next, -1, tuple(state.entries.values()))
+    data = encode_state(body)
+    size = BODY_MAX_BYTES
+    return [data[start : start + size] for start in range(0, len(data), size)]
+
+
+def claim_bodies(state: NodeState, now: float) -> list[bytes]:
+    """Return all claims in parts that the log accepts."""
+    bodies = []
+    rows: list[tuple[bytes, ClaimRow]] = []
+    size = 0
+    for item in state.part(Claims).rows.items():
+        cost = 200 + len(item[1].body)
+        if rows and (size + cost > BODY_MAX_BYTES or len(rows) >= ROWS_PER_PART):
+            bodies.append(encode_rows(rows, now))
+            rows, size = [], 0
+        rows.append(item)
+        size += cost
+    bodies.append(encode_rows(rows, now))
+    return bodies
+
+
+def expire_claims(state: NodeState, claims: Claims, now: float) -> None:
+    """Let all nodes forget claims that are older than the horizon.
+
+    The record makes it happen at one offset: a node that forgot a key earlier
+    than another could take a second claim for the first.
+    """
+    limit_s = state.settings.claim_horizon_s * EXPIRY_FACTOR
+    below = 0
+    for row in claims.rows.values():
+        if now - row.folded_at > limit_s:
+            below = max(below, row.first_claim + 1)
+    if below > claims.expired_below:
+        claims.queue.append(Expire(below))
+
+
+@on_event.register
+def _(event: LogAppended, state: NodeState, now: float) -> None:
+    part = state.part(Checkpoints)
+    if event.stream == STREAM and part.parts:
+        if part.parts[0][0] == event.record_id:
+            part.parts.pop(0)
+            part.appended_at = None
+            part.append_at = now
+
+
+@on_event.register
+def _(event: LogAppendFailed, state: NodeState, now: float) -> None:
+    part = state.part(Checkpoints)
+    if event.stream == STREAM and part.parts:
+        if part.parts[0][0] == event.record_id:
+            # A part that is in the log twice is read once.
+            part.appended_at = None
+            part.append_at = now + APPEND_RETRY_S * (0.5 + state.rng.random())
--- /dev/null
+++ b/src/poplarfold/_internal/core/systems/recovery.py
@@ -0,0 +1,83 @@
+"""Work that endpoints hold for dead processes is cancelled."""
+
+from functools import singledispatch
+from typing import NamedTuple
+
+from poplarfold._internal.core import cells
+from poplarfold._internal.core.events import (
+    EndpointLeft,
+    EndpointReported,
+    MemberDied,
+)
+from poplarfold._internal.core.model import EndpointRef, EndpointRole
+from poplarfold._internal.core.state import NodeState
+from poplarfold._internal.core.systems import calls, health, membership
+
+__all__ = ["Reports", "next_wakeup", "on_event", "on_tick"]
+
+
+class Reports:
+    """The latest report of each engine that holds work."""
+
+    def __init__(self) -> None:
+        self.latest: dict[str, EndpointReported] = {}
+
+
+@singledispatch
+def on_event(event: NamedTuple, state: NodeState, now: float) -> None:
+    """Handle one event; events of other systems are ignored."""
+
+
+def on_tick(state: NodeState, now: float) -> None:
+    """Do nothing: reports and verdicts drive this system."""
+
+
+def next_wakeup(state: NodeState, now: float) -> float | None:
+    """Return None: reports and verdicts drive this system."""
+    return None
+
+
+@on_event.register
+def _(event: EndpointReported, state: NodeState, now: float) -> None:
+    latest = state.part(Reports).latest
+    if event.work and event.role is not EndpointRole.SERVICE:
+        latest[event.address] = event
+        cancel_work_of_the_dead(state, event, now)
+    else:
+        # A filing or hold that a service runs cannot be undone by a cancel.
+        latest.pop(event.address, None)
+
+
+@on_event.register
+def _(event: EndpointLeft, state: NodeState, now: float) -> None:
+    state.part(Reports).latest.pop(event.address, None)
+
+
+@on_event.register
+def _(event: MemberDied, state: NodeState, now: float) -> None:
+    for report in state.part(Reports).latest.values():
+        cancel_work_of_the_dead(state, report, now)
+
+
+def cancel_work_of_the_dead(
+    state: NodeState, report: EndpointReported, now: float
+) -> None:
+    """Cancel what an engine holds for processes that are proved dead.
+
+    A silent node may be cut off from this one and still serve its callers.
+    """
+    row = state.part(health.HealthState).endpoints.get(report.address)
+    if row is None or cells.owner_of(state, row.cell) != state.me.host:
+        return
+    endpoint = EndpointRef(report.address, report.incarnation)
+    for item in report.work:
+        if membership.is_dead(state, item.owner):
+            calls.request_cancel(state, now, item.attempt_id, endpoint)
+            state.log(
+                "PF6201",
+                None,
+                attempt=item.attempt_id,
+                endpoint=report.address,
+                host=item.owner.host,
+                incarnation=item.owner.incarnation,
+            )
--- a/tests/unit/test_catalogue.py
+++ b/tests/unit/test_catalogue.py
@@ -8,6 +8,7 @@
 from poplarfold._internal.core.commands import AnswerOperator, AppendLog
 from poplarfold._internal.core.entry_codec import decode_entry
 from poplarfold._internal.core.events import (
+    CheckpointsRead,
     EntryProposed,
     LogAppendFailed,
     LogRead,
@@ -50,7 +51,7 @@
         seed=1,
         systems=(calls, membership, catalogue),
     )
-    node.step(0.0, [])
+    node.step(0.0, [CheckpointsRead(None, None)])
     return node
 
 
