--- a/src/poplarfold/_internal/bench/local_fleet.py
+++ b/src/poplarfold/_internal/bench/local_fleet.py
@@ -153,6 +153,8 @@
         self.request_threads = request_threads
         self.timeouts = timeouts
         self.body_limit_bytes = body_limit_bytes
+        # One prefill engine and one service process beside the decode engines.
+        self.endpoints_per_domain = decodes_per_domain + 2
         self.http = urllib3.PoolManager(retries=False, maxsize=8)
         model = deployment.model_entry.identity
         service = deployment.once_entry.identity
@@ -299,7 +301,7 @@
         """Return whether a daemon has heard of every endpoint of its domain."""
         _, answer = self.operator_request(domain, "GET", "endpoints")
         reported = sum(row["report"] is not None for row in answer["endpoints"])
-        return reported >= len(self.prefills + self.decodes) + len(self.services)
+        return reported >= self.endpoints_per_domain
 
     def close(self) -> None:
         """Stop the daemons, then the stand-ins."""
