--- a/src/poplarfold/_internal/cli/commands/status.py
+++ b/src/poplarfold/_internal/cli/commands/status.py
@@ -21,7 +21,9 @@
 
 def run(options: Namespace) -> int:
     """Print the status. The exit code is 1 for a node that takes no calls."""
-    status = value_or_raise(client_from_options(options).status())
+    client = client_from_options(options)
+    status = dict(value_or_raise(client.status()))
+    status["endpoints"] = value_or_raise(client.endpoints()).get("endpoints", [])
     if options.json:
         print(json.dumps(status))
     else:
@@ -39,18 +41,20 @@
     yield (
         f"{status.get('host')} (incarnation {status.get('incarnation')}) in "
         f"{status.get('domain')}: {state}, catalogue revision "
-        f"{status.get('revision')}, {status.get('calls')} calls"
+        f"{status.get('revision')}, {status.get('open_calls')} open calls, "
+        f"{status.get('unconfirmed_cancels')} unconfirmed cancels"
     )
     domains = status.get("domains")
     if isinstance(domains, dict) and domains:
         yield ""
         yield from text_table(
-            ("domain", "state", "revision"),
+            ("domain", "state", "revision", "live hosts"),
             (
                 (
                     name,
                     "reachable" if row.get("reachable") else "cannot be reached",
                     str(row.get("revision")),
+                    str(row.get("live_hosts", "")),
                 )
                 for name, row in sorted(domains.items())
                 if isinstance(row, dict)
@@ -58,9 +62,20 @@
         )
     endpoints = status.get("endpoints")
     if isinstance(endpoints, list) and endpoints:
-        rows = [row for row in endpoints if isinstance(row, dict)]
-        columns = tuple(rows[0]) if rows else ()
         yield ""
         yield from text_table(
-            columns, ([str(row.get(name, "")) for name in columns] for row in rows)
+            ("endpoint", "role", "busy", "identity"), map(endpoint_row, endpoints)
         )
+
+
+def endpoint_row(row: Mapping[str, Any]) -> list[str]:
+    """Return the columns of one endpoint; most are empty without a report."""
+    report = row.get("report") or {}
+    identity = report.get("identity") or {}
+    state = "leaving" if report.get("leaving") else f"of {report.get('slots')}"
+    return [
+        str(row.get("address")),
+        str(report.get("role", "no report")),
+        f"{report.get('busy')} {state}" if report else "",
+        " ".join(str(identity.get(key, "")) for key in ("owner", "service", "version")),
+    ]
--- a/src/poplarfold/_internal/cli/operator_client.py
+++ b/src/poplarfold/_internal/cli/operator_client.py
@@ -52,6 +52,10 @@
         """Return the state of the node and what it knows of the domains."""
         return self._call("GET", "status")
 
+    def endpoints(self) -> Answer:
+        """Return the endpoints that the node knows, with their last reports."""
+        return self._call("GET", "endpoints")
+
     def drain(self) -> Answer:
         """Begin a planned stop."""
         return self._call("POST", "drain", {})
--- a/src/poplarfold/_internal/daemon/operator_views.py
+++ b/src/poplarfold/_internal/daemon/operator_views.py
@@ -1,9 +1,11 @@
 """What operators see of a node's state. Runs on the core thread."""
 
+import time
 from typing import Any
 
 from poplarfold._internal.core.entry_codec import entry_fields
 from poplarfold._internal.core.state import NodeState
+from poplarfold._internal.core.systems import membership
 from poplarfold._internal.core.systems.health import HealthState
 
 __all__ = ["endpoints", "entries", "status"]
@@ -31,7 +33,13 @@
         "unconfirmed_cancels": len(state.cancels),
         "revision": revision,
         "domains": {
-            state.settings.domain: {"revision": revision, "reachable": True},
+            row.domain: {
+                "reachable": row.is_reachable,
+                "revision": row.in_force,
+                "live_hosts": len(row.live_hosts),
+                "heard_s_ago": row.heard_s_ago,
+            }
+            for row in membership.domain_status(state, time.monotonic())
         },
     }
 
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -187,14 +187,14 @@
     ),
     EventKind(
         "PF5003",
-        "catalogue_record_invalid",
-        ("offset", "problem"),
-        "a record of the catalogue stream was skipped",
+        "log_record_invalid",
+        ("stream", "offset", "problem"),
+        "a record of the stream cannot be read and was skipped",
         alert=True,
     ),
     EventKind(
         "PF5004",
-        "catalogue_read_failed",
+        "log_read_failed",
         ("stream", "expired"),
         "the log does not answer, or no longer keeps the records asked for",
         alert=True,
@@ -219,6 +219,44 @@
         ("source", "offset"),
         "a newer catalogue was taken from a checkpoint or a peer",
     ),
+    EventKind(
+        "PF5202",
+        "checkpoint_written",
+        ("kind", "offset", "parts"),
+        "a checkpoint that covers the stream up to this offset is in the log",
+    ),
+    EventKind(
+        "PF5203",
+        "checkpoint_invalid",
+        ("kind", "problem"),
+        "a checkpoint is damaged or incomplete; an older one is used",
+        alert=True,
+    ),
+    EventKind(
+        "PF6001",
+        "node_was_paused",
+        ("seconds",),
+        "this process did not run for this time; others may count it as gone",
+        alert=True,
+    ),
+    EventKind(
+        "PF6002",
+        "member_died",
+        ("host", "incarnation", "proof"),
+        "a process of another entry host is dead, by this proof",
+    ),
+    EventKind(
+        "PF6003",
+        "member_silent",
+        ("host", "incarnation"),
+        "another node answers no probes; it counts as dead only when that is proved",
+    ),
+    EventKind(
+        "PF6201",
+        "orphan_cancelled",
+        ("attempt", "endpoint", "host", "incarnation"),
+        "an endpoint holds work of a dead process of this host: it is cancelled",
+    ),
     EventKind(
         "PF9001",
         "invariant_violated",
@@ -226,6 +264,20 @@
         "an invariant of the core does not hold: a fault of the program",
         alert=True,
     ),
+    EventKind(
+        "PF9002",
+        "step_failed",
+        ("traceback",),
+        "the core or an I/O thread raised an unexpected exception",
+        alert=True,
+    ),
+    EventKind(
+        "PF9003",
+        "http_server_failed",
+        ("message", "traceback"),
+        "the HTTP server met an unexpected error",
+        alert=True,
+    ),
 )
 
 EVENTS: dict[str, EventKind] = {kind.number: kind for kind in _ALL}
--- a/tests/lib/operator_stand_in.py
+++ b/tests/lib/operator_stand_in.py
@@ -55,9 +55,11 @@
                 "draining": False,
                 "revision": self.revision,
                 "domains": self.domains,
-                "endpoints": [{"address": "127.0.0.1:1", "busy": 2}],
-                "calls": 3,
+                "open_calls": 3,
+                "unconfirmed_cancels": 0,
             }
+        if path.endswith("/endpoints"):
+            return 200, {"endpoints": [{"address": "127.0.0.1:1", "report": None}]}
         if path.endswith("/drain"):
             return 200, {"draining": True}
         if body is None:
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -8,6 +8,7 @@
 import pytest
 
 from poplarfold._internal.cli.commands import COMMANDS
+from poplarfold._internal.daemon.metrics import DaemonMetrics
 from poplarfold._internal.logs.catalogue import EVENTS
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -37,20 +38,22 @@
     assert TOOL.updated(text, name, table()) == text
 
 
+def is_number(value):
+    return isinstance(value, str) and re.fullmatch(r"PF\d{4}", value)
+
+
 def written_events():
     """Yield (number, field names, place) for each event that the code writes."""
     for path in sorted(SOURCE.rglob("*.py")):
         if path.parent.name == "logs":
             continue
         for node in ast.walk(ast.parse(path.read_text("utf-8"))):
-            if isinstance(node, ast.Constant) and re.fullmatch(
-                r"PF\d{4}", str(node.value)
-            ):
+            if isinstance(node, ast.Constant) and is_number(node.value):
                 yield node.value, set(), f"{path.name}:{node.lineno}"
             if not isinstance(node, ast.Call) or not node.args:
                 continue
             first = node.args[0]
-            if isinstance(first, ast.Constant) and str(first.value).startswith("PF"):
+            if isinstance(first, ast.Constant) and is_number(first.value):
                 fields = {keyword.arg for keyword in node.keywords}
                 for value in node.args[1:]:
                     if isinstance(value, ast.Dict):
@@ -69,6 +72,14 @@
     assert {number for number, _, _ in written_events()} == set(EVENTS)
 
 
+def test_the_metrics_page_lists_exactly_the_metrics():
+    """Guards against an alert on a metric that does not exist."""
+    text = (ROOT / "docs/metrics.md").read_text("utf-8")
+    documented = set(re.findall(r"^\| `(poplarfold_\w+)`", text, re.M))
+    registry = DaemonMetrics().registry
+    assert documented == set(registry.collectors)
+
+
 def test_links_between_pages_lead_somewhere():
     """Guards against links to pages and sections that do not exist."""
     for page in PAGES:
