Let the demo send the non-repeatable call again through the other daemon

The second daemon answers in_progress until it has read the recorded answer, so the demo repeats the request as a client does.

--- a/src/poplarfold/_internal/bench/demo.py
+++ b/src/poplarfold/_internal/bench/demo.py
@@ -18,6 +18,8 @@
 MAX_OUTPUTS = 64
 CALL_TIMEOUT_S = 10.0
 SAMPLE_CHARS = 72
+IN_PROGRESS_RETRY_S = 0.1
+IN_PROGRESS_LIMIT_S = 5.0
 
 
 class CallReport(NamedTuple):
@@ -57,9 +59,11 @@
         for call in self.calls:
             yield f"  {call.entry} through {call.daemon}: status {call.status}"
             yield f"    answer: {shorten(call.answer)}"
-            yield f"    {call.answered_from}: {', '.join(call.endpoints) or 'none'}"
+            by = ": " + ", ".join(call.endpoints) if call.endpoints else ""
+            yield f"    {call.answered_from}{by}"
             if call.first_output_s is not None:
-                yield f"    time to first output: {call.first_output_s * 1e3:.1f} ms"
+                what = "first output" if call.outputs > 1 else "answer"
+                yield f"    time to {what}: {call.first_output_s * 1e3:.1f} ms"
             if call.mean_between_outputs_s is not None:
                 yield (
                     f"    time between {call.outputs} outputs: mean "
@@ -170,7 +174,7 @@
             status=response.status,
             answer=answer,
             endpoints=tuple(self.routes.endpoints.get(call_id, ())),
-            answered_from="recorded answer" if recorded else "answered by",
+            answered_from="answered from the record" if recorded else "answered by",
             outputs=0,
             first_output_s=None,
             mean_between_outputs_s=None,
--- a/src/poplarfold/_internal/daemon/frontend.py
+++ b/src/poplarfold/_internal/daemon/frontend.py
@@ -52,6 +52,7 @@
 from poplarfold._internal.daemon.stream_assembler import StreamAssembler
 from poplarfold._internal.exceptions import (
     AuthenticationError,
+    CallInProgressError,
     LogUnavailableError,
     MethodNotAllowedError,
     NodeNotReadyError,
@@ -124,7 +125,7 @@
     response.headers["Content-Type"] = JSON_TYPE
     if isinstance(error, AuthenticationError):
         response.headers["WWW-Authenticate"] = "Bearer"
-    if error.status in {429, 503}:
+    if error.status in {429, 503} or isinstance(error, CallInProgressError):
         response.headers["Retry-After"] = "1"
     return json.dumps(error.as_body(call_id)).encode()
 
