--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -257,6 +257,27 @@
         ("attempt", "endpoint", "host", "incarnation"),
         "an endpoint holds work of a dead process of this host: it is cancelled",
     ),
+    EventKind(
+        "PF6102",
+        "peer_message_invalid",
+        ("peer", "problem"),
+        "a malformed message; the connection was closed",
+        alert=True,
+    ),
+    EventKind(
+        "PF6103",
+        "peer_refused",
+        ("peer", "problem"),
+        "a connection whose first message or certificate is wrong",
+        alert=True,
+    ),
+    EventKind(
+        "PF6104",
+        "tls_reload_failed",
+        ("problem",),
+        "changed key files could not be loaded; the old keys stay in use",
+        alert=True,
+    ),
     EventKind(
         "PF9001",
         "invariant_violated",
