--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -173,6 +173,16 @@
             self.close_connection = True
         super().respond()
 
+    def send_headers(self) -> None:
+        """Send the head of the answer, even if the body never came whole."""
+        remaining = getattr(self.rfile, "remaining", 0)
+        if remaining > 0 and not self.close_connection:
+            try:
+                self.rfile.read(remaining)
+            except OSError:
+                self.close_connection = True
+        super().send_headers()
+
 
 class CallerConnection(cheroot_server.HTTPConnection):
     """A connection with a deadline for each request."""
