--- a/src/poplarfold/_internal/core/systems/limits.py
+++ b/src/poplarfold/_internal/core/systems/limits.py
@@ -194,12 +194,17 @@
 
 
 def take_link(
-    state: NodeState, now: float, entry: CatalogueEntry, sent: int, received: int
+    state: NodeState,
+    now: float,
+    entry: CatalogueEntry,
+    sent: int,
+    received: int,
+    only_look: bool = False,
 ) -> Result[None, PoplarfoldError]:
     """Take bytes of the link between regions, in both directions.
 
     ``received`` are the expected bytes of the answer. The entry's own limit
-    holds for the sum of both.
+    holds for the sum of both. With ``only_look`` nothing is taken.
     """
     part = state.part(LimitState)
     rate = state.settings.link_bytes_per_s * state.settings.share
@@ -216,6 +221,8 @@
         levels[name] = min(burst, bucket.level + gained)
         if levels[name] < amount:
             return Err(LinkBudgetError(f"{amount} B exceed the budget of {name}"))
+    if only_look:
+        return Ok(None)
     for name, (_, amount) in wanted.items():
         part.buckets.put(name, Bucket(levels[name] - amount, now))
     return Ok(None)
--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -62,10 +62,17 @@
 # notices when the owner has gone silent.
 KEEP_ALIVE_S = 0.5
 QUEUE_SILENT_S = 1.2
+# A waiting call asks other cells in turn, since they may have room sooner than
+# predicted. A patient call loses little by a longer period.
+PROBE_INTERACTIVE_S = 0.015
+PROBE_PATIENT_S = 0.5
 # Pause between two rounds over cells of which none has an endpoint.
-ROUND_PAUSE_S = 0.1
-# Bytes of an answer for each output, for the byte budget of the link.
-OUTPUT_BYTES = 64
+ROUND_PAUSE_S = 0.03
+# Sizes for the byte budget of the link: one output of a stream, the digest of
+# one block of the prompt, and the headers of the requests of one attempt.
+OUTPUT_BYTES = 100
+PREFIX_BYTES = 40
+MESSAGE_BYTES = 2000
 NO_ENDPOINT_WAIT_S = 2.0
 
 
@@ -74,7 +81,8 @@
 
     ``cells`` are yet to be asked in this round, and ``waits`` what others have
     answered: (predicted wait, cell). ``waiting`` is true once the call waits at
-    the owner of ``cell`` without a limit.
+    the owner of ``cell`` without a limit. ``probe`` numbers a request to another
+    cell that was made meanwhile.
     """
 
     wanted: PlacementWanted
@@ -88,6 +96,10 @@
     waiting: bool = False
     heard_at: float = 0.0
     next_at: float = 0.0
+    probe: int = -1
+    probe_cell: Cell | None = None
+    probe_at: float = 0.0
+    probes: int = 0
     last_code: str = ""
     last_detail: str = ""
 
@@ -120,6 +132,8 @@
     """Ask again where an owner stays silent."""
     part = state.part(PlacementState)
     for call_id, ask in part.asks.rows():
+        if ask.waiting and ask.probe_at <= now:
+            ask = send_probe(state, now, call_id, ask)
         if ask.next_at > now:
             continue
         if isinstance(POLICIES[state.settings.policy], LocalPolicy):
@@ -137,7 +151,9 @@
 def next_wakeup(state: NodeState, now: float) -> float | None:
     """Return the next time to ask again."""
     rows = state.part(PlacementState).asks.values()
-    return min((row.next_at for row in rows), default=None)
+    times = [row.next_at for row in rows]
+    times.extend(row.probe_at for row in rows if row.waiting)
+    return min(times, default=None)
 
 
 @on_event.register
@@ -200,7 +216,7 @@
     if ask.cells:
         cell, rest = ask.cells[0], ask.cells[1:]
         ask = ask._replace(cells=rest)
-        if not is_affordable(state, now, call_id, ask, cell):
+        if not link_budget(state, now, call_id, ask, cell, look=True):
             ask = ask._replace(
                 last_code=ask.last_code or LinkBudgetError.code,
                 last_detail=ask.last_detail or "the byte budget of the link is used up",
@@ -226,17 +242,16 @@
     give_up(state, call_id, ask)
 
 
-def is_affordable(
-    state: NodeState, now: float, call_id: str, ask: AskRow, cell: Cell
+def link_budget(
+    state: NodeState, now: float, call_id: str, ask: AskRow, cell: Cell, look: bool
 ) -> bool:
-    """Take the byte budget for a cell of another region."""
+    """Take the byte budget for a cell of another region, or only look at it."""
     if state.settings.region_of(cell.domain) == state.settings.region:
         return True
     arrival = state.calls[call_id].arrival
-    received = arrival.max_outputs * OUTPUT_BYTES
-    return limits.take_link(
-        state, now, ask.entry, 2 * arrival.prompt_bytes, received
-    ).is_ok()
+    sent = arrival.prompt_bytes + PREFIX_BYTES * len(arrival.prefixes) + MESSAGE_BYTES
+    received = arrival.max_outputs * OUTPUT_BYTES + MESSAGE_BYTES
+    return limits.take_link(state, now, ask.entry, sent, received, look).is_ok()
 
 
 def give_up(state: NodeState, call_id: str, ask: AskRow) -> None:
@@ -259,7 +274,13 @@
     state.sequence += 1
     owner = owner_of(state, cell) or ""
     ask = ask._replace(
-        cell=cell, owner=owner, waiting=waiting, heard_at=now, number=state.sequence
+        cell=cell,
+        owner=owner,
+        waiting=waiting,
+        heard_at=now,
+        number=state.sequence,
+        probe=-1,
+        probe_at=now + PROBE_INTERACTIVE_S,
     )
     send_ask(state, now, call_id, ask)
 
@@ -272,9 +293,46 @@
     if ask.owner == state.me.host:
         pause_s = 3600.0
     part.asks.put(call_id, ask._replace(next_at=now + pause_s))
+    message = request_of(state, now, call_id, ask, ask.cell, ask.number, ask.waiting)
+    tell(state, now, ask.owner, message)
+
+
+def send_probe(state: NodeState, now: float, call_id: str, ask: AskRow) -> AskRow:
+    """Ask another cell of the region while the call waits."""
+    part = state.part(PlacementState)
+    patient = ask.entry.call_class is CallClass.PATIENT
+    period_s = PROBE_PATIENT_S if patient else PROBE_INTERACTIVE_S
+    ask = ask._replace(probe_at=now + period_s, probes=ask.probes + 1)
+    cells = [
+        cell
+        for cell in preferred_cells(state, ask)
+        if owner_of(state, cell) not in (None, ask.owner)
+        and link_budget(state, now, call_id, ask, cell, look=True)
+    ]
+    if cells:
+        state.sequence += 1
+        cell = cells[ask.probes % len(cells)]
+        ask = ask._replace(probe=state.sequence, probe_cell=cell)
+    part.asks.put(call_id, ask)
+    if cells:
+        message = request_of(state, now, call_id, ask, cell, ask.probe, False)
+        tell(state, now, owner_of(state, cell) or "", message)
+    return part.asks.get(call_id, ask._replace(next_at=now + period_s))
+
+
+def request_of(
+    state: NodeState,
+    now: float,
+    call_id: str,
+    ask: AskRow,
+    cell: Cell,
+    number: int,
+    may_wait: bool,
+) -> PlaceWanted:
+    """Return the message that asks for a place in a cell."""
     call = state.calls[call_id]
     arrival = call.arrival
-    message = PlaceWanted(
+    return PlaceWanted(
         call_id=call_id,
         entry=arrival.entry,
         account=arrival.account,
@@ -286,12 +344,11 @@
         waited_s=now - call.arrived_at if call.outputs == 0 else now - ask.since,
         excluded=ask.wanted.excluded,
         is_retry=call.attempts > 0,
-        ask=ask.number,
-        may_wait=ask.waiting,
+        ask=number,
+        may_wait=may_wait,
         only=ask.wanted.only,
-        cell=ask.cell.number,
+        cell=cell.number,
     )
-    tell(state, now, ask.owner, message)
 
 
 def tell(state: NodeState, now: float, host: str, message: PeerMessage) -> None:
@@ -325,22 +382,32 @@
     ask = part.asks.get(message.call_id)
     if message.lease_id in part.held:
         return
-    if ask is None or ask.number != message.ask or ask.cell is None:
+    cell = None
+    if ask is not None:
+        cell = {ask.number: ask.cell, ask.probe: ask.probe_cell}.get(message.ask)
+    if ask is not None and cell is not None:
+        if not link_budget(state, now, message.call_id, ask, cell, look=False):
+            cell = None
+            if message.ask == ask.number:
+                ask_next(state, now, message.call_id, ask)
+    if ask is None or cell is None:
         # The call has ended or was placed elsewhere: the lease is not used.
         release = LeaseReleased(message.lease_id, "unused", "", 0.0)
         tell(state, now, sender.host, release)
         return
     del part.asks[message.call_id]
+    if message.ask == ask.probe:
+        withdraw(state, now, message.call_id, ask)
     placement = Placement(
         decode=message.decode,
         prefill=message.prefill,
         lease_id=message.lease_id,
         start_at=now + message.start_in_s,
         priority=message.priority,
-        fallback=state.settings.region_of(ask.cell.domain) != state.settings.region,
+        fallback=state.settings.region_of(cell.domain) != state.settings.region,
         knows_operations=message.knows_operations,
     )
-    part.held.put(message.lease_id, HeldRow(message.call_id, ask.cell, placement))
+    part.held.put(message.lease_id, HeldRow(message.call_id, cell, placement))
     state.post(Placed(message.call_id, placement))
 
 
