Let a retry wait for the outcome of the call in progress

Ruled out: a lost claim, since the back end ran the call once each time. Change: a call that meets a claim in progress waits up to 1 s for its outcome and then gets the recorded answer. When the wait ends it is told "in progress" only if the claim is still held by a process that is not known to be dead. Conclusion: kept; a wait is cheaper for callers than a second retry.

--- a/src/poplarfold/_internal/core/systems/claims.py
+++ b/src/poplarfold/_internal/core/systems/claims.py
@@ -67,6 +67,10 @@
 READ_WAIT_S = 10.0
 # A call waits this long for its claim; a log that is slower counts as down.
 CLAIM_WAIT_S = 3.0
+# A retry that meets a call in progress waits this long for its outcome. The
+# outcome is recorded after the first caller has its answer, so that a prompt
+# retry through another node would otherwise be told "in progress".
+OUTCOME_WAIT_S = 1.0
 BATCH_MAX_OPERATIONS = 500
 BATCH_MAX_BYTES = 400_000
 # A larger answer is recorded without its body: a retry learns only that the
@@ -93,6 +97,13 @@
     takes_over: int | None = None
 
 
+class Follower(NamedTuple):
+    """A call that waits for the outcome of another call with its key."""
+
+    digest: bytes
+    since: float
+
+
 class HeldClaim(NamedTuple):
     """A claim that this node has won for a call in progress."""
 
@@ -117,6 +128,7 @@
         self.rows: Table[bytes, ClaimRow] = Table()
         self.expired_below = 0
         self.pending: Table[bytes, PendingClaim] = Table()
+        self.followers: Table[str, Follower] = Table()
         self.held: Table[str, HeldClaim] = Table()
         # Outcomes of this node that it has not read back yet, by digest.
         self.outcomes: dict[bytes, Done | Unknown] = {}
@@ -180,6 +192,9 @@
     for digest, pending in part.pending.rows():
         if now >= pending.since + CLAIM_WAIT_S:
             refuse_late(state, part, digest, pending)
+    for call_id, follower in part.followers.rows():
+        if now >= follower.since + OUTCOME_WAIT_S:
+            stop_following(state, part, call_id, follower)
     for record_id, row in part.appends.rows():
         settle_append(part, record_id, row, now)
     if part.queue and now >= part.append_at:
@@ -196,6 +211,7 @@
     part = state.part(Claims)
     times = [part.reader.due_at()]
     times.extend(p.since + CLAIM_WAIT_S for p in part.pending.values())
+    times.extend(f.since + OUTCOME_WAIT_S for f in part.followers.values())
     times.extend(
         row.sent_at + APPEND_TIMEOUT_S
         for row in part.appends.values()
@@ -218,6 +234,7 @@
     if call is None or call.phase != "claiming":
         return
     part = state.part(Claims)
+    part.followers.pop(event.call_id, None)
     arrival = call.arrival
     age_s = arrival.idempotency_age_s
     if age_s is not None and age_s > state.settings.claim_horizon_s:
@@ -227,7 +244,10 @@
     digest = digest_of(arrival)
     waiting = part.pending.get(digest)
     if waiting is not None:
-        state.post(ClaimLost(event.call_id, error_of(waiting, arrival.body_digest)))
+        if waiting.body_digest != arrival.body_digest:
+            state.post(ClaimLost(event.call_id, mismatch_error()))
+        else:
+            follow(part, event.call_id, digest, now)
         return
     pending = PendingClaim(
         event.call_id, state.new_id("op"), arrival.body_digest, now, None
@@ -235,23 +255,53 @@
     part.pending.put(digest, pending)
     row = part.rows.get(digest)
     if row is not None:
-        decide(state, part, digest, pending, row)
+        decide(state, part, digest, pending, row, now)
         return
     part.queue.append(Claim(digest, pending.operation_id, arrival.body_digest))
 
 
-def error_of(waiting: PendingClaim, body_digest: str) -> PoplarfoldError:
-    if waiting.body_digest != body_digest:
-        return IdempotencyMismatchError("the key was used with another request body")
+def mismatch_error() -> PoplarfoldError:
+    return IdempotencyMismatchError("the key was used with another request body")
+
+
+def in_progress_error() -> PoplarfoldError:
     return CallInProgressError("another request with this key is running")
 
 
+def follow(part: Claims, call_id: str, digest: bytes, now: float) -> None:
+    """Let a call wait for the outcome of the call that holds its key."""
+    part.followers.put(call_id, Follower(digest, now))
+
+
+def stop_following(
+    state: NodeState, part: Claims, call_id: str, follower: Follower
+) -> None:
+    """Tell a call that another is in progress, if that is still so."""
+    del part.followers[call_id]
+    row = part.rows.get(follower.digest)
+    is_held = row is not None and row.state == "claimed"
+    if row is not None and is_held and is_abandoned(state, row):
+        is_held = False
+    if is_held or follower.digest in part.pending:
+        state.post(ClaimLost(call_id, in_progress_error()))
+    else:
+        state.post(ClaimWanted(call_id))
+
+
+def wake_followers(state: NodeState, part: Claims, digest: bytes) -> None:
+    """Look again at the claim of calls that wait for an outcome of this key."""
+    for call_id, follower in part.followers.rows():
+        if follower.digest == digest:
+            state.post(ClaimWanted(call_id))
+
+
 def decide(
     state: NodeState,
     part: Claims,
     digest: bytes,
     pending: PendingClaim,
     row: ClaimRow,
+    now: float,
 ) -> None:
     """Answer a call whose key the log already holds."""
     early = part.outcomes.get(digest)
@@ -259,16 +309,16 @@
         row = with_outcome(row, early)
     lost: ClaimLost
     if row.body_digest != pending.body_digest:
-        text = "the key was used with another request body"
-        lost = ClaimLost(pending.call_id, IdempotencyMismatchError(text))
+        lost = ClaimLost(pending.call_id, mismatch_error())
     elif row.state == "done" and row.status == 0:
         error = OutcomeUnknownError("the call is done; its answer was not recorded")
         lost = ClaimLost(pending.call_id, error.with_outcome(Outcome.DONE))
     elif row.state == "done":
         lost = ClaimLost(pending.call_id, None, row.status, row.body)
     elif row.state == "claimed" and not is_abandoned(state, row):
-        text = "another request with this key is running"
-        lost = ClaimLost(pending.call_id, CallInProgressError(text))
+        del part.pending[digest]
+        follow(part, pending.call_id, digest, now)
+        return
     elif may_repeat(state, part, pending.call_id):
         part.pending.put(digest, pending._replace(takes_over=row.claim))
         part.queue.append(TakeOver(digest, row.claim, pending.call_id))
@@ -360,6 +410,7 @@
 @on_event.register
 def _(event: CallEnded, state: NodeState, now: float) -> None:
     part = state.part(Claims)
+    part.followers.pop(event.call_id, None)
     for digest, pending in part.pending.rows():
         if pending.call_id == event.call_id:
             drop_pending(part, digest, pending)
@@ -380,6 +431,7 @@
         # A retry through this node sees the outcome before the log holds it.
         # The fold must not, since it has to be the same on all nodes.
         part.outcomes[held.digest] = outcome
+        wake_followers(state, part, held.digest)
 
 
 # The fold.
@@ -416,7 +468,7 @@
         if row.operation_id == pending.operation_id and row.owner == state.me:
             win(state, part, digest, pending, row)
         else:
-            decide(state, part, digest, pending, row)
+            decide(state, part, digest, pending, row, now)
 
 
 @on_event.register
@@ -466,11 +518,12 @@
         if isinstance(operation, Claim):
             fold_claim(state, part, operation, owner, record.offset, now)
         elif isinstance(operation, TakeOver):
-            fold_takeover(state, part, operation, owner, record.offset)
+            fold_takeover(state, part, operation, owner, record.offset, now)
         elif isinstance(operation, Expire):
             fold_expiry(part, operation)
         else:
             fold_outcome(part, operation, owner)
+            wake_followers(state, part, operation.digest)
 
 
 def fold_claim(
@@ -499,7 +552,7 @@
     elif pending is not None and pending.takes_over is None:
         drop_pending(part, digest, pending)
         part.pending.put(digest, pending)
-        decide(state, part, digest, pending, row)
+        decide(state, part, digest, pending, row, now)
 
 
 def win(
@@ -516,7 +569,12 @@
 
 
 def fold_takeover(
-    state: NodeState, part: Claims, takeover: TakeOver, owner: HostKey, offset: int
+    state: NodeState,
+    part: Claims,
+    takeover: TakeOver,
+    owner: HostKey,
+    offset: int,
+    now: float,
 ) -> None:
     digest = takeover.digest
     row = part.rows.get(digest)
@@ -524,7 +582,7 @@
     if row is None or row.claim != takeover.claim or row.state == "done":
         if pending is not None and pending.takes_over is not None:
             if owner == state.me and pending.call_id == takeover.call_id:
-                lose_takeover(state, part, digest, pending, row)
+                lose_takeover(state, part, digest, pending, row, now)
         return
     for call_id, held in part.held.rows():
         if held == HeldClaim(digest, row.claim):
@@ -537,7 +595,7 @@
     )
     if owner != state.me:
         if pending is not None:
-            lose_takeover(state, part, digest, pending, row)
+            lose_takeover(state, part, digest, pending, row, now)
     elif pending is not None and pending.call_id == takeover.call_id:
         win(state, part, digest, pending, row)
     else:
@@ -551,6 +609,7 @@
     digest: bytes,
     pending: PendingClaim,
     row: ClaimRow | None,
+    now: float,
 ) -> None:
     """Answer a call whose takeover came second."""
     drop_pending(part, digest, pending)
@@ -559,7 +618,7 @@
         state.post(ClaimLost(pending.call_id, error))
         return
     part.pending.put(digest, pending._replace(takes_over=None))
-    decide(state, part, digest, pending, row)
+    decide(state, part, digest, pending, row, now)
 
 
 def fold_outcome(
--- /dev/null
+++ b/tests/unit/test_claim_followers.py
@@ -0,0 +1,110 @@
+"""Retries of a non-repeatable call that meet the first one in progress."""
+
+import json
+
+import pytest
+
+from poplarfold._internal.bench.world import World
+from poplarfold._internal.core import commands, events
+from poplarfold._internal.core.entry_codec import encode_entry
+from poplarfold._internal.core.model import (
+    CallClass,
+    CatalogueEntry,
+    EntryKind,
+    EntryLimits,
+    Identity,
+    LatencyTargets,
+)
+from poplarfold._internal.settings import DomainSettings, NodeSettings
+from poplarfold._internal.standins.service_model import ServiceConfig, ServiceModel
+
+REGISTRY = Identity("association", "registry", "sha256:r1")
+FILING = CatalogueEntry(
+    "filing",
+    EntryKind.SERVICE,
+    REGISTRY,
+    CallClass.NON_REPEATABLE,
+    LatencyTargets(1.0, 1.0),
+    EntryLimits(),
+)
+DOMAINS = (
+    DomainSettings("lhr-a", "lahore", 1),
+    DomainSettings("khi-a", "karachi", 1),
+)
+
+
+class AnsweredWorld(World):
+    """A world that keeps the FinishCall command of each call."""
+
+    def __init__(self):
+        super().__init__(1, 15_000_000 / 8, 0.001)
+        self.finished = {}
+
+    def carry_out(self, command, host):
+        if isinstance(command, commands.FinishCall):
+            self.finished[command.call_id] = command
+        super().carry_out(command, host)
+
+
+@pytest.fixture
+def world():
+    world = AnsweredWorld()
+    world.regions = {row.name: row.region for row in DOMAINS}
+    for number, row in enumerate(DOMAINS):
+        settings = NodeSettings(row.name, row.name, DOMAINS, strict_invariants=True)
+        world.host_list.put(
+            0.0,
+            events.ListedHost(row.name, row.name, "entry", row.name, "", False),
+        )
+        world.add_node(settings)
+        config = ServiceConfig(f"10.0.0.{number}:80", REGISTRY)
+        world.add_endpoint(ServiceModel(config), row.name, "registry")
+    world.run(5.0)
+    proposed = events.EntryProposed("r1", "clerk", -1, encode_entry(FILING))
+    world.post(world.nodes["lhr-a"], proposed)
+    world.run(10.0)
+    return world
+
+
+def filing(call_id, now, body="same"):
+    return events.CallArrived(
+        call_id, "account", "filing", False, 10, 40, (), 1, now + 30, "key", None, body
+    )
+
+
+def run_two(world, gap_s, second_body="same"):
+    world.call("lhr-a", filing("first", world.now))
+    world.run(world.now + gap_s)
+    world.call("khi-a", filing("second", world.now, second_body))
+    world.run(world.now + 5)
+    runs = sum(
+        sum(endpoint.model.backend.runs.values())
+        for endpoint in world.endpoints.values()
+    )
+    return world.finished["first"], world.finished["second"], runs
+
+
+@pytest.mark.parametrize("gap_s", [0.0, 0.003, 0.02, 0.05, 0.5])
+def test_prompt_retry_through_another_node_gets_the_same_answer(world, gap_s):
+    """Guards against "in progress" for a call whose caller has its answer.
+
+    The outcome reaches the log after the first caller has been answered; a
+    retry in between was told that the call is still running.
+    """
+    first, second, runs = run_two(world, gap_s)
+    assert runs == 1
+    assert first.error is None or second.error is None
+    bodies = {
+        json.loads(c.answer_body)["operation_id"]
+        for c in (first, second)
+        if c.answer_body
+    }
+    assert len(bodies) == 1
+    assert second.error is None
+
+
+def test_other_body_under_the_same_key_is_refused_at_once(world):
+    """Guards against an answer to another filing under a reused key."""
+    _, second, runs = run_two(world, 0.02, "other")
+    assert runs == 1
+    assert second.error.code == "idempotency_key_reused"
