--- /dev/null
+++ b/tests/functional/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A long randomised run of real daemons and stand-ins over loopback sockets."""
--- /dev/null
+++ b/tests/functional/soak/faults.py
@@ -0,0 +1,204 @@
+"""Faults at random: of daemons by signals, of stand-ins by their controls."""
+
+import random
+import signal
+import threading
+import time
+from collections import Counter
+
+from tests.functional.soak.processes import START_TIMEOUT_S
+
+
+class FaultMaker:
+    """Makes one or two faults at a time; all of them end by themselves."""
+
+    def __init__(self, seed, standins, daemons, record):
+        self.rng = random.Random(seed)
+        self.standins = standins
+        self.daemons = daemons
+        self.record = record
+        self.counts = Counter()
+        self.log_disturbed_until = 0.0
+        # Answer times of engines mean nothing while they hang: (address, from, to).
+        self.engine_faults = []
+        self.ready_s = []
+        # Planned stops: (host, asked at, ended at).
+        self.stops = []
+        self.threads = []
+        self.kinds = (
+            (self.kill_daemon, 2),
+            (self.stop_and_continue_daemon, 2),
+            (self.drain_daemon, 1),
+            (self.disturb_endpoint, 6),
+            (self.disturb_log, 2),
+            (self.disturb_host_list, 1),
+        )
+
+    def run(self, until):
+        """Make faults until a time, then wait for the last ones to end."""
+        while time.monotonic() < until:
+            for _ in range(self.rng.choice((1, 1, 2))):
+                functions, weights = zip(*self.kinds, strict=True)
+                function = self.rng.choices(functions, weights)[0]
+                self.threads = [row for row in self.threads if row.is_alive()]
+                thread = threading.Thread(
+                    target=function, args=(random.Random(self.rng.random()),)
+                )
+                thread.start()
+                self.threads.append(thread)
+            time.sleep(self.rng.uniform(0.3, 1.2))
+            for daemon in self.daemons:
+                daemon.check_alive()
+        for thread in self.threads:
+            thread.join(60.0)
+
+    def take_daemon(self, rng):
+        """Choose a daemon that is up, but always leave two untouched."""
+        with self.record.lock:
+            up = [row for row in self.daemons if row.state == "up"]
+            if len(up) <= 2:
+                return None
+            daemon = rng.choice(up)
+            daemon.state = "stopped"
+            daemon.begin_disturbance()
+            return daemon
+
+    def bring_back(self, daemon):
+        """Start a daemon again and wait until it is ready."""
+        entry = {"host": daemon.host, "address": daemon.peers, "kind": "entry"}
+        daemon.start()
+        self.standins.control(
+            self.standins.hosts, "put_host", domain=daemon.domain, **entry
+        )
+        log_was_up = time.monotonic() > self.log_disturbed_until
+        ready_s = daemon.wait_ready()
+        if ready_s is not None and log_was_up:
+            self.ready_s.append(ready_s)
+        elif ready_s is None and daemon.process.poll() is None:
+            detail = f"{daemon.host} was not ready {START_TIMEOUT_S:.0f} s after start"
+            self.record.violate("recovery", detail)
+        daemon.end_disturbance()
+
+    def kill_daemon(self, rng):
+        daemon = self.take_daemon(rng)
+        if daemon is None:
+            return
+        self.counts["sigkill"] += 1
+        daemon.state = "killed"
+        daemon.signal(signal.SIGKILL)
+        daemon.process.wait()
+        time.sleep(rng.uniform(0.0, 1.5))
+        if rng.random() < 0.5:
+            self.standins.control(self.standins.hosts, "remove_host", host=daemon.host)
+        time.sleep(rng.uniform(0.0, 1.5))
+        self.bring_back(daemon)
+
+    def stop_and_continue_daemon(self, rng):
+        daemon = self.take_daemon(rng)
+        if daemon is None:
+            return
+        self.counts["sigstop"] += 1
+        daemon.signal(signal.SIGSTOP)
+        time.sleep(rng.choice((0.3, 1.0, 3.0, 6.0)))
+        daemon.signal(signal.SIGCONT)
+        time.sleep(1.0)
+        daemon.state = "up"
+        daemon.end_disturbance()
+
+    def drain_daemon(self, rng):
+        """Stop a daemon as planned; no call in progress may be interrupted."""
+        daemon = self.take_daemon(rng)
+        if daemon is None:
+            return
+        self.counts["sigterm"] += 1
+        daemon.state = "draining"
+        self.standins.control(self.standins.hosts, "leave_host", host=daemon.host)
+        asked_at = time.monotonic()
+        daemon.signal(signal.SIGTERM)
+        try:
+            code = daemon.process.wait(45.0)
+        except Exception:
+            self.record.violate("graceful-stop", f"{daemon.host} did not end in 45 s")
+            daemon.process.kill()
+            code = daemon.process.wait()
+        if code not in (0, -signal.SIGKILL):
+            self.record.violate("graceful-stop", f"{daemon.host} exited with {code}")
+        self.stops.append((daemon.host, asked_at, time.monotonic()))
+        self.bring_back(daemon)
+
+    def disturb_endpoint(self, rng):
+        row = rng.choice(self.standins.endpoints)
+        kinds = ["die", "silence", "pause", "slow", "lose_answers", "leave", "jitter"]
+        if "-p" in row["host"] or "-d" in row["host"]:
+            kinds += ["stall_transfers", "reorder", "lag"]
+        kind = rng.choice(kinds)
+        self.counts[f"endpoint_{kind}"] += 1
+        address = row["address"]
+        seconds = rng.choice((0.3, 1.0, 3.0))
+        began = time.monotonic()
+        control = self.standins.control
+        match kind:
+            case "die":
+                control(address, "die", return_after_s=seconds)
+                time.sleep(seconds)
+            case "silence":
+                control(address, "silence")
+            case "pause":
+                control(address, "pause", seconds=seconds)
+                time.sleep(seconds)
+            case "slow":
+                control(address, "slow", delay_s=0.05, factor=rng.choice((2, 5)))
+                time.sleep(seconds)
+                control(address, "slow")
+            case "lose_answers":
+                path = rng.choice(("/", "/cancel", "/reserve", "/prefill", "/call"))
+                control(address, "lose_answers", count=rng.randint(1, 3), path=path)
+            case "leave":
+                control(address, "leave")
+                time.sleep(5.0)
+                control(address, "die", return_after_s=0.5)
+                time.sleep(0.5)
+            case "jitter":
+                control(address, "jitter", jitter_s=0.1)
+                time.sleep(seconds)
+                control(address, "jitter", jitter_s=0.0)
+            case "stall_transfers":
+                control(address, "stall_transfers", seconds=seconds)
+                time.sleep(seconds)
+            case "reorder":
+                control(address, "reorder", share=0.2)
+                time.sleep(seconds)
+                control(address, "reorder", share=0.0)
+            case "lag":
+                gaps = {"cache_gap_share": 0.3}
+                control(address, "lag", report_s=1.0, cache_s=3.0, **gaps)
+                time.sleep(seconds)
+                control(address, "lag", report_s=0.2, cache_s=0.5)
+        span = (address, began, time.monotonic() + 1.0)
+        self.engine_faults.append(span)
+
+    def disturb_log(self, rng):
+        kind = rng.choice(("outage", "lose_append_answers", "slow", "silence"))
+        self.counts[f"log_{kind}"] += 1
+        seconds = rng.choice((0.5, 2.0, 5.0))
+        if kind != "lose_append_answers":
+            # A client that waits on a silent connection needs its own timeouts
+            # before it is back.
+            until = time.monotonic() + seconds + 4.0
+            self.log_disturbed_until = max(self.log_disturbed_until, until)
+        address = self.standins.log
+        match kind:
+            case "outage":
+                self.standins.control(address, "outage", seconds=seconds)
+            case "lose_append_answers":
+                self.standins.control(address, kind, count=rng.randint(1, 5))
+            case "silence":
+                self.standins.control(address, "silence")
+            case "slow":
+                self.standins.control(address, "slow", delay_s=rng.choice((0.2, 1.0)))
+                time.sleep(seconds)
+                self.standins.control(address, "slow")
+
+    def disturb_host_list(self, rng):
+        self.counts["host_list_pause"] += 1
+        self.standins.control(self.standins.hosts, "pause", seconds=2.0)
--- /dev/null
+++ b/tests/functional/soak/processes.py
@@ -0,0 +1,227 @@
+"""The child processes of a run. Each is ended by its own process id."""
+
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from tests.functional.soak.wire import request
+
+ACCOUNT_TOKEN = "soak-account-token"
+OPERATOR_TOKEN = "soak-operator-token"
+START_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 15.0
+
+
+def free_ports(count):
+    """Return ports that were free a moment ago."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def digest(token):
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+class StandIns:
+    """The process with all stand-ins of the deployment."""
+
+    def __init__(self, deployment, foreign_owner):
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "poplarfold._internal.standins", "--follow-stdin"]
+            + ["fleet", deployment, "--foreign-owner", foreign_owner],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self.addresses = json.loads(self.process.stdout.readline())
+        self.log = self.addresses["log"].removeprefix("http://")
+        self.hosts = self.addresses["host_list"].removeprefix("http://")
+        self.endpoints = self.addresses["endpoints"]
+
+    def control(self, address, fault, /, **arguments):
+        """Put a fault in force; False if the stand-in is dead at present."""
+        body = json.dumps({"fault": fault, **arguments}).encode()
+        answer = request(address, "POST", "/control", body, timeout_s=5.0)
+        if answer is not None and answer.status != 200:
+            raise RuntimeError(f"{fault}: {answer.body!r}")
+        return answer is not None
+
+    def counters(self, address):
+        """Return the counters of one stand-in, waiting for it to be back."""
+        end = time.monotonic() + 10.0
+        while time.monotonic() < end:
+            answer = request(address, "GET", "/counters", timeout_s=5.0)
+            if answer is not None:
+                return json.loads(answer.body)
+            time.sleep(0.1)
+        raise RuntimeError(f"stand-in {address} does not answer")
+
+    def stop(self):
+        """End the process."""
+        self.process.stdin.close()
+        end_process(self.process)
+        self.process.stdout.close()
+
+
+def end_process(process):
+    """Terminate a child, and kill it if it does not end in time."""
+    if process.poll() is None:
+        process.terminate()
+        try:
+            process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+    return process.wait()
+
+
+class Daemon:
+    """One ``poplarfoldd`` process, which may be killed and started again."""
+
+    def __init__(self, host, domain, slot, ports, directory, daemon_source):
+        self.host = host
+        self.domain = domain
+        self.slot = slot
+        self.callers, self.operators, self.peers = (
+            f"127.0.0.1:{port}" for port in ports
+        )
+        self.path = Path(directory) / f"{host}.toml"
+        self.log_path = Path(directory) / f"{host}.log"
+        self.error_path = Path(directory) / f"{host}.stderr"
+        self.daemon_source = daemon_source
+        self.process = None
+        self.starts = 0
+        # Resident MB, threads and open files when the process became ready.
+        self.baseline = (0, 0, 0)
+        self.state = "down"
+        # Times at which the process was not left alone: (from, to or None).
+        self.disturbed = []
+        self.unexpected_exits = []
+
+    def write_settings(self, standins, domains, daemons):
+        """Write the settings file."""
+        lines = [
+            "[node]",
+            f'host = "{self.host}"',
+            f'domain = "{self.domain}"',
+            f"host_slot = {self.slot}",
+            "strict_invariants = true",
+            "[listen]",
+            f'callers = "{self.callers}"',
+            f'operators = "{self.operators}"',
+            f'peers = "{self.peers}"',
+            "[platform]",
+        ]
+        for key in ("log", "host_list", "weight_store"):
+            lines.append(f'{key}_url = "{standins.addresses[key]}"')
+        for name, (region, slots) in domains.items():
+            lines += [f"[domains.{name}]", f'region = "{region}"']
+            lines.append(f"host_slots = {slots}")
+        for other in daemons:
+            if other is not self:
+                lines += [f"[peers.{other.host}]", f'address = "{other.peers}"']
+                lines.append(f'domain = "{other.domain}"')
+        lines += ["[accounts]", f'soak = "{digest(ACCOUNT_TOKEN)}"']
+        lines += ["[operators]", f'soak = "{digest(OPERATOR_TOKEN)}"']
+        lines += ["[requests]", "threads = 48"]
+        lines += ["[log]", f'path = "{self.log_path}"']
+        services = {row["service"] for row in standins.endpoints}
+        for service in sorted(services):
+            lines += [f"[endpoint_rules.{service}]", "refuses_old_fencing = true"]
+            lines.append("knows_operations = true")
+        self.path.write_text("\n".join(lines) + "\n")
+
+    def start(self):
+        """Start the process."""
+        environment = dict(os.environ, PYTHONDONTWRITEBYTECODE="1")
+        if self.daemon_source:
+            environment["PYTHONPATH"] = self.daemon_source
+        with self.error_path.open("ab") as errors:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "poplarfold._internal.daemon.main"]
+                + ["--settings", str(self.path)],
+                stdin=subprocess.DEVNULL,
+                stdout=errors,
+                stderr=errors,
+                env=environment,
+            )
+        self.starts += 1
+        self.state = "up"
+
+    def wait_ready(self, timeout_s=START_TIMEOUT_S):
+        """Return the seconds until the node is ready, or None."""
+        began = time.monotonic()
+        while time.monotonic() - began < timeout_s:
+            answer = request(self.callers, "GET", "/readyz", timeout_s=1.0)
+            if answer is not None and answer.status == 200:
+                self.baseline = self.usage()
+                return time.monotonic() - began
+            if self.process.poll() is not None:
+                return None
+            time.sleep(0.05)
+        return None
+
+    def signal(self, number):
+        """Send a signal to the process."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def begin_disturbance(self):
+        """Note that from now on the process is not left alone."""
+        self.disturbed.append([time.monotonic(), None])
+
+    def end_disturbance(self):
+        """Note that the process is left alone again."""
+        if self.disturbed and self.disturbed[-1][1] is None:
+            self.disturbed[-1][1] = time.monotonic()
+
+    def was_disturbed(self, since, until):
+        """Return whether the process was not left alone at some time in between."""
+        return any(
+            start <= until and (end is None or end >= since)
+            for start, end in self.disturbed
+        )
+
+    def check_alive(self):
+        """Record an exit that the run did not cause."""
+        code = self.process.poll()
+        if code is not None and self.state in ("up", "stopped"):
+            self.state = "down"
+            tail = self.error_path.read_text(errors="replace")[-400:]
+            self.unexpected_exits.append(f"{self.host} exited with {code}: {tail}")
+
+    def usage(self):
+        """Return (resident MB, threads, open files) of the process."""
+        root = Path(f"/proc/{self.process.pid}")
+        status = dict(
+            line.split(":", 1)
+            for line in (root / "status").read_text().splitlines()
+            if ":" in line
+        )
+        resident_mb = int(status["VmRSS"].split()[0]) / 1024
+        files = len(list((root / "fd").iterdir()))
+        return resident_mb, int(status["Threads"]), files
+
+    def begin_stop(self):
+        """Ask the process to end, whatever its state."""
+        if self.process is not None:
+            self.state = "ending"
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+
+    def stop(self):
+        """Wait for the end of the process, and kill it if it is late."""
+        if self.process is not None:
+            try:
+                self.process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+                self.process.wait()
+            self.state = "down"
--- /dev/null
+++ b/tests/functional/soak/wire.py
@@ -0,0 +1,51 @@
+"""A small HTTP client whose connections the run can break off at will."""
+
+import http.client
+import json
+from typing import NamedTuple
+
+ERRORS = (OSError, http.client.HTTPException)
+
+
+class Answer(NamedTuple):
+    status: int
+    headers: dict
+    body: bytes
+
+
+def request(address, method, path, body=None, headers=None, timeout_s=5.0):
+    """Make one request on a new connection; None if there is no whole answer."""
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return Answer(answer.status, dict(answer.headers), answer.read())
+    except ERRORS:
+        return None
+    finally:
+        connection.close()
+
+
+class Stream:
+    """A streamed model call. Iterates over the decoded events."""
+
+    def __init__(self, address, path, body, headers, timeout_s):
+        self.connection = http.client.HTTPConnection(address, timeout=timeout_s)
+        self.connection.request("POST", path, json.dumps(body), headers)
+        self.answer = self.connection.getresponse()
+
+    def events(self):
+        """Yield the events, and ``None`` for [DONE]. Raises one of ERRORS."""
+        rest = b""
+        while data := self.answer.read1(65536):
+            *lines, rest = (rest + data).split(b"\n\n")
+            for line in lines:
+                if line == b"data: [DONE]":
+                    yield None
+                elif line.startswith(b"data: "):
+                    yield json.loads(line[6:])
+
+    def close(self):
+        """Close the connection, wherever the call is."""
+        self.answer.close()
+        self.connection.close()
