Reorder outputs all through a soak run; abandon long streams

Two deliberate faults in a scratch copy of the daemon showed gaps in the checks: a daemon that never sends cancels passed, as abandoned streams ended by themselves within 1 s, and one that accepts outputs in any order passed, as the reorder fault seldom met a stream. Callers that leave now ask for 3,000 outputs, and 3% of all outputs come late.

--- a/src/poplarfold/_internal/standins/http_server.py
+++ b/src/poplarfold/_internal/standins/http_server.py
@@ -162,8 +162,9 @@
 
     def write(self, data: bytes) -> None:
         """Write, unless the connection is closed or has gone silent."""
-        if self.transport is not None and not self.silent:
-            self.transport.write(data)
+        transport = self.transport
+        if transport is not None and not self.silent and not transport.is_closing():
+            transport.write(data)
 
 
 class Reply:
--- a/tests/functional/soak/callers.py
+++ b/tests/functional/soak/callers.py
@@ -13,6 +13,7 @@
 from poplarfold._internal.standins.service_model import request_digest
 
 CALL_TIMEOUT_S = 20.0
+ABANDONED_OUTPUTS = 3000
 AUTHORIZATION = {"Authorization": f"Bearer {ACCOUNT_TOKEN}"}
 WORDS = "counsel objected noted record survey witness filing register".split()
 
@@ -96,6 +97,8 @@
         leave_after = None
         if self.rng.random() < 0.2:
             leave_after = self.rng.randint(0, outputs)
+            # Long enough that memory which is not freed is still held at the end.
+            outputs = ABANDONED_OUTPUTS
         body = {"model": entry, "prompt": prompt}
         body |= {"max_tokens": outputs, "stream": True}
         key = answer_key(self.identity, prompt)
--- a/tests/functional/soak/faults.py
+++ b/tests/functional/soak/faults.py
@@ -8,6 +8,9 @@
 
 from tests.functional.soak.processes import START_TIMEOUT_S
 
+# Outputs that engines send late all through a run.
+REORDER_SHARE = 0.03
+
 
 class FaultMaker:
     """Makes one or two faults at a time; all of them end by themselves."""
@@ -36,6 +39,9 @@
 
     def run(self, until):
         """Make faults until a time, then wait for the last ones to end."""
+        for row in self.standins.endpoints:
+            if row["service"] == self.standins.model_service:
+                self.standins.control(row["address"], "reorder", share=REORDER_SHARE)
         while time.monotonic() < until:
             for _ in range(self.rng.choice((1, 1, 2))):
                 functions, weights = zip(*self.kinds, strict=True)
@@ -129,7 +135,7 @@
     def disturb_endpoint(self, rng):
         row = rng.choice(self.standins.endpoints)
         kinds = ["die", "silence", "pause", "slow", "lose_answers", "leave", "jitter"]
-        if "-p" in row["host"] or "-d" in row["host"]:
+        if row["service"] == self.standins.model_service:
             kinds += ["stall_transfers", "reorder", "lag"]
         kind = rng.choice(kinds)
         self.counts[f"endpoint_{kind}"] += 1
@@ -166,9 +172,9 @@
                 control(address, "stall_transfers", seconds=seconds)
                 time.sleep(seconds)
             case "reorder":
-                control(address, "reorder", share=0.2)
+                control(address, "reorder", share=0.5)
                 time.sleep(seconds)
-                control(address, "reorder", share=0.0)
+                control(address, "reorder", share=REORDER_SHARE)
             case "lag":
                 gaps = {"cache_gap_share": 0.3}
                 control(address, "lag", report_s=1.0, cache_s=3.0, **gaps)
--- a/tests/functional/soak/processes.py
+++ b/tests/functional/soak/processes.py
@@ -10,6 +10,7 @@
 import time
 from pathlib import Path
 
+from poplarfold._internal.standins.fleet import DEPLOYMENTS
 from tests.functional.soak.wire import request
 
 ACCOUNT_TOKEN = "soak-account-token"
@@ -45,6 +46,7 @@
         self.log = self.addresses["log"].removeprefix("http://")
         self.hosts = self.addresses["host_list"].removeprefix("http://")
         self.endpoints = self.addresses["endpoints"]
+        self.model_service = DEPLOYMENTS[deployment].model_service
 
     def control(self, address, fault, /, **arguments):
         """Put a fault in force; False if the stand-in is dead at present."""
