--- a/tests/functional/soak/processes.py
+++ b/tests/functional/soak/processes.py
@@ -10,9 +10,10 @@
 import time
 from pathlib import Path
 
-from poplarfold._internal.standins.fleet import DEPLOYMENTS
 from tests.functional.soak.wire import request
 
+from poplarfold._internal.standins.fleet import DEPLOYMENTS
+
 ACCOUNT_TOKEN = "soak-account-token"
 OPERATOR_TOKEN = "soak-operator-token"
 START_TIMEOUT_S = 15.0
