--- /dev/null
+++ b/src/poplarfold/_internal/bench/fault_world.py
@@ -0,0 +1,257 @@
+"""The bench world with partitions, pauses, deaths and faults of the platform."""
+
+from typing import Any, NamedTuple
+
+from poplarfold._internal.bench.world import NodeHost, World
+from poplarfold._internal.core import commands, events
+from poplarfold._internal.core.events import ListedHost
+from poplarfold._internal.core.peer_codec import decode, encode
+from poplarfold._internal.exceptions import EndpointStalledError
+from poplarfold._internal.settings import NodeSettings
+from poplarfold._internal.standins.engine_model import EngineModel
+from poplarfold._internal.standins.service_model import ServiceModel
+
+__all__ = ["FaultWorld", "Violation"]
+
+PLATFORM = ""
+# Time from the command to the send in the attempt's thread, so that a pause can
+# fall between the two.
+SEND_DELAY_S = 0.02
+LOG_TIMEOUT_S = 2.0
+# Bytes of Ethernet, IP, TCP, TLS and websocket headers of one small message.
+FRAME_BYTES = 14 + 20 + 32 + 22 + 4
+HTTP_HEADER_BYTES = 350
+
+
+class Violation(NamedTuple):
+    """A violated invariant, with the time of the world."""
+
+    name: str
+    at: float
+    problem: str
+
+
+class FaultWorld(World):
+    """A world whose domains, hosts, log and endpoints fail on demand."""
+
+    def __init__(self, seed: int, link_bytes_per_s: float, caller_delay_s: float):
+        super().__init__(seed, link_bytes_per_s, caller_delay_s)
+        self.cuts: dict[frozenset[str], int] = {}
+        self.silent: dict[tuple[str, str], float] = {}
+        self.reaches = self.is_connected
+        self.readers: dict[str, list[tuple[NodeHost, commands.ReadLog, float]]] = {}
+        self.violations: list[Violation] = []
+        self.operator_answers: dict[str, commands.AnswerOperator] = {}
+        self.bytes_sent: dict[str, int] = {}
+        self.bytes_received: dict[str, int] = {}
+        self.log_requests = 0
+        self.log_peak = 0
+        self.count_bytes = False
+        self.died_at: dict[str, float] = {}
+        self.incarnation = 1_000
+        # Attempts whose threads have not begun: the gate of each is open.
+        self.pending_starts: set[str] = set()
+
+    # Faults.
+
+    def is_connected(self, one: str, other: str) -> bool:
+        """Return whether packets pass between two domains."""
+        return frozenset((one, other)) not in self.cuts
+
+    def cut(self, one: str, other: str, seconds: float) -> None:
+        """Let no packets pass between two domains for some time."""
+        pair = frozenset((one, other))
+        self.cuts[pair] = self.cuts.get(pair, 0) + 1
+        self.at(self.now + seconds, self.mend, pair)
+
+    def mend(self, pair: frozenset[str]) -> None:
+        """Let packets pass again."""
+        self.cuts[pair] -= 1
+        if self.cuts[pair] == 0:
+            del self.cuts[pair]
+
+    def silence(self, one: str, other: str, seconds: float) -> None:
+        """Let the open connection between two nodes go silent."""
+        until = self.now + seconds
+        self.silent[one, other] = self.silent[other, one] = until
+
+    def kill(self, name: str) -> None:
+        """End a node's process; its callers lose their connections."""
+        host = self.nodes[name]
+        host.alive = False
+        self.died_at[name] = self.now
+        for attempt in self.attempts.values():
+            if attempt.host is host:
+                attempt.open = False
+
+    def restart(self, settings: NodeSettings) -> None:
+        """Start a new process at a host."""
+        self.incarnation += 1
+        self.add_node(settings, self.incarnation)
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Stop a process for some time without its knowledge."""
+        host = self.nodes[name]
+        if host.alive and not host.paused:
+            host.paused = True
+            self.at(self.now + seconds, self.resume, host)
+
+    def resume(self, host: NodeHost) -> None:
+        """Let a paused process go on."""
+        host.paused = False
+        self.step(host, [])
+
+    def restart_endpoint(self, address: str, incarnation: int) -> None:
+        """Start a new endpoint process at the same address."""
+        old = self.endpoints[address]
+        config: Any = old.model.config._replace(incarnation=incarnation)
+        model: EngineModel | ServiceModel
+        if isinstance(old.model, EngineModel):
+            model = EngineModel(config)
+        else:
+            model = ServiceModel(config, old.model.backend)
+        self.add_endpoint(model, old.domain, config.identity.service)
+
+    # Commands that can fail.
+
+    def carry_out(self, command: NamedTuple, host: NodeHost) -> None:
+        """Carry out a command under the present faults."""
+        if isinstance(command, commands.SendPeer):
+            self.send_peer(command, host)
+        elif isinstance(command, commands.ReadLog):
+            self.request_log(command, host)
+        elif isinstance(command, commands.AppendLog):
+            self.log_requests += 1
+            self.count(host, len(command.data) + HTTP_HEADER_BYTES, HTTP_HEADER_BYTES)
+            super().carry_out(command, host)
+        elif isinstance(command, commands.StartAttempt):
+            self.start_attempt(command, host)
+        elif isinstance(command, commands.AbortAttempt):
+            self.pending_starts.discard(command.attempt_id)
+            super().carry_out(command, host)
+        elif isinstance(command, commands.AnswerOperator):
+            self.operator_answers[command.request_id] = command
+        elif isinstance(command, commands.Log) and command.number == "PF9001":
+            name, problem = command.fields["invariant"], command.fields["problem"]
+            me = host.node.state.me.host
+            self.violations.append(Violation(str(name), self.now, f"{me}: {problem}"))
+        else:
+            super().carry_out(command, host)
+
+    def count(self, host: NodeHost, sent: int, received: int) -> None:
+        """Count the bytes of a node's control messages on the wire."""
+        if self.count_bytes:
+            name = host.node.state.me.host
+            sums = ((self.bytes_sent, sent), (self.bytes_received, received))
+            for table, size in sums:
+                table[name] = table.get(name, 0) + size + FRAME_BYTES
+
+    def send_peer(self, command: commands.SendPeer, host: NodeHost) -> None:
+        """Send a message through the codec of the peer link."""
+        name = host.node.state.me.host
+        target = self.nodes.get(command.host)
+        if target is None:
+            return
+        if not self.is_connected(host.domain, target.domain):
+            failed = events.PeerConnectFailed(command.host, False)
+            self.post(host, failed, 1.0)
+            return
+        if self.silent.get((name, command.host), -1.0) > self.now:
+            return
+        delay_s = self.delay(host.domain, target.domain)
+        if not target.alive:
+            refused = events.PeerConnectFailed(command.host, True)
+            self.post(host, refused, 2 * delay_s)
+            return
+        data = encode(command.message)
+        delay_s = self.delay(host.domain, target.domain, len(data))
+        self.count(host, len(data), 0)
+        self.count(target, 0, len(data))
+        self.peer_messages += 1
+        message = decode(data).unwrap()
+        assert message is not None
+        self.post(target, events.PeerReceived(host.node.state.me, message), delay_s)
+
+    def request_log(self, command: commands.ReadLog, host: NodeHost) -> None:
+        """Send a read to the log; it waits there for a record."""
+        self.log_requests += 1
+        if not self.is_connected(host.domain, PLATFORM):
+            failed = events.LogReadFailed(command.stream, command.start, False, 0)
+            self.post(host, failed, LOG_TIMEOUT_S)
+            return
+        delay_s = self.delay(host.domain, PLATFORM)
+        until = self.now + delay_s + command.wait_s
+        self.at(self.now + delay_s, self.serve_read, host, command, until)
+
+    def serve_read(
+        self, host: NodeHost, command: commands.ReadLog, until: float
+    ) -> None:
+        """Answer a read, or let it wait."""
+        stream = command.stream
+        found = self.log.read(self.now, stream, command.start, command.limit)
+        if found.status == 200 and not found.records and self.now < until:
+            waiting = self.readers.setdefault(stream, [])
+            waiting.append((host, command, until))
+            self.at(until, self.end_wait, stream)
+            return
+        event: NamedTuple
+        size = HTTP_HEADER_BYTES
+        if found.status == 200:
+            event = events.LogRead(
+                stream, command.start, found.first, found.next, found.records
+            )
+            size += sum(80 + len(r.data) * 4 // 3 for r in found.records)
+        else:
+            expired = found.status == 410
+            event = events.LogReadFailed(stream, command.start, expired, found.first)
+        if not self.is_connected(host.domain, PLATFORM):
+            failed = events.LogReadFailed(stream, command.start, False, 0)
+            self.post(host, failed, LOG_TIMEOUT_S)
+            return
+        self.count(host, HTTP_HEADER_BYTES, size)
+        self.post(host, event, self.delay(PLATFORM, host.domain) + self.log.slow_s)
+
+    def end_wait(self, stream: str) -> None:
+        """Answer the reads that have waited long enough."""
+        waiting = self.readers.get(stream, [])
+        self.readers[stream] = [row for row in waiting if row[2] > self.now]
+        for host, command, until in waiting:
+            if until <= self.now:
+                self.serve_read(host, command, until)
+
+    def append_log(self, host: NodeHost, command: commands.AppendLog) -> None:
+        """Append a record and wake the reads that wait for it."""
+        super().append_log(host, command)
+        for reader, read, until in self.readers.pop(command.stream, []):
+            self.serve_read(reader, read, until)
+
+    def start_attempt(self, command: commands.StartAttempt, host: NodeHost) -> None:
+        """Hand an attempt to its thread, which a pause of the process stops too."""
+        if command.placement.prefill is not None:
+            super().carry_out(command, host)
+            return
+        self.at(self.now + SEND_DELAY_S, self.begin_service, command, host)
+        self.pending_starts.add(command.attempt_id)
+
+    def begin_service(self, command: commands.StartAttempt, host: NodeHost) -> None:
+        """Begin a service call unless its gate was closed or its process ended."""
+        if host.paused:
+            self.at(self.now + 0.1, self.begin_service, command, host)
+            return
+        if not host.alive or command.attempt_id not in self.pending_starts:
+            return
+        self.pending_starts.discard(command.attempt_id)
+        super().carry_out(command, host)
+        attempt = self.attempts[command.attempt_id]
+        limit_s = 10.0
+        self.at(self.now + limit_s, self.end_silent, attempt)
+
+    def end_silent(self, attempt: Any) -> None:
+        """End an attempt whose connection went silent."""
+        address = attempt.start.placement.decode.address
+        self.fail(attempt, EndpointStalledError("no answer"), address)
+
+
+def entry_host_row(name: str, domain: str) -> ListedHost:
+    """Return the row of an entry host in the host list."""
+    return ListedHost(name, name, "entry", domain, "", False)
--- a/src/poplarfold/_internal/core/systems/catalogue.py
+++ b/src/poplarfold/_internal/core/systems/catalogue.py
@@ -138,8 +138,9 @@
             times.append(row.next_try_at)
     if wants_peers(fold):
         times.append(max(fold.ask_peer_at, now))
-    if not state.catalogue_ready and fold.known:
-        times.append(max(now, fold.started_at + PEER_REVISION_WAIT_S))
+    decides_at = fold.started_at + PEER_REVISION_WAIT_S
+    if not state.catalogue_ready and fold.known and now < decides_at:
+        times.append(decides_at)
     time = min(times)
     return None if time == math.inf else time
 
--- a/src/poplarfold/_internal/core/systems/checkpoints.py
+++ b/src/poplarfold/_internal/core/systems/checkpoints.py
@@ -6,7 +6,6 @@
 time do no harm.
 """
 
-import math
 from functools import singledispatch
 from typing import NamedTuple
 
@@ -112,10 +111,11 @@
         return now
     times = [part.search_at] if part.search_at is not None else []
     if part.parts:
-        lost_at = math.inf
-        if part.appended_at is not None:
-            lost_at = part.appended_at + APPEND_TIMEOUT_S
-        times.append(min(lost_at, max(part.append_at, now)))
+        sent_at = part.appended_at
+        if sent_at is not None:
+            times.append(sent_at + APPEND_TIMEOUT_S)
+        else:
+            times.append(part.append_at)
     elif part.writer_since is not None:
         times.append(now + 1.0)
     return min(times, default=None)
@@ -207,8 +207,8 @@
     if part.writer_since is None:
         part.writer_since = now
     if part.parts:
-        lost = part.appended_at is not None
-        if lost and now < (part.appended_at or 0.0) + APPEND_TIMEOUT_S:
+        sent_at = part.appended_at
+        if sent_at is not None and now < sent_at + APPEND_TIMEOUT_S:
             return
         if now >= part.append_at:
             part.appended_at = now
--- a/src/poplarfold/_internal/core/systems/membership.py
+++ b/src/poplarfold/_internal/core/systems/membership.py
@@ -265,8 +265,10 @@
     part = state.part(Members)
     times = [now if part.probe_at is None else part.probe_at]
     for probe in part.probes.values():
-        wait_s = PROBE_WAIT_S if probe.is_indirect else ACK_WAIT_S
-        times.append(probe.sent_at + wait_s)
+        row = part.rows.get(probe.target)
+        asks_others = probe.asker is None and row is not None and is_live(row)
+        is_early = asks_others and not probe.is_indirect
+        times.append(probe.sent_at + (ACK_WAIT_S if is_early else PROBE_WAIT_S))
     limit_s = suspicion_s(state)
     rows = part.rows.values()
     times.extend(r.suspect_at + limit_s for r in rows if r.state == "suspect")
