Give a node without a host list the list of its peers

Change: peers pass their host list on, the settings name peers to ask, and a node owns nothing until it knows a catalogue and a host list.

--- a/src/poplarfold/_internal/core/messages.py
+++ b/src/poplarfold/_internal/core/messages.py
@@ -64,6 +64,22 @@
     version: int = 0
 
 
+class HostsWanted(NamedTuple):
+    """Asks a peer for its host list, when the platform's does not answer."""
+
+    domain: str
+
+
+class HostsKnown(NamedTuple):
+    """A peer's host list: the entry hosts, and the endpoints of one region.
+
+    Each row is (host, address, kind, domain, service, leaving).
+    """
+
+    version: int
+    hosts: tuple[tuple[str, str, str, str, str, bool], ...]
+
+
 class CatalogueWanted(NamedTuple):
     """Asks a peer for its catalogue, when the log does not answer."""
 
@@ -176,6 +192,8 @@
     | Ack
     | PingRequest
     | DomainSummary
+    | HostsWanted
+    | HostsKnown
     | CatalogueWanted
     | CatalogueState
     | PlaceWanted
--- a/src/poplarfold/_internal/core/systems/membership.py
+++ b/src/poplarfold/_internal/core/systems/membership.py
@@ -16,6 +16,7 @@
 from poplarfold._internal.core.events import (
     DrainRequested,
     HostsListed,
+    ListedHost,
     MemberDied,
     NodePaused,
     OwnershipChanged,
@@ -26,7 +27,8 @@
     Ack,
     DomainSummary,
     Hello,
-    PeerMessage,
+    HostsKnown,
+    HostsWanted,
     Ping,
     PingRequest,
 )
@@ -76,6 +78,12 @@
 LIST_SETTLES_S = 10.0
 # Without a summary for this long, a domain counts as out of reach.
 DOMAIN_SILENT_S = 10.0
+# Without a host list from the platform for this long, peers are asked.
+LIST_WAIT_S = 1.0
+# A new node owns nothing until it knows a catalogue, and for this long after
+# its first host list: it has no reports of endpoints before.
+JOIN_AFTER_LIST_S = 0.5
+JOINING = "joining"
 SEVERITY = {"alive": 0, "suspect": 1, "silent": 2, "leaving": 3, "dead": 4}
 
 Update = tuple[str, int, str, str, str]
@@ -147,7 +155,11 @@
         self.list_version = -1
         self.list_settled = False
         self.owns_until = math.inf
-        self.is_owning = True
+        self.is_owning = False
+        self.has_joined = False
+        self.started_at: float | None = None
+        self.last_list: HostsListed | None = None
+        self.ask_list_at = 0.0
         self.live: tuple[str, ...] | None = None
         self.capacity: tuple[tuple[str, str, str, int, int], ...] = ()
         self.summaries: dict[str, DomainSummary] = {}
@@ -245,9 +257,11 @@
     if part.listed_at is not None and now >= part.listed_at + LIST_SETTLES_S:
         part.list_settled = True
     check_probes(state, part, now)
+    join(state, part, now)
     if now >= part.probe_at:
         part.probe_at = now + PROBE_PERIOD_S * (0.9 + 0.2 * state.rng.random())
         greet(state, part, now)
+        ask_for_list(state, part, now)
         probe_next(state, part, now)
     for host, row in part.rows.rows():
         if row.state == "suspect" and now >= row.suspect_at + suspicion_s(state):
@@ -264,6 +278,10 @@
     """Return the time of the next probe, verdict or summary."""
     part = state.part(Members)
     times = [now if part.probe_at is None else part.probe_at]
+    if not part.has_joined and part.listed_at is not None:
+        join_at = part.listed_at + JOIN_AFTER_LIST_S
+        if join_at > now:
+            times.append(join_at)
     for probe in part.probes.values():
         row = part.rows.get(probe.target)
         asks_others = probe.asker is None and row is not None and is_live(row)
@@ -321,13 +339,41 @@
     return [h for h, r in part.rows.items() if r.domain == domain and is_live(r)]
 
 
+def join(state: NodeState, part: Members, now: float) -> None:
+    """Become an owner once this node can place calls."""
+    if part.started_at is None:
+        part.started_at = now
+        for host, address, domain in state.settings.peers:
+            if host != state.me.host and host not in part.rows:
+                # Nothing shows yet that this node runs.
+                row = MemberRow(host, domain, address, state="silent")
+                part.rows.put(host, row)
+    if part.has_joined or part.listed_at is None or not state.catalogue_ready:
+        return
+    if now >= part.listed_at + JOIN_AFTER_LIST_S:
+        part.has_joined = True
+        part.is_owning = now < part.owns_until
+        refute(state, part)
+
+
+def ask_for_list(state: NodeState, part: Members, now: float) -> None:
+    """Ask peers for the host list if the platform has given none."""
+    started_at = part.started_at if part.started_at is not None else now
+    if part.listed_at is not None or now < started_at + LIST_WAIT_S:
+        return
+    known = [h for h, row in part.rows.items() if row.state != "dead"]
+    for host in state.rng.sample(known, min(2, len(known))):
+        state.emit(SendPeer(host, HostsWanted(state.settings.domain)))
+
+
 def greet(state: NodeState, part: Members, now: float) -> None:
     """Ping all members once, so that a new node soon knows their revisions."""
-    if part.greeted or part.listed_at is None:
+    if part.greeted or (part.listed_at is None and not state.settings.peers):
         return
     part.greeted = True
     spread(state, part, state.me.host)
-    for host in probe_candidates(state, part):
+    domain = state.settings.domain
+    for host in [h for h, row in part.rows.items() if row.domain == domain]:
         send_ping(state, part, host, now)
 
 
@@ -389,7 +435,7 @@
 
 def take_updates(state: NodeState, part: Members, host: str) -> tuple[Update, ...]:
     """Return the news for a message to ``host``; news about itself come first."""
-    chosen = []
+    chosen = [] if part.has_joined else [state.me.host]
     row = part.rows.get(host)
     if row is not None and row.state in ("suspect", "silent", "dead"):
         chosen.append(host)
@@ -408,6 +454,8 @@
     """Return what this node says about a host, with its number in the state."""
     if host == state.me.host:
         word = "leaving" if state.draining else "alive"
+        if not part.has_joined:
+            word = JOINING
         return (
             host,
             state.me.incarnation,
@@ -436,7 +484,9 @@
     part = state.part(Members)
     sender, message = event.sender, event.message
     domain = message.domain if isinstance(message, Hello) else ""
-    hear(state, part, sender, domain, now)
+    updates = message.updates if isinstance(message, Ping | Ack) else ()
+    is_joining = any(u[0] == sender.host and u[2].startswith(JOINING) for u in updates)
+    hear(state, part, sender, domain, now, is_joining)
     if isinstance(message, Ping | Ack):
         note_revision(part, sender.host, message.revision)
         for update in message.updates:
@@ -450,14 +500,25 @@
     elif isinstance(message, PingRequest):
         if message.target in part.rows:
             send_ping(state, part, message.target, now, sender.host, message.probe)
+    elif isinstance(message, HostsWanted):
+        send_list(state, part, sender.host, message.domain)
+    elif isinstance(message, HostsKnown):
+        if part.listed_at is None:
+            rows = tuple(ListedHost(*row) for row in message.hosts)
+            state.post(HostsListed(message.version, rows))
     elif isinstance(message, DomainSummary):
         take_summary(state, part, message, now)
 
 
 def hear(
-    state: NodeState, part: Members, sender: HostKey, domain: str, now: float
+    state: NodeState,
+    part: Members,
+    sender: HostKey,
+    domain: str,
+    now: float,
+    is_joining: bool,
 ) -> None:
-    """Note a direct message: its sender lives."""
+    """Note a direct message: its sender lives, and owns cells once it has joined."""
     row = part.rows.get(sender.host)
     if row is None:
         if not domain or sender.host == state.me.host:
@@ -468,7 +529,9 @@
     if sender.incarnation > row.incarnation:
         replace_incarnation(state, part, row, sender.incarnation)
         row = part.rows[sender.host]
-    if row.state in ("suspect", "silent", "dead"):
+    if is_joining and row.state != "leaving":
+        row = row._replace(state="silent")
+    elif row.state in ("suspect", "silent", "dead"):
         row = row._replace(state="alive")
     part.rows.put(row.host, row._replace(heard_at=now))
 
@@ -494,6 +557,19 @@
     state.post(MemberDied(member))
 
 
+def send_list(state: NodeState, part: Members, host: str, domain: str) -> None:
+    """Send a peer the hosts that it needs for its own region."""
+    if part.last_list is None:
+        return
+    region = state.settings.region_of(domain)
+    rows = tuple(
+        (r.host, r.address, r.kind, r.domain, r.service, r.leaving)
+        for r in part.last_list.hosts
+        if r.kind == "entry" or state.settings.region_of(r.domain) == region
+    )
+    state.emit(SendPeer(host, HostsKnown(part.last_list.version, rows)))
+
+
 def note_revision(part: Members, host: str, revision: int) -> None:
     row = part.rows.get(host)
     if row is not None and revision > row.revision:
@@ -596,6 +672,7 @@
     if event.version < part.list_version:
         return
     part.list_version = event.version
+    part.last_list = event
     if part.listed_at is None:
         part.listed_at = now
     listed = {row.host: row for row in event.hosts if row.kind == "entry"}
@@ -725,8 +802,3 @@
         hosts = probe_candidates(state, part)
         for host in state.rng.sample(hosts, min(FORWARD_TO, len(hosts))):
             state.emit(SendPeer(host, summary))
-
-
-def send_to(state: NodeState, host: str, message: PeerMessage) -> None:
-    """Send a message to a node."""
-    state.emit(SendPeer(host, message))
--- a/src/poplarfold/_internal/settings.py
+++ b/src/poplarfold/_internal/settings.py
@@ -20,7 +20,8 @@
     """What the core of one node needs to know.
 
     ``host_slot`` numbers the entry hosts of a domain from 0; it selects this
-    node's share of each limit. Link rates are in bytes per second.
+    node's share of each limit. ``peers`` are (host, address, domain) of entry
+    hosts to ask when the host list does not answer. Link rates are in bytes per second.
     """
 
     host: str
@@ -32,6 +33,7 @@
     claim_horizon_s: float = 7 * 86400.0
     endpoint_rules: tuple[tuple[str, bool, bool], ...] = ()
     strict_invariants: bool = False
+    peers: tuple[tuple[str, str, str], ...] = ()
     health_across_incarnations: bool = False
 
     @property
--- a/src/poplarfold/_internal/settings_file.py
+++ b/src/poplarfold/_internal/settings_file.py
@@ -581,6 +581,10 @@
             for name in reader.names("endpoint_rules")
         ),
         strict_invariants=values["node.strict_invariants"],
+        peers=tuple(
+            (name, values[f"peers.{name}.address"], values[f"peers.{name}.domain"])
+            for name in reader.names("peers")
+        ),
     )
     tls_paths = [values[f"tls.{key}"] for key in TlsSettings._fields]
     return DaemonSettings(
