--- a/src/poplarfold/_internal/bench/goodput.py
+++ b/src/poplarfold/_internal/bench/goodput.py
@@ -35,7 +35,7 @@
 from poplarfold._internal.standins.engine_model import EngineConfig, EngineModel
 from poplarfold._internal.standins.service_model import ServiceConfig, ServiceModel
 
-__all__ = ["GoodputRun", "run_goodput", "run_world"]
+__all__ = ["GoodputRun", "policy_names", "run_goodput", "run_world", "table"]
 
 SYSTEMS = (
     calls,
@@ -363,3 +363,22 @@
 def policy_names(policy: str) -> list[str]:
     """Return the policies that a name stands for."""
     return list(POLICIES) if policy == "all" else [policy]
+
+
+def table(results: list[dict[str, Any]]) -> str:
+    """Return the results of runs as lines of text."""
+    lines = [
+        f"{'policy':<14}{'entry':<12}{'calls':>7}{'good':>7}{'bound':>7}"
+        f"{'share':>8}{'ttft95':>9}{'gap95':>8}{'wasted':>9}{'refused':>9}"
+    ]
+    for result in results:
+        for name, row in result["entries"].items():
+            first = row["first_output_ms"].get("p95", 0.0)
+            gap = row["between_outputs_ms"].get("p95", 0.0)
+            lines.append(
+                f"{result['policy']:<14}{name:<12}{row['calls']:>7}{row['good']:>7}"
+                f"{row['bound']:>7}{row['share_of_bound'] or 0.0:>8.4f}{first:>9.1f}"
+                f"{gap:>8.1f}{result['wasted_prefill_share']:>9.5f}"
+                f"{sum(row['refusals'].values()):>9}"
+            )
+    return "\n".join(lines) + "\n"
--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -14,6 +14,7 @@
     leaving,
     limits,
     membership,
+    orders,
     placement,
     retries,
 )
@@ -30,4 +31,5 @@
     admission,
     placement,
     retries,
+    orders,
 )
--- a/src/poplarfold/_internal/core/systems/admission.py
+++ b/src/poplarfold/_internal/core/systems/admission.py
@@ -198,6 +198,7 @@
         self.waiting: Table[tuple[str, str], WaitRow] = Table()
         self.by_cell: dict[Cell, dict[tuple[str, str], None]] = {}
         self.leases: Table[str, LeaseRow] = Table()
+        self.backlog: dict[tuple[Cell, Identity], tuple[int, int]] = {}
         self.granted: dict[tuple[str, str], tuple[str, PlaceGranted]] = {}
         self.prefill_loads: dict[EndpointRef, PrefillLoad] = {}
         self.decode_loads: dict[EndpointRef, DecodeLoad] = {}
@@ -208,6 +209,8 @@
         self.dirty: dict[Cell, None] = {}
         self.wake_at: dict[Cell, float] = {}
         self.denied: dict[Cell, int] = {}
+        # Endpoints that the orders system empties before an order.
+        self.held_back: set[EndpointRef] = set()
 
 
 @singledispatch
@@ -283,25 +286,42 @@
     old = part.waiting.get(key)
     if old is not None and old.request.ask == message.ask:
         part.waiting.put(key, old._replace(heard_at=now))
-        answer(state, now, sender, queued(message, old, now))
+        answer(state, now, sender, queued(message))
         return
     first_by = now + entry.targets.first_output_s - message.waited_s
     row = WaitRow(
         message, sender, entry, cell, now, first_by, now + max(0.0, message.wait_s)
     )
+    drop_waiting(part, key)
     part.waiting.put(key, row)
     part.by_cell.setdefault(cell, {})[key] = None
+    count_backlog(part, row, 1)
     plan_cell(state, now, cell)
-    row_now = part.waiting.get(key)
-    if row_now is not None and sender != state.me:
-        answer(state, now, sender, queued(message, row_now, now))
+    if key not in part.waiting:
+        return
+    if not message.may_wait:
+        wait_s = patient_wait_s(state, now, row)
+        refuse(state, now, key, "busy", "calls wait already", wait_s)
+    elif sender != state.me:
+        answer(state, now, sender, queued(message))
 
 
-def queued(request: PlaceWanted, row: WaitRow, now: float) -> PlaceDenied:
+def queued(request: PlaceWanted) -> PlaceDenied:
     """Return the message that confirms that a call waits here."""
     return PlaceDenied(request.call_id, "queued", "", request.ask)
 
 
+def count_backlog(part: AdmissionState, row: WaitRow, sign: int) -> None:
+    """Add a waiting call to the sums of its cell, or take it from them."""
+    if row.request.may_wait:
+        key = (row.cell, row.entry.identity)
+        tokens, outputs = part.backlog.get(key, (0, 0))
+        part.backlog[key] = (
+            tokens + sign * row.request.prompt_tokens,
+            outputs + sign * row.request.max_outputs,
+        )
+
+
 @receive.register
 def _(message: PlaceWithdrawn, sender: HostKey, state: NodeState, now: float) -> None:
     part = state.part(AdmissionState)
@@ -401,6 +421,7 @@
     row = part.waiting.pop(key, None)
     if row is not None:
         part.by_cell[row.cell].pop(key, None)
+        count_backlog(part, row, -1)
 
 
 # Leases.
@@ -714,6 +735,9 @@
         if leaving.is_leaving(state, now, ref):
             pool.skipped.append((address, "leaving"))
             continue
+        if ref in part.held_back:
+            pool.skipped.append((address, "emptied for an order"))
+            continue
         candidate = Candidate(ref, report)
         probation = health.is_on_probation(state, ref)
         if report.role is EndpointRole.PREFILL:
@@ -787,29 +811,12 @@
         wake = plan_model(state, now, key, row, pools[row.entry.identity])
         if wake is not None:
             wakes.append(wake)
-            if row.request.may_wait:
-                # Later patient calls must not overtake the one that waits.
-                wakes.extend(
-                    deny_or_keep(state, now, other, wake)
-                    for others in patient.values()
-                    for other in others
-                )
-                break
+            # Later patient calls must not overtake the one that waits.
+            break
     if wakes:
         part.wake_at[cell] = max(min(wakes), now + 0.001)
 
 
-def deny_or_keep(
-    state: NodeState, now: float, key: tuple[str, str], wake: float
-) -> float:
-    """Answer a call that wants no waiting; keep the others."""
-    row = state.part(AdmissionState).waiting[key]
-    if not row.request.may_wait:
-        wait_s = patient_wait_s(state, now, row)
-        refuse(state, now, key, "busy", "calls wait already", wait_s)
-    return max(wake, now + 0.05)
-
-
 def patient_wait_s(state: NodeState, now: float, row: WaitRow) -> float:
     """Return the predicted wait of one more patient call in a cell."""
     part = state.part(AdmissionState)
@@ -817,23 +824,14 @@
     if not pool.prefills or not pool.decodes:
         return 3600.0
     slots = sum(candidate.report.slots for candidate in pool.decodes)
-    prefill_s = slot_s = 0.0
-    for key in part.by_cell.get(row.cell, ()):
-        other = part.waiting[key]
-        if other.entry.identity == row.entry.identity and other.request.may_wait:
-            cost = prefill_cost(part, pool, other.request)
-            prefill_s += cost
-            slot_s += cost + other.request.max_outputs * OUTPUT_INTERVAL_S
+    tokens, outputs = part.backlog.get((row.cell, row.entry.identity), (0, 0))
+    cost = part.prefill_loads[pool.prefills[0].ref].cost
+    prefill_s = tokens * cost.per_token_s
     free_at = min(pool.free_at.values()) - now
+    slot_s = prefill_s + outputs * OUTPUT_INTERVAL_S
     return max(free_at + prefill_s / len(pool.prefills), slot_s / slots)
 
 
-def prefill_cost(part: AdmissionState, pool: Pool, request: PlaceWanted) -> float:
-    """Return the cost of a prompt without any cached prefix."""
-    load = part.prefill_loads[pool.prefills[0].ref]
-    return load.cost.predict(request.prompt_tokens)
-
-
 def is_allowed(request: PlaceWanted, ref: EndpointRef) -> bool:
     """Return whether the request does not exclude an endpoint."""
     if request.only is not None:
