--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -10,12 +10,15 @@
     admission,
     calls,
     catalogue,
+    checkpoints,
+    claims,
     health,
     leaving,
     limits,
     membership,
     orders,
     placement,
+    recovery,
     retries,
 )
 
@@ -23,9 +26,12 @@
 
 ALL_SYSTEMS: tuple[ModuleType, ...] = (
     calls,
+    checkpoints,
     catalogue,
+    claims,
     membership,
     health,
+    recovery,
     leaving,
     limits,
     admission,
