--- a/src/poplarfold/_internal/core/systems/orders.py
+++ b/src/poplarfold/_internal/core/systems/orders.py
@@ -307,6 +307,9 @@
             for row in rows
             if row.report
         ]
+        refs = [p for p in refs if own.passed_over.get(p[0], now) <= now]
+        if not refs:
+            continue
 
         def used(ref: EndpointRef) -> int:
             load = admission.decode_loads.get(ref)
@@ -375,6 +378,7 @@
         state.log("PF3404", None, order=event.order_id, accepted=event.accepted)
         if event.stale_fencing:
             # Another node holds the lease by now, which the stream will show.
+            own.passed_over[own.order.ref] = now + ORDER_GIVE_UP_S
             stop_order(state, own)
 
 
--- /dev/null
+++ b/tests/unit/test_cell_owner.py
@@ -0,0 +1,279 @@
+"""The owner of a cell: grants, refusals, waiting and leases, without sockets."""
+
+import pytest
+
+from poplarfold._internal.core.commands import CancelWork, SendPeer
+from poplarfold._internal.core.events import (
+    EndpointReported,
+    HostsListed,
+    ListedHost,
+    MemberDied,
+    PeerReceived,
+    WorkItem,
+)
+from poplarfold._internal.core.messages import (
+    LeaseProgress,
+    LeaseReleased,
+    LeasesHeld,
+    PlaceDenied,
+    PlaceGranted,
+    PlaceWanted,
+    PlaceWithdrawn,
+)
+from poplarfold._internal.core.model import (
+    CallClass,
+    CatalogueEntry,
+    EndpointRole,
+    EntryKind,
+    EntryLimits,
+    HostKey,
+    Identity,
+    LatencyTargets,
+)
+from poplarfold._internal.core.node import Node
+from poplarfold._internal.core.systems import (
+    admission,
+    calls,
+    health,
+    leaving,
+    limits,
+    membership,
+    placement,
+    retries,
+)
+from poplarfold._internal.core.systems.admission import AdmissionState
+from poplarfold._internal.settings import DomainSettings, NodeSettings
+
+SYSTEMS = (
+    calls,
+    membership,
+    health,
+    leaving,
+    limits,
+    admission,
+    placement,
+    retries,
+)
+LLM = Identity("studio", "llm", "v1")
+OTHER = Identity("stranger", "llm", "v1")
+PEER = HostKey("other", 5)
+
+
+def entry(name, call_class=CallClass.INTERACTIVE, kind=EntryKind.MODEL, first=0.46):
+    return CatalogueEntry(
+        name, kind, LLM, call_class, LatencyTargets(first, 0.029), EntryLimits()
+    )
+
+
+def report(address, role, **changes):
+    fields = dict(
+        address=address,
+        incarnation=1,
+        identity=LLM,
+        role=role,
+        slots=2 if role is not EndpointRole.PREFILL else 8,
+        busy=0,
+        queued_tokens=0,
+        pieces_total=2000,
+        pieces_free=2000,
+        leaving=False,
+        fences=True,
+        knows_operations=False,
+        work=(),
+        cache_seq=0,
+    )
+    return EndpointReported(**{**fields, **changes})
+
+
+def listed(*addresses, leaving=()):
+    rows = [
+        ListedHost(a, a, "endpoint", "west-a", "llm", a in leaving) for a in addresses
+    ]
+    return HostsListed(1, tuple(rows))
+
+
+@pytest.fixture
+def node():
+    settings = NodeSettings("me", "west-a", (DomainSettings("west-a", "west", 2),))
+    node = Node(settings._replace(strict_invariants=True), 1, 7, SYSTEMS)
+    node.state.catalogue_ready = True
+    for row in (
+        entry("captions"),
+        entry("abstracts", CallClass.PATIENT, first=30.0),
+        entry("lookups", kind=EntryKind.SERVICE),
+        entry("filings", CallClass.NON_REPEATABLE, EntryKind.SERVICE),
+    ):
+        node.state.entries.put(row.name, row)
+    node.step(0.0, [listed("p", "d")])
+    node.step(
+        0.1, [report("p", EndpointRole.PREFILL), report("d", EndpointRole.DECODE)]
+    )
+    return node
+
+
+def wanted(call_id, entry="captions", **changes):
+    fields = dict(
+        call_id=call_id,
+        entry=entry,
+        account="a",
+        prompt_tokens=2000,
+        prompt_bytes=8000,
+        prefixes=(),
+        max_outputs=50,
+        wait_s=30.0,
+        waited_s=0.0,
+        excluded=(),
+        is_retry=False,
+    )
+    return PeerReceived(PEER, PlaceWanted(**{**fields, **changes}))
+
+
+def answers(commands):
+    return [c.message for c in commands if isinstance(c, SendPeer)]
+
+
+def grants(commands):
+    return [m for m in answers(commands) if isinstance(m, PlaceGranted)]
+
+
+def free_prefill(node, now, grant):
+    node.step(now, [PeerReceived(PEER, LeaseProgress(grant.lease_id, 0.05))])
+
+
+def test_a_repeated_request_gets_the_same_grant(node):
+    """Guards against two leases for one call after a lost answer."""
+    (first,) = grants(node.step(1.0, [wanted("c", ask=3)]))
+    (again,) = grants(node.step(1.1, [wanted("c", ask=3)]))
+    assert again.lease_id == first.lease_id
+    (next_one,) = grants(node.step(1.3, [wanted("c", ask=4)]))
+    assert next_one.lease_id != first.lease_id
+    assert list(node.state.part(AdmissionState).leases) == [next_one.lease_id]
+
+
+def test_only_the_pinned_identity_is_granted(node):
+    """Guards against an endpoint of another owner that has the same name."""
+    for address, role in (("p", EndpointRole.PREFILL), ("d", EndpointRole.DECODE)):
+        node.step(0.2, [report(address, role, identity=OTHER)])
+    (denied,) = answers(node.step(1.0, [wanted("c")]))
+    assert denied.code == "no_endpoint"
+
+
+def test_a_call_that_cannot_meet_its_target_is_refused_at_once(node):
+    """Guards against prefill work whose result comes too late."""
+    (denied,) = answers(node.step(1.0, [wanted("c", prompt_tokens=30_000)]))
+    assert denied.code == "overloaded"
+    (late,) = answers(node.step(1.1, [wanted("d", waited_s=0.45)]))
+    assert late.code == "overloaded"
+
+
+def test_slots_are_never_granted_twice(node):
+    """Guards against a prefill whose decode slot does not exist."""
+    for number in range(2):
+        (grant,) = grants(node.step(1.0 + number / 5, [wanted(f"c{number}")]))
+        free_prefill(node, 1.1 + number / 5, grant)
+    (busy,) = answers(node.step(2.0, [wanted("c2", may_wait=False)]))
+    assert busy.code == "busy"
+    queue = answers(node.step(2.1, [wanted("c3", "abstracts")]))
+    assert [message.code for message in queue] == ["queued"]
+    released = LeaseReleased(grant.lease_id, "", "", 0.02)
+    (waited,) = grants(node.step(2.2, [PeerReceived(PEER, released)]))
+    assert waited.call_id == "c3"
+
+
+def test_patient_calls_of_accounts_take_turns(node):
+    """Guards against one account that keeps all others waiting."""
+    held = []
+    for number in range(2):
+        held += grants(node.step(1.0 + number / 5, [wanted(f"h{number}")]))
+        free_prefill(node, 1.1 + number / 5, held[-1])
+    for number in range(3):
+        node.step(2.0, [wanted(f"big{number}", "abstracts", account="big")])
+    node.step(2.1, [wanted("small", "abstracts", account="small")])
+    served = []
+    for number in range(3):
+        release = LeaseReleased(held.pop(0).lease_id, "", "", 0.02)
+        (grant,) = grants(node.step(2.2 + number / 5, [PeerReceived(PEER, release)]))
+        free_prefill(node, 2.3 + number / 5, grant)
+        held.append(grant)
+        served.append(grant.call_id)
+    assert served[:2] == ["big0", "small"]
+
+
+def test_lookups_keep_slots_from_filings(node):
+    """Guards against lookups that wait behind filings."""
+    node.step(0.2, [listed("p", "d", "s")])
+    node.step(0.3, [report("s", EndpointRole.SERVICE, slots=4)])
+    for number in range(3):
+        assert grants(node.step(1.0, [wanted(f"f{number}", "filings")]))
+    denied = answers(node.step(1.1, [wanted("f3", "filings", may_wait=False)]))
+    assert [message.code for message in denied] == ["busy"]
+    assert grants(node.step(1.2, [wanted("l", "lookups")]))
+
+
+def test_a_lost_release_is_found_by_reports(node):
+    """Guards against a slot that stays booked for ever, or is freed in use."""
+    (grant,) = grants(node.step(1.0, [wanted("c")]))
+    attempt = calls.attempt_of_lease(grant.lease_id)
+    leases = node.state.part(AdmissionState).leases
+    shown = (WorkItem(attempt, PEER, "decoding"),)
+    for tick in range(20):
+        node.step(
+            2.0 + tick * 0.25, [report("d", EndpointRole.DECODE, work=shown, busy=1)]
+        )
+    assert grant.lease_id in leases
+    for tick in range(6):
+        node.step(8.0 + tick * 0.25, [report("d", EndpointRole.DECODE)])
+    assert grant.lease_id not in leases
+
+
+def test_a_new_owner_counts_the_leases_that_nodes_hold(node):
+    """Guards against a full engine that a new owner takes for an empty one."""
+    held = tuple((f"l-old-{n}", f"c{n}", "d", 1) for n in range(2))
+    node.step(1.0, [PeerReceived(PEER, LeasesHeld(held))])
+    (busy,) = answers(node.step(1.1, [wanted("c", may_wait=False)]))
+    assert busy.code == "busy"
+
+
+def test_a_withdrawn_call_is_not_granted(node):
+    """Guards against a lease for a caller that has gone."""
+    (grant,) = grants(node.step(1.0, [wanted("c", ask=2)]))
+    node.step(1.1, [PeerReceived(PEER, PlaceWithdrawn("c", 2))])
+    assert not node.state.part(AdmissionState).leases
+    # A withdrawal of an earlier request leaves a later grant alone.
+    (grant,) = grants(node.step(1.2, [wanted("c", ask=4)]))
+    node.step(1.3, [PeerReceived(PEER, PlaceWithdrawn("c", 3))])
+    assert grant.lease_id in node.state.part(AdmissionState).leases
+
+
+def test_work_of_a_dead_node_is_cancelled(node):
+    """Guards against engine memory held for a node that died."""
+    (grant,) = grants(node.step(1.0, [wanted("c")]))
+    commands = node.step(2.0, [MemberDied(PEER)]) + node.step(2.1, [])
+    cancelled = {c.address for c in commands if isinstance(c, CancelWork)}
+    assert cancelled == {"p", "d"}
+    assert grant.lease_id not in node.state.part(AdmissionState).leases
+
+
+@pytest.mark.parametrize("sign", ["host list", "report", "refusal"])
+def test_nothing_is_granted_after_the_first_sign_of_leaving(node, sign):
+    """Guards against work that a leaving endpoint would get."""
+    if sign == "host list":
+        node.step(1.0, [listed("p", "d", leaving=("d",))])
+    elif sign == "report":
+        node.step(1.0, [report("d", EndpointRole.DECODE, leaving=True)])
+    else:
+        (grant,) = grants(node.step(0.9, [wanted("first")]))
+        refused = LeaseReleased(grant.lease_id, "endpoint_refused", "d", 0.0)
+        node.step(1.0, [PeerReceived(PEER, refused)])
+    (denied,) = answers(node.step(1.1, [wanted("c", may_wait=False)]))
+    assert isinstance(denied, PlaceDenied)
+
+
+def test_a_restarted_endpoint_has_no_history(node):
+    """Guards against leases and failures that pass on to a new process."""
+    grants(node.step(1.0, [wanted("c")]))
+    node.step(2.0, [report("d", EndpointRole.DECODE, incarnation=2)])
+    assert not node.state.part(AdmissionState).leases
+    node.step(2.1, [report("d", EndpointRole.DECODE, incarnation=1)])
+    (grant,) = grants(node.step(3.0, [wanted("e")]))
+    assert grant.decode.incarnation == 2
