--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -66,8 +66,10 @@
 QUEUE_SILENT_S = 1.2
 # A waiting call asks other cells in turn, since they may have room sooner than
 # predicted. A patient call loses little by a longer period.
-PROBE_INTERACTIVE_S = 0.015
+PROBE_INTERACTIVE_S = 0.008
 PROBE_PATIENT_S = 0.5
+# Every so many probes one goes to another region.
+FAR_PROBE_EVERY = 2
 # How many cells a call asks in its domain, its region and other regions. Their
 # number must not grow with the fleet.
 CELLS_ASKED = (3, 3, 2)
@@ -105,6 +107,7 @@
     cell: Cell | None = None
     owner: str = ""
     waiting: bool = False
+    rounds: int = 0
     heard_at: float = 0.0
     next_at: float = 0.0
     probe: int = -1
@@ -234,7 +237,13 @@
     """Ask all cells in turn for a place without waiting."""
     ask = state.part(PlacementState).asks[call_id]
     cells = preferred_cells(state, now, ask)
-    ask_next(state, now, call_id, ask._replace(cells=cells, waits=(), waiting=False))
+    here = state.settings.region
+    near = tuple(c for c in cells if state.settings.region_of(c.domain) == here)
+    if near and ask.rounds == 0:
+        # The way to another region costs more time than a short wait here.
+        cells = near
+    ask = ask._replace(cells=cells, waits=(), waiting=False, rounds=ask.rounds + 1)
+    ask_next(state, now, call_id, ask)
 
 
 def ask_next(state: NodeState, now: float, call_id: str, ask: AskRow) -> None:
@@ -326,26 +335,34 @@
 
 
 def send_probe(state: NodeState, now: float, call_id: str, ask: AskRow) -> AskRow:
-    """Ask another cell of the region while the call waits."""
+    """Ask another cell while the call waits, mostly one of the region."""
     part = state.part(PlacementState)
-    patient = ask.entry.call_class is CallClass.PATIENT
-    period_s = PROBE_PATIENT_S if patient else PROBE_INTERACTIVE_S
-    ask = ask._replace(probe_at=now + period_s, probes=ask.probes + 1)
+    ask = ask._replace(probe_at=now + SILENT_S, probes=ask.probes + 1)
+    known = preferred_cells(state, now, ask)
+    here = state.settings.region
+    far = ask.probes % FAR_PROBE_EVERY == 0
     cells = [
         cell
-        for cell in preferred_cells(state, now, ask)
-        if state.settings.region_of(cell.domain) == state.settings.region
+        for cell in known
+        if (state.settings.region_of(cell.domain) != here) == far
         and owner_of(state, cell) not in (None, ask.owner)
+        and (not far or link_budget(state, now, call_id, ask, cell, look=True))
     ]
-    if cells:
-        state.sequence += 1
-        cell = cells[ask.probes % len(cells)]
-        ask = ask._replace(probe=state.sequence, probe_cell=cell)
-    part.asks.put(call_id, ask)
-    if cells:
-        message = request_of(state, now, call_id, ask, cell, ask.probe, False)
-        tell(state, now, owner_of(state, cell) or "", message)
-    return part.asks.get(call_id, ask._replace(next_at=now + period_s))
+    if not cells:
+        ask = part.asks.put(call_id, ask._replace(probe_at=now + probe_pause_s(ask)))
+        return ask
+    state.sequence += 1
+    cell = cells[ask.probes % len(cells)]
+    part.asks.put(call_id, ask._replace(probe=state.sequence, probe_cell=cell))
+    message = request_of(state, now, call_id, ask, cell, state.sequence, False)
+    tell(state, now, owner_of(state, cell) or "", message)
+    return part.asks.get(call_id, ask._replace(next_at=now + SILENT_S))
+
+
+def probe_pause_s(ask: AskRow) -> float:
+    """Return the pause after a probe that was answered."""
+    patient = ask.entry.call_class is CallClass.PATIENT
+    return PROBE_PATIENT_S if patient else PROBE_INTERACTIVE_S
 
 
 def request_of(
@@ -446,6 +463,10 @@
 def _(message: PlaceDenied, sender: HostKey, state: NodeState, now: float) -> None:
     part = state.part(PlacementState)
     ask = part.asks.get(message.call_id)
+    if ask is not None and ask.probe == message.ask:
+        pause_s = probe_pause_s(ask)
+        part.asks.put(message.call_id, ask._replace(probe=-1, probe_at=now + pause_s))
+        return
     if ask is None or ask.number != message.ask or ask.cell is None:
         return
     if message.code == "queued":
