--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -15,6 +15,7 @@
     AttemptClosed,
     AttemptEnded,
     CallEnded,
+    CancelFailed,
     HostsListed,
     OwnershipChanged,
     PeerReceived,
@@ -24,6 +25,7 @@
     PrefillDone,
 )
 from poplarfold._internal.core.messages import (
+    CancelWanted,
     LeaseProgress,
     LeaseReleased,
     LeasesHeld,
@@ -60,6 +62,9 @@
 # An owner that does not answer within this time is passed over. The way to
 # another region and back takes 20 ms.
 SILENT_S = 0.15
+# Other calls do not ask a silent owner for this long, so that in a partition
+# not every call loses time with it.
+SILENT_HOLD_S = 2.0
 # A waiting call is announced again, so that the owner keeps it and this node
 # notices when the owner has gone silent.
 KEEP_ALIVE_S = 0.5
@@ -86,6 +91,8 @@
 # The grant, the slot, the prefill, the decode and the first output each cross
 # the link between regions, which takes 10 ms one way.
 REGION_TRIPS_S = 0.08
+# After so many tries without an answer the cell owner is asked to help.
+CANCEL_TRIES_MAX = 4
 NO_ENDPOINT_WAIT_S = 2.0
 
 
@@ -134,6 +141,7 @@
         self.held: Table[str, HeldRow] = Table()
         self.owners: dict[Cell, str | None] = {}
         self.failed: dict[str, AttemptEnded] = {}
+        self.silent: dict[str, float] = {}
         self.order: dict[
             str,
             tuple[float, tuple[tuple[Cell, ...], tuple[Cell, ...], tuple[Cell, ...]]],
@@ -161,6 +169,7 @@
             send_ask(state, now, call_id, ask)
         else:
             state.log("PF3005", call_id, owner=ask.owner, cell=ask.cell.key)
+            part.silent[ask.owner] = now + SILENT_HOLD_S
             withdraw(state, now, call_id, ask)
             ask_next(state, now, call_id, ask)
 
@@ -253,6 +262,9 @@
     if ask.cells:
         cell, rest = ask.cells[0], ask.cells[1:]
         ask = ask._replace(cells=rest)
+        if part.silent.get(owner_of(state, cell) or "", now) > now:
+            ask_next(state, now, call_id, ask)
+            return
         if not link_budget(state, now, call_id, ask, cell, look=True):
             ask = ask._replace(
                 last_code=ask.last_code or LinkBudgetError.code,
@@ -414,6 +426,7 @@
 
 @on_event.register
 def _(event: PeerReceived, state: NodeState, now: float) -> None:
+    state.part(PlacementState).silent.pop(event.sender.host, None)
     receive(event.message, event.sender, state, now)
 
 
@@ -503,6 +516,18 @@
         tell(state, now, owner_of(state, held.cell) or "", message)
 
 
+@on_event.register
+def _(event: CancelFailed, state: NodeState, now: float) -> None:
+    cancel = state.cancels.get((event.attempt_id, event.address))
+    if cancel is None or cancel.tries != CANCEL_TRIES_MAX:
+        return
+    # The owner of the cell may reach an endpoint that this node does not.
+    row = state.part(HealthState).endpoints.get(event.address)
+    owner = owner_of(state, row.cell) if row is not None else None
+    if owner is not None and owner != state.me.host:
+        tell(state, now, owner, CancelWanted(event.attempt_id, event.address))
+
+
 @on_event.register
 def _(event: AttemptEnded, state: NodeState, now: float) -> None:
     state.part(PlacementState).failed[event.attempt_id] = event
--- a/tests/unit/test_cell_owner.py
+++ b/tests/unit/test_cell_owner.py
@@ -4,6 +4,7 @@
 
 from poplarfold._internal.core.commands import CancelWork, SendPeer
 from poplarfold._internal.core.events import (
+    CallArrived,
     EndpointReported,
     HostsListed,
     ListedHost,
@@ -23,6 +24,7 @@
 from poplarfold._internal.core.model import (
     CallClass,
     CatalogueEntry,
+    EndpointRef,
     EndpointRole,
     EntryKind,
     EntryLimits,
@@ -277,3 +279,34 @@
     node.step(2.1, [report("d", EndpointRole.DECODE, incarnation=1)])
     (grant,) = grants(node.step(3.0, [wanted("e")]))
     assert grant.decode.incarnation == 2
+
+
+def test_a_silent_owner_is_passed_over():
+    """Guards against calls that wait for an owner that a partition hides."""
+    domains = (DomainSettings("west-a", "west", 1), DomainSettings("west-b", "west", 1))
+    node = Node(NodeSettings("me", "west-a", domains), 1, 7, SYSTEMS)
+    node.state.catalogue_ready = True
+    node.state.entries.put("captions", entry("captions"))
+    rows = (
+        ListedHost("far", "far", "entry", "west-b", "", False),
+        ListedHost("x", "x", "endpoint", "west-b", "llm", False),
+    )
+    node.step(0.0, [HostsListed(1, rows)])
+    asked = 0
+    for tick in range(40):
+        now = 0.1 + tick * 0.05
+        inbox = [arrival(f"c{tick}", now)] if tick % 8 == 0 else []
+        asked += sum(isinstance(m, PlaceWanted) for m in answers(node.step(now, inbox)))
+    assert asked == 1
+
+
+def test_an_answer_that_comes_too_late_gives_the_lease_back(node):
+    """Guards against a lease of a call that has ended meanwhile."""
+    ref = EndpointRef("d", 1)
+    grant = PlaceGranted("gone", "l-x", ref, ref, 0.0, 0, 9)
+    (released,) = answers(node.step(1.0, [PeerReceived(PEER, grant)]))
+    assert released == LeaseReleased("l-x", "unused", "", 0.0)
+
+
+def arrival(call_id, now):
+    return CallArrived(call_id, "a", "captions", True, 1000, 4000, (), 10, now + 30.0)
