Find due placement requests with a heap

Each step looked at every waiting call, which took a fifth of the processor time of a run with 100 waiting patient calls; it now looks at those that are due.

--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -6,6 +6,7 @@
 predicts the shortest wait.
 """
 
+import heapq
 from functools import singledispatch
 from typing import NamedTuple
 
@@ -142,11 +143,32 @@
         self.owners: dict[Cell, str | None] = {}
         self.failed: dict[str, AttemptEnded] = {}
         self.silent: dict[str, float] = {}
+        self.due: list[tuple[float, str]] = []
         self.order: dict[
             str,
             tuple[float, tuple[tuple[Cell, ...], tuple[Cell, ...], tuple[Cell, ...]]],
         ] = {}
 
+    def put_ask(self, call_id: str, ask: AskRow) -> AskRow:
+        """Replace a row and note when it needs a look."""
+        heapq.heappush(self.due, (due_at(ask), call_id))
+        return self.asks.put(call_id, ask)
+
+    def first_due(self) -> tuple[float, str] | None:
+        """Return the earliest time and call; outdated entries are dropped."""
+        while self.due:
+            at, call_id = self.due[0]
+            ask = self.asks.get(call_id)
+            if ask is not None and due_at(ask) == at:
+                return self.due[0]
+            heapq.heappop(self.due)
+        return None
+
+
+def due_at(ask: AskRow) -> float:
+    """Return when a row needs a look."""
+    return min(ask.next_at, ask.probe_at) if ask.waiting else ask.next_at
+
 
 @singledispatch
 def on_event(event: NamedTuple, state: NodeState, now: float) -> None:
@@ -156,30 +178,36 @@
 def on_tick(state: NodeState, now: float) -> None:
     """Ask again where an owner stays silent."""
     part = state.part(PlacementState)
-    for call_id, ask in part.asks.rows():
-        if ask.waiting and ask.probe_at <= now:
-            ask = send_probe(state, now, call_id, ask)
-        if ask.next_at > now:
-            continue
-        if isinstance(POLICIES[state.settings.policy], LocalPolicy):
-            place_locally(state, now, call_id)
-        elif ask.cell is None:
-            start_round(state, now, call_id)
-        elif ask.waiting and now - ask.heard_at < QUEUE_SILENT_S:
-            send_ask(state, now, call_id, ask)
-        else:
-            state.log("PF3005", call_id, owner=ask.owner, cell=ask.cell.key)
-            part.silent[ask.owner] = now + SILENT_HOLD_S
-            withdraw(state, now, call_id, ask)
-            ask_next(state, now, call_id, ask)
+    while (found := part.first_due()) is not None and found[0] <= now:
+        heapq.heappop(part.due)
+        look_at_ask(state, now, found[1])
+
+
+def look_at_ask(state: NodeState, now: float, call_id: str) -> None:
+    """Probe, announce a waiting call again, or go on to the next cell."""
+    part = state.part(PlacementState)
+    ask = part.asks[call_id]
+    if ask.waiting and ask.probe_at <= now:
+        ask = send_probe(state, now, call_id, ask)
+    if call_id not in part.asks or ask.next_at > now:
+        return
+    if isinstance(POLICIES[state.settings.policy], LocalPolicy):
+        place_locally(state, now, call_id)
+    elif ask.cell is None:
+        start_round(state, now, call_id)
+    elif ask.waiting and now - ask.heard_at < QUEUE_SILENT_S:
+        send_ask(state, now, call_id, ask)
+    else:
+        state.log("PF3005", call_id, owner=ask.owner, cell=ask.cell.key)
+        part.silent[ask.owner] = now + SILENT_HOLD_S
+        withdraw(state, now, call_id, ask)
+        ask_next(state, now, call_id, ask)
 
 
 def next_wakeup(state: NodeState, now: float) -> float | None:
     """Return the next time to ask again."""
-    rows = state.part(PlacementState).asks.values()
-    times = [row.next_at for row in rows]
-    times.extend(row.probe_at for row in rows if row.waiting)
-    return min(times, default=None)
+    found = state.part(PlacementState).first_due()
+    return found[0] if found else None
 
 
 @on_event.register
@@ -194,7 +222,7 @@
         return
     entry = state.entries[call.arrival.entry]
     state.sequence += 1
-    part.asks.put(event.call_id, AskRow(event, entry, now, state.sequence, ()))
+    part.put_ask(event.call_id, AskRow(event, entry, now, state.sequence, ()))
     if isinstance(POLICIES[state.settings.policy], LocalPolicy):
         place_locally(state, now, event.call_id)
     else:
@@ -270,7 +298,7 @@
                 last_code=ask.last_code or LinkBudgetError.code,
                 last_detail=ask.last_detail or "the byte budget of the link is used up",
             )
-            part.asks.put(call_id, ask)
+            part.put_ask(call_id, ask)
             ask_next(state, now, call_id, ask)
             return
         ask_cell(state, now, call_id, ask, cell, waiting=False)
@@ -283,7 +311,7 @@
     patience_s = min(NO_ENDPOINT_WAIT_S, target_s)
     if ask.last_code == NoEndpointError.code or not ask.last_code or ask.waiting:
         if now + ROUND_PAUSE_S < min(ask.since + patience_s, call.arrival.deadline):
-            part.asks.put(
+            part.put_ask(
                 call_id,
                 ask._replace(cell=None, waiting=False, next_at=now + ROUND_PAUSE_S),
             )
@@ -341,7 +369,7 @@
     pause_s = KEEP_ALIVE_S if ask.waiting else SILENT_S
     if ask.owner == state.me.host:
         pause_s = 3600.0
-    part.asks.put(call_id, ask._replace(next_at=now + pause_s))
+    part.put_ask(call_id, ask._replace(next_at=now + pause_s))
     message = request_of(state, now, call_id, ask, ask.cell, ask.number, ask.waiting)
     tell(state, now, ask.owner, message)
 
@@ -361,11 +389,11 @@
         and (not far or link_budget(state, now, call_id, ask, cell, look=True))
     ]
     if not cells:
-        ask = part.asks.put(call_id, ask._replace(probe_at=now + probe_pause_s(ask)))
+        ask = part.put_ask(call_id, ask._replace(probe_at=now + probe_pause_s(ask)))
         return ask
     state.sequence += 1
     cell = cells[ask.probes % len(cells)]
-    part.asks.put(call_id, ask._replace(probe=state.sequence, probe_cell=cell))
+    part.put_ask(call_id, ask._replace(probe=state.sequence, probe_cell=cell))
     message = request_of(state, now, call_id, ask, cell, state.sequence, False)
     tell(state, now, owner_of(state, cell) or "", message)
     return part.asks.get(call_id, ask._replace(next_at=now + SILENT_S))
@@ -478,12 +506,12 @@
     ask = part.asks.get(message.call_id)
     if ask is not None and ask.probe == message.ask:
         pause_s = probe_pause_s(ask)
-        part.asks.put(message.call_id, ask._replace(probe=-1, probe_at=now + pause_s))
+        part.put_ask(message.call_id, ask._replace(probe=-1, probe_at=now + pause_s))
         return
     if ask is None or ask.number != message.ask or ask.cell is None:
         return
     if message.code == "queued":
-        part.asks.put(message.call_id, ask._replace(heard_at=now))
+        part.put_ask(message.call_id, ask._replace(heard_at=now))
         return
     if message.code == "busy":
         # Of equal waits the nearer cell, which was asked earlier, is better.
@@ -601,4 +629,4 @@
     if now >= min(call.arrived_at + patience_s, call.arrival.deadline):
         give_up(state, call_id, ask)
         return
-    part.asks.put(call_id, ask._replace(next_at=now + 0.02))
+    part.put_ask(call_id, ask._replace(next_at=now + 0.02))
