Release the threads of open calls when a daemon stops at once

A stop left each handler waiting for a command of a core thread that had ended. It now ends their wait with a typed error; a non-repeatable call that holds its claim gets outcome unknown.

--- a/src/poplarfold/_internal/bench/local_fleet.py
+++ b/src/poplarfold/_internal/bench/local_fleet.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import socket
+import threading
 import time
 from typing import Any, NamedTuple, Self
 
@@ -305,8 +306,13 @@
 
     def close(self) -> None:
         """Stop the daemons, then the stand-ins."""
-        for daemon in self.daemons.values():
-            daemon.stop()
+        stoppers = [
+            threading.Thread(target=daemon.stop) for daemon in self.daemons.values()
+        ]
+        for thread in stoppers:
+            thread.start()
+        for thread in stoppers:
+            thread.join()
         self.http.clear()
         self.loop.stop()
 
--- a/src/poplarfold/_internal/daemon/frontend.py
+++ b/src/poplarfold/_internal/daemon/frontend.py
@@ -7,6 +7,7 @@
 import hashlib
 import itertools
 import json
+import queue
 import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
@@ -68,6 +69,7 @@
 OPERATOR_THREADS = 8
 OPERATOR_BODY_LIMIT_BYTES = 1_000_000
 OPERATOR_TIMEOUT_S = 12.0
+STOP_LIMIT_S = 3.0
 JSON_TYPE = "application/json"
 
 
@@ -556,8 +558,6 @@
 
 def wait_for_operator_answer(get: Callable[..., Any]) -> AnswerOperator:
     """Return the core's answer. Raises LogUnavailableError."""
-    import queue
-
     try:
         answer: AnswerOperator = get(timeout=OPERATOR_TIMEOUT_S)
     except queue.Empty:
@@ -653,10 +653,15 @@
 
     def stop(self) -> None:
         """Close the listeners and the connections that wait for a request."""
-        for server in (self.callers, self.operators):
-            server.stop()
-        for thread in self.threads:
-            thread.join(1.0)
+        # Each listener takes up to half a second to notice that it has to stop.
+        stoppers = [
+            threading.Thread(target=server.stop)
+            for server in (self.callers, self.operators)
+        ]
+        for thread in stoppers:
+            thread.start()
+        for thread in stoppers + self.threads:
+            thread.join(STOP_LIMIT_S)
         self.watcher.stop()
 
     @property
--- a/src/poplarfold/_internal/daemon/main.py
+++ b/src/poplarfold/_internal/daemon/main.py
@@ -40,6 +40,8 @@
         node = Node(settings.node, incarnation, seed)
         self.runtime = Runtime(settings, node, DaemonMetrics(), write_log)
         self.frontend = FrontEnd(self.runtime)
+        self.stop_lock = threading.Lock()
+        self.stopped = False
 
     def start(self) -> None:
         """Start all threads and listen."""
@@ -56,6 +58,10 @@
 
     def stop(self) -> None:
         """Stop at once; calls that are still open are cut off."""
+        with self.stop_lock:
+            if self.stopped:
+                return
+            self.stopped = True
         self.runtime.stop()
         self.frontend.stop()
 
--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -41,7 +41,12 @@
 from poplarfold._internal.daemon.host_list_client import HostListClient
 from poplarfold._internal.daemon.log_client import LogClient
 from poplarfold._internal.daemon.metrics import DaemonMetrics
-from poplarfold._internal.exceptions import InvariantViolation
+from poplarfold._internal.exceptions import (
+    InvariantViolation,
+    NodeNotReadyError,
+    OutcomeUnknownError,
+    PoplarfoldError,
+)
 from poplarfold._internal.settings_file import DaemonSettings
 
 __all__ = ["LogWriter", "Mailbox", "PeerSender", "Runtime"]
@@ -133,12 +138,24 @@
         self.inbox.put(Query(lambda state: None, queue.SimpleQueue()))
         if self.thread is not threading.current_thread():
             self.thread.join()
+        for call_id in list(self.mailboxes):
+            self.release_call(call_id)
         for handle in list(self.handles.values()):
             handle.abort()
         for pool in (self.polls, self.cancels, self.log_reads, self.appends):
             pool.shutdown(wait=False, cancel_futures=True)
         self.client.close()
 
+    def release_call(self, call_id: str) -> None:
+        """End the wait of a call's thread, as the core will not do it any more."""
+        error: PoplarfoldError = NodeNotReadyError("the node has stopped")
+        call = self.node.state.calls.get(call_id)
+        if call is not None and call.operation_id is not None:
+            error = OutcomeUnknownError("the node stopped before the call ended")
+        mailbox = self.mailboxes.get(call_id)
+        if mailbox is not None:
+            mailbox.put(FinishCall(call_id, error))
+
     def post(self, event: NamedTuple) -> None:
         """Queue an event for the next step."""
         if isinstance(event, AttemptEnded):
@@ -149,6 +166,8 @@
         """Create the mailbox of a call or of an operator's request."""
         mailbox: Mailbox[NamedTuple] = queue.SimpleQueue()
         self.mailboxes[key] = mailbox
+        if self.stopping.is_set():
+            self.release_call(key)
         return mailbox
 
     def close_mailbox(self, key: str) -> None:
