--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -16,6 +16,7 @@
     leaving,
     limits,
     membership,
+    orders,
     placement,
     recovery,
     retries,
@@ -36,4 +37,5 @@
     admission,
     placement,
     retries,
+    orders,
 )
