--- a/src/poplarfold/_internal/daemon/frontend.py
+++ b/src/poplarfold/_internal/daemon/frontend.py
@@ -22,7 +22,6 @@
     DrainRequested,
     EntryProposed,
 )
-from poplarfold._internal.core.model import HostKey
 from poplarfold._internal.daemon import operator_views
 from poplarfold._internal.daemon.attempt import (
     AttemptIO,
@@ -81,7 +80,6 @@
     accounts: Mapping[str, str]
     operators: Mapping[str, str]
     call_numbers: "itertools.count[int]"
-    me: HostKey
 
 
 def by_digest(names: Mapping[str, str]) -> dict[str, str]:
@@ -163,7 +161,7 @@
         io = AttemptIO(
             runtime.client,
             runtime.post,
-            self.services.me,
+            self.services.runtime.me,
             runtime.settings.timeouts.endpoint_silence_s,
         )
         while True:
@@ -406,7 +404,10 @@
             )
         )
         io = AttemptIO(
-            runtime.client, runtime.post, services.me, timeouts.endpoint_silence_s
+            runtime.client,
+            runtime.post,
+            services.runtime.me,
+            timeouts.endpoint_silence_s,
         )
         request = ServiceRequest(call_id, data, deadline)
         while True:
@@ -447,7 +448,7 @@
     def default(self, *segments: str, **query: str) -> bytes | Iterator[bytes]:
         """Serve a path and turn every failure into its typed answer."""
         call_id = (
-            f"c-{self.services.me.host}-{self.services.me.incarnation:x}"
+            f"c-{self.services.runtime.me.host}-{self.services.runtime.me.incarnation:x}"
             f"-{next(self.services.call_numbers):x}"
         )
         cherrypy.serving.response.headers["Poplarfold-Call-Id"] = call_id
@@ -618,7 +619,6 @@
             by_digest(settings.accounts),
             by_digest(settings.operators),
             itertools.count(1),
-            runtime.node.state.me,
         )
 
         def on_error(message: str) -> None:
--- a/src/poplarfold/_internal/daemon/main.py
+++ b/src/poplarfold/_internal/daemon/main.py
@@ -12,7 +12,9 @@
 from poplarfold._internal.core.node import Node
 from poplarfold._internal.daemon.frontend import FrontEnd
 from poplarfold._internal.daemon.metrics import DaemonMetrics
+from poplarfold._internal.daemon.peer_link import PeerLink
 from poplarfold._internal.daemon.runtime import LogWriter, Runtime
+from poplarfold._internal.daemon.tls import PeerTls
 from poplarfold._internal.logs.writer import open_writer
 from poplarfold._internal.settings_file import DaemonSettings, read_settings
 
@@ -40,11 +42,24 @@
         node = Node(settings.node, incarnation, seed)
         self.runtime = Runtime(settings, node, DaemonMetrics(), write_log)
         self.frontend = FrontEnd(self.runtime)
+        tls = settings.tls
+        self.peer_link = PeerLink(
+            (settings.peer_listen.host, settings.peer_listen.port),
+            lambda: node.state.me,
+            settings.node.domain,
+            self.runtime.post,
+            write_log,
+            PeerTls(tls.certificate_path, tls.key_path, tls.ca_path) if tls else None,
+        )
+        # The host list replaces these addresses as soon as it has answered.
+        self.peer_link.routes = {peer.host: peer.address for peer in settings.peers}
+        self.runtime.peers = self.peer_link
         self.stop_lock = threading.Lock()
         self.stopped = False
 
     def start(self) -> None:
         """Start all threads and listen."""
+        self.peer_link.start()
         self.runtime.start()
         self.frontend.start()
 
@@ -63,6 +78,7 @@
                 return
             self.stopped = True
         self.runtime.stop()
+        self.peer_link.stop()
         self.frontend.stop()
 
 
--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -4,7 +4,7 @@
 import threading
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from functools import singledispatch
 from typing import Any, NamedTuple, Protocol
@@ -28,8 +28,10 @@
     AttemptEnded,
     CancelConfirmed,
     CancelFailed,
+    ListedHost,
 )
 from poplarfold._internal.core.messages import PeerMessage
+from poplarfold._internal.core.model import HostKey
 from poplarfold._internal.core.node import Node
 from poplarfold._internal.core.state import NodeState
 from poplarfold._internal.daemon.endpoint_client import (
@@ -71,6 +73,9 @@
     def send(self, host: str, message: PeerMessage) -> None:
         """Send a message to a node, or drop it."""
 
+    def learn_routes(self, hosts: Iterable[ListedHost]) -> None:
+        """Take the addresses of nodes from a host list."""
+
 
 class Query(NamedTuple):
     """A question to the core thread, answered between two steps."""
@@ -127,6 +132,11 @@
             target=self.poll_hosts, name="host-list", daemon=True
         )
 
+    @property
+    def me(self) -> HostKey:
+        """This process; its incarnation rises if peers have suspected it."""
+        return self.node.state.me
+
     def start(self) -> None:
         """Start the threads."""
         self.thread.start()
@@ -235,7 +245,10 @@
         while not self.stopping.is_set():
             result = self.hosts.fetch()
             if result.is_ok():
-                self.post(result.unwrap())
+                listed = result.unwrap()
+                if self.peers is not None:
+                    self.peers.learn_routes(listed.hosts)
+                self.post(listed)
             self.stopping.wait(HOST_LIST_PERIOD_S)
 
     # Work of the pools.
