--- /dev/null
+++ b/src/poplarfold/_internal/bench/latency.py
@@ -0,0 +1,537 @@
+"""Compares calls through one daemon with direct calls to the stand-ins.
+
+The daemon and the stand-ins run in processes of their own; this process
+generates the load in one event loop. Both sides make the same calls with the
+same number of streams open: each stream begins its next call at once.
+"""
+
+import asyncio
+import json
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from statistics import median, quantiles
+from typing import Any, NamedTuple
+
+import urllib3
+
+from poplarfold._internal.bench.local_fleet import (
+    ACCOUNT_TOKEN,
+    GLASSCAIRN,
+    HOST,
+    OPERATOR_TOKEN,
+    free_port,
+    token_digest,
+)
+from poplarfold._internal.core.entry_codec import entry_fields
+from poplarfold._internal.exceptions import FleetError
+
+__all__ = ["LATENCY_STREAMS", "LevelReport", "TARGETS", "run_latency"]
+
+LATENCY_STREAMS = (1, 32, 200)
+DOMAIN = "galway-a"
+DECODE_PROCESSES = 3
+DECODES_PER_PROCESS = 5
+PREFILLS = 6
+PROMPT_BYTES = 2000
+OUTPUTS = 48
+WARM_UP_S = 1.0
+START_LIMIT_S = 20.0
+LOOKUP_PERIOD_S = 0.02
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+# Targets of the design page, in seconds.
+TARGETS = {"added_first_output_s": 0.005, "lookup_p99_s": 0.020}
+TARGET_FIRST_OUTPUT_STREAMS = 32
+TARGET_LOOKUP_STREAMS = 200
+
+SETTINGS = """\
+[node]
+host = "bench-1"
+domain = "{domain}"
+[domains.{domain}]
+region = "west"
+host_slots = 1
+[listen]
+callers = "{host}:{callers}"
+operators = "{host}:{operators}"
+peers = "{host}:{peers}"
+[platform]
+log_url = "http://{log}"
+host_list_url = "http://{host_list}"
+weight_store_url = "http://{host}:9"
+[accounts]
+{account} = "{account_digest}"
+[operators]
+operator = "{operator_digest}"
+[requests]
+threads = 256
+[log]
+path = "{log_path}"
+"""
+
+
+class Timing(NamedTuple):
+    """One streamed call. Times are in seconds."""
+
+    first_output_s: float
+    intervals_s: list[float]
+    outputs: int
+
+
+class LevelReport(NamedTuple):
+    """One number of concurrent streams, direct and through the daemon."""
+
+    streams: int
+    calls_direct: int
+    calls_daemon: int
+    failed_direct: int
+    failed_daemon: int
+    first_output_direct_s: float
+    first_output_daemon_s: float
+    added_first_output_s: float
+    between_outputs_p95_direct_s: float
+    between_outputs_p95_daemon_s: float
+    outputs_per_s: float
+    daemon_us_per_output: float
+    daemon_core_share: float
+    lookups: int
+    lookup_p50_s: float
+    lookup_p99_s: float
+    lookup_direct_p99_s: float
+
+    def misses(self) -> Iterator[str]:
+        """Yield the targets that this level does not meet."""
+        if self.failed_daemon:
+            yield f"{self.failed_daemon} calls failed at {self.streams} streams"
+        limit = TARGETS["added_first_output_s"]
+        if self.streams == TARGET_FIRST_OUTPUT_STREAMS:
+            if self.added_first_output_s >= limit:
+                yield f"first output at {self.streams} streams over {limit} s"
+        limit = TARGETS["lookup_p99_s"]
+        if self.streams == TARGET_LOOKUP_STREAMS and self.lookup_p99_s >= limit:
+            yield f"lookups at {self.streams} streams over {limit} s"
+
+
+class Client:
+    """One kept connection that speaks as much HTTP as the bench needs."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+        self.is_last = False
+
+    async def request(
+        self, method: str, path: str, body: bytes, headers: str = ""
+    ) -> tuple[int, dict[str, str]]:
+        """Send a request and return the status and headers of the answer."""
+        if self.is_last:
+            self.close()
+        if self.writer is None or self.reader is None:
+            host, _, port = self.address.rpartition(":")
+            self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n{headers}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        self.writer.write(head.encode() + body)
+        raw = await self.reader.readuntil(b"\r\n\r\n")
+        first, *rows = raw.decode("latin-1").split("\r\n")
+        pairs = (row.partition(":") for row in rows if row)
+        found = {name.lower(): value.strip() for name, _, value in pairs}
+        self.is_last = found.get("connection", "").lower() == "close"
+        return int(first.split(" ")[1]), found
+
+    async def body(self, headers: dict[str, str]) -> bytes:
+        """Read the whole body of an answer."""
+        assert self.reader is not None
+        return await self.reader.readexactly(int(headers.get("content-length", 0)))
+
+    async def chunks(self) -> "list[tuple[float, bytes]]":
+        """Read a chunked body and return each chunk with its time."""
+        assert self.reader is not None
+        found: list[tuple[float, bytes]] = []
+        while True:
+            size = int(await self.reader.readline(), 16)
+            data = await self.reader.readexactly(size + 2)
+            if size == 0:
+                return found
+            found.append((time.monotonic(), data[:-2]))
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.writer is not None:
+            self.writer.close()
+            self.writer = self.reader = None
+        self.is_last = False
+
+
+class Bench:
+    """The addresses of one run, and the calls of both sides."""
+
+    def __init__(
+        self,
+        callers: str,
+        prefills: list[str],
+        decodes: list[str],
+        service: str,
+        seed: int,
+    ) -> None:
+        self.callers = callers
+        self.prefills = prefills
+        self.decodes = decodes
+        self.service = service
+        self.rng = random.Random(seed)
+        self.numbers = iter(range(10**9))
+
+    def prompt(self) -> str:
+        """Return a prompt that no engine has cached."""
+        start = f"{self.rng.random()} "
+        return start + "word " * ((PROMPT_BYTES - len(start)) // 5)
+
+    async def call_daemon(self, clients: dict[str, Client]) -> Timing | None:
+        """Make one streamed call through the daemon."""
+        client = client_of(clients, self.callers)
+        entry = GLASSCAIRN.model_entry.name
+        body = {
+            "model": entry,
+            "prompt": self.prompt(),
+            "max_tokens": OUTPUTS,
+            "stream": True,
+        }
+        data = json.dumps(body).encode()
+        began = time.monotonic()
+        status, headers = await client.request(
+            "POST", "/v1/completions", data, CREDENTIAL
+        )
+        if status != 200:
+            await client.body(headers)
+            return None
+        # The last events carry no output: the finish reason and [DONE].
+        return timing_of(began, await client.chunks(), b'"finish_reason": null')
+
+    async def call_direct(self, clients: dict[str, Client]) -> Timing | None:
+        """Make the same call to the engines, chosen in turn."""
+        number = next(self.numbers)
+        prefill = self.prefills[number % len(self.prefills)]
+        decode = self.decodes[number % len(self.decodes)]
+        common = {
+            "attempt": f"direct-{number}",
+            "host": "bench",
+            "incarnation": 1,
+            "identity": GLASSCAIRN.model_entry.identity._asdict(),
+            "priority": 0,
+        }
+        prompt = self.prompt()
+        began = time.monotonic()
+        client = client_of(clients, decode)
+        reserve = json.dumps({**common, "pieces": 8}).encode()
+        status, headers = await client.request("POST", "/reserve", reserve)
+        await client.body(headers)
+        if status != 200:
+            return None
+        source = client_of(clients, prefill)
+        work = json.dumps({**common, "prompt": prompt, "prefixes": []}).encode()
+        status, headers = await source.request("POST", "/prefill", work)
+        answer = json.loads(await source.body(headers))
+        if status != 200:
+            return None
+        order = {
+            **common,
+            "kv": answer["kv"],
+            "prompt_tokens": answer["tokens"],
+            "max_outputs": OUTPUTS,
+            "resume_from": 0,
+        }
+        status, headers = await client.request(
+            "POST", "/decode", json.dumps(order).encode()
+        )
+        if status != 200:
+            await client.body(headers)
+            return None
+        return timing_of(began, await client.chunks(), b'"seq":')
+
+    async def look_up(
+        self, clients: dict[str, Client], through_daemon: bool
+    ) -> float | None:
+        """Make one lookup and return its time, or None if it failed."""
+        began = time.monotonic()
+        if through_daemon:
+            client = client_of(clients, self.callers)
+            path = f"/v1/services/{GLASSCAIRN.lookup_entry.name}"
+            headers = CREDENTIAL
+        else:
+            client = client_of(clients, self.service)
+            path = "/call"
+            identity = GLASSCAIRN.lookup_entry.identity
+            headers = (
+                f"Entry-Owner: {identity.owner}\r\nEntry-Service: {identity.service}"
+                f"\r\nEntry-Version: {identity.version}\r\n"
+            )
+        body = json.dumps({"q": next(self.numbers)}).encode()
+        status, answer = await client.request("POST", path, body, headers)
+        await client.body(answer)
+        return time.monotonic() - began if status == 200 else None
+
+
+CREDENTIAL = f"Authorization: Bearer {ACCOUNT_TOKEN}\r\n"
+
+
+def client_of(clients: dict[str, Client], address: str) -> Client:
+    """Return a stream's connection to an address."""
+    if address not in clients:
+        clients[address] = Client(address)
+    return clients[address]
+
+
+def timing_of(
+    began: float, chunks: list[tuple[float, bytes]], marker: bytes
+) -> Timing | None:
+    """Return the timing of a stream from its chunks; None if it is not whole."""
+    times = [at for at, data in chunks for _ in range(data.count(marker))]
+    texts = sum(data.count(marker) for _, data in chunks)
+    if not times:
+        return None
+    intervals = [after - at for at, after in zip(times, times[1:], strict=False)]
+    return Timing(times[0] - began, intervals, texts)
+
+
+class LoadResult(NamedTuple):
+    """What one side showed at one level."""
+
+    timings: list[Timing]
+    failed: int
+    lookups_s: list[float]
+    duration_s: float
+
+
+async def run_load(
+    bench: Bench,
+    call: Callable[[dict[str, Client]], Awaitable[Timing | None]],
+    streams: int,
+    seconds: float,
+    through_daemon: bool,
+) -> LoadResult:
+    """Keep ``streams`` calls open for some seconds, with lookups beside them."""
+    begins = time.monotonic() + WARM_UP_S
+    ends = begins + seconds
+    timings: list[Timing] = []
+    lookups: list[float] = []
+    failed = 0
+
+    async def stream(delay_s: float) -> None:
+        nonlocal failed
+        clients: dict[str, Client] = {}
+        await asyncio.sleep(delay_s)
+        while time.monotonic() < ends:
+            started = time.monotonic()
+            timing = await call(clients)
+            if started < begins:
+                continue
+            if timing is None:
+                failed += 1
+                await asyncio.sleep(0.05)
+            else:
+                timings.append(timing)
+        for client in clients.values():
+            client.close()
+
+    async def look_up() -> None:
+        clients: dict[str, Client] = {}
+        while time.monotonic() < ends:
+            took = await bench.look_up(clients, through_daemon)
+            if took is not None and time.monotonic() > begins:
+                lookups.append(took)
+            await asyncio.sleep(LOOKUP_PERIOD_S)
+        for client in clients.values():
+            client.close()
+
+    spread = WARM_UP_S / streams
+    tasks = [stream(number * spread) for number in range(streams)]
+    await asyncio.gather(*tasks, look_up())
+    return LoadResult(timings, failed, lookups, seconds)
+
+
+def run_level(bench: Bench, pid: int, streams: int, seconds: float) -> LevelReport:
+    """Measure one level: first direct, then through the daemon."""
+    direct = asyncio.run(run_load(bench, bench.call_direct, streams, seconds, False))
+    cpu = cpu_seconds(pid)
+    began = time.monotonic()
+    daemon = asyncio.run(run_load(bench, bench.call_daemon, streams, seconds, True))
+    took = time.monotonic() - began
+    cpu = cpu_seconds(pid) - cpu
+    if not direct.timings or not daemon.timings:
+        raise FleetError(f"no call succeeded at {streams} streams")
+    # The warm-up's outputs cost processor time too, so the rate stands for all.
+    outputs = sum(timing.outputs for timing in daemon.timings)
+    per_s = outputs / daemon.duration_s
+    first_direct = median(timing.first_output_s for timing in direct.timings)
+    first_daemon = median(timing.first_output_s for timing in daemon.timings)
+    return LevelReport(
+        streams=streams,
+        calls_direct=len(direct.timings),
+        calls_daemon=len(daemon.timings),
+        failed_direct=direct.failed,
+        failed_daemon=daemon.failed,
+        first_output_direct_s=first_direct,
+        first_output_daemon_s=first_daemon,
+        added_first_output_s=first_daemon - first_direct,
+        between_outputs_p95_direct_s=percentile(intervals_of(direct), 95),
+        between_outputs_p95_daemon_s=percentile(intervals_of(daemon), 95),
+        outputs_per_s=per_s,
+        daemon_us_per_output=cpu / took / per_s * 1e6,
+        daemon_core_share=cpu / took,
+        lookups=len(daemon.lookups_s),
+        lookup_p50_s=percentile(daemon.lookups_s, 50),
+        lookup_p99_s=percentile(daemon.lookups_s, 99),
+        lookup_direct_p99_s=percentile(direct.lookups_s, 99),
+    )
+
+
+def intervals_of(result: LoadResult) -> list[float]:
+    """Return the times between outputs of all calls."""
+    return [interval for timing in result.timings for interval in timing.intervals_s]
+
+
+def percentile(values: list[float], percent: int) -> float:
+    """Return a percentile, or NaN without at least two values."""
+    if len(values) < 2:
+        return float("nan")
+    return quantiles(values, n=100, method="inclusive")[percent - 1]
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time of a process so far, of all its threads."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+# Processes.
+
+
+@contextmanager
+def standin_process(*arguments: str) -> Iterator[Any]:
+    """Run stand-ins in a process and yield the addresses that it prints."""
+    command = [sys.executable, "-m", "poplarfold._internal.bench.latency_standins"]
+    process = subprocess.Popen(
+        [*command, *arguments], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
+    assert process.stdout is not None and process.stdin is not None
+    try:
+        line = process.stdout.readline()
+        if not line:
+            raise FleetError("the stand-ins did not start")
+        yield json.loads(line)
+    finally:
+        process.stdin.close()
+        process.wait(START_LIMIT_S)
+        process.stdout.close()
+
+
+@contextmanager
+def daemon_process(settings: Path) -> Iterator[int]:
+    """Run a daemon in a process and yield the id of the process."""
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "poplarfold._internal.daemon.main",
+            "--settings",
+            str(settings),
+        ]
+    )
+    try:
+        yield process.pid
+    finally:
+        process.terminate()
+        try:
+            process.wait(START_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+def list_hosts(host_list: str, endpoints: list[tuple[str, str]]) -> None:
+    """Put the endpoints, given as (address, service), on the host list."""
+    http = urllib3.PoolManager(retries=False)
+    for number, (address, service) in enumerate(endpoints):
+        row = {
+            "fault": "put_host",
+            "host": f"e{number}",
+            "address": address,
+            "kind": "endpoint",
+            "domain": DOMAIN,
+            "service": service,
+        }
+        http.request("POST", f"http://{host_list}/control", body=json.dumps(row))
+
+
+def publish_entries(callers: str, operators: str) -> None:
+    """Publish the model and the lookup entry as soon as the daemon is ready."""
+    http = urllib3.PoolManager(retries=False)
+    ends_at = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < ends_at:
+        try:
+            if http.request("GET", f"http://{callers}/readyz").status == 200:
+                break
+        except urllib3.exceptions.HTTPError:
+            pass
+        time.sleep(0.05)
+    for entry in (GLASSCAIRN.model_entry, GLASSCAIRN.lookup_entry):
+        answer = http.request(
+            "POST",
+            f"http://{operators}/operator/v1/entries",
+            body=json.dumps({"base_revision": -1, "entry": entry_fields(entry)}),
+            headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+        )
+        if answer.status != 200:
+            raise FleetError(f"entry {entry.name!r} was refused: {answer.data!r}")
+    # The daemon polls each endpoint four times a second.
+    time.sleep(1.0)
+
+
+def run_latency(
+    levels: tuple[int, ...] = LATENCY_STREAMS, seconds: float = 5.0, seed: int = 1
+) -> list[LevelReport]:
+    """Run the bench. Raises FleetError if a process does not start."""
+    with ExitStack() as stack:
+        directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        platform = stack.enter_context(standin_process("platform"))
+        count = str(PREFILLS)
+        prefills = stack.enter_context(standin_process("prefill", "--count", count))
+        decodes: list[str] = []
+        for _ in range(DECODE_PROCESSES):
+            count = str(DECODES_PER_PROCESS)
+            decodes += stack.enter_context(standin_process("decode", "--count", count))
+        model = GLASSCAIRN.model_entry.identity.service
+        endpoints = [(address, model) for address in prefills + decodes]
+        service = GLASSCAIRN.lookup_entry.identity.service
+        endpoints.append((platform["service"], service))
+        list_hosts(platform["host_list"], endpoints)
+        callers, operators = free_port(), free_port()
+        settings = directory / "settings.toml"
+        settings.write_text(
+            SETTINGS.format(
+                domain=DOMAIN,
+                host=HOST,
+                callers=callers,
+                operators=operators,
+                peers=free_port(),
+                log=platform["log"],
+                host_list=platform["host_list"],
+                account=GLASSCAIRN.account,
+                account_digest=token_digest(ACCOUNT_TOKEN),
+                operator_digest=token_digest(OPERATOR_TOKEN),
+                log_path=directory / "daemon.log",
+            )
+        )
+        pid = stack.enter_context(daemon_process(settings))
+        publish_entries(f"{HOST}:{callers}", f"{HOST}:{operators}")
+        bench = Bench(f"{HOST}:{callers}", prefills, decodes, platform["service"], seed)
+        return [run_level(bench, pid, level, seconds) for level in levels]
--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -29,6 +29,8 @@
 KEEP_ALIVE_S = 30
 HEADER_LIMIT_BYTES = 32_768
 BACKLOG = 1024
+# Idle connections are held in a selector and take no thread.
+IDLE_CONNECTION_LIMIT = 4096
 # The kernel holds a new connection back for so long until its first bytes come,
 # so that idle connections take no thread.
 DEFER_ACCEPT_S = 5
@@ -234,6 +236,7 @@
             shutdown_timeout=1,
         )
         self.gateway = CallerGateway
+        self.keep_alive_conn_limit = IDLE_CONNECTION_LIMIT
         self.max_request_body_size = body_limit_bytes
         self.max_request_header_size = HEADER_LIMIT_BYTES
         self.request_read_s = request_read_s
