--- a/src/poplarfold/_internal/daemon/frontend.py
+++ b/src/poplarfold/_internal/daemon/frontend.py
@@ -7,6 +7,7 @@
 import hashlib
 import itertools
 import json
+import queue
 import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
@@ -21,7 +22,6 @@
     DrainRequested,
     EntryProposed,
 )
-from poplarfold._internal.core.model import HostKey
 from poplarfold._internal.daemon import operator_views
 from poplarfold._internal.daemon.attempt import (
     AttemptIO,
@@ -68,6 +68,7 @@
 OPERATOR_THREADS = 8
 OPERATOR_BODY_LIMIT_BYTES = 1_000_000
 OPERATOR_TIMEOUT_S = 12.0
+STOP_LIMIT_S = 3.0
 JSON_TYPE = "application/json"
 
 
@@ -79,7 +80,6 @@
     accounts: Mapping[str, str]
     operators: Mapping[str, str]
     call_numbers: "itertools.count[int]"
-    me: HostKey
 
 
 def by_digest(names: Mapping[str, str]) -> dict[str, str]:
@@ -161,7 +161,7 @@
         io = AttemptIO(
             runtime.client,
             runtime.post,
-            self.services.me,
+            self.services.runtime.me,
             runtime.settings.timeouts.endpoint_silence_s,
         )
         while True:
@@ -404,7 +404,10 @@
             )
         )
         io = AttemptIO(
-            runtime.client, runtime.post, services.me, timeouts.endpoint_silence_s
+            runtime.client,
+            runtime.post,
+            services.runtime.me,
+            timeouts.endpoint_silence_s,
         )
         request = ServiceRequest(call_id, data, deadline)
         while True:
@@ -445,7 +448,7 @@
     def default(self, *segments: str, **query: str) -> bytes | Iterator[bytes]:
         """Serve a path and turn every failure into its typed answer."""
         call_id = (
-            f"c-{self.services.me.host}-{self.services.me.incarnation:x}"
+            f"c-{self.services.runtime.me.host}-{self.services.runtime.me.incarnation:x}"
             f"-{next(self.services.call_numbers):x}"
         )
         cherrypy.serving.response.headers["Poplarfold-Call-Id"] = call_id
@@ -556,8 +559,6 @@
 
 def wait_for_operator_answer(get: Callable[..., Any]) -> AnswerOperator:
     """Return the core's answer. Raises LogUnavailableError."""
-    import queue
-
     try:
         answer: AnswerOperator = get(timeout=OPERATOR_TIMEOUT_S)
     except queue.Empty:
@@ -618,7 +619,6 @@
             by_digest(settings.accounts),
             by_digest(settings.operators),
             itertools.count(1),
-            runtime.node.state.me,
         )
 
         def on_error(message: str) -> None:
@@ -653,10 +653,15 @@
 
     def stop(self) -> None:
         """Close the listeners and the connections that wait for a request."""
-        for server in (self.callers, self.operators):
-            server.stop()
-        for thread in self.threads:
-            thread.join(1.0)
+        # Each listener takes up to half a second to notice that it has to stop.
+        stoppers = [
+            threading.Thread(target=server.stop)
+            for server in (self.callers, self.operators)
+        ]
+        for thread in stoppers:
+            thread.start()
+        for thread in stoppers + self.threads:
+            thread.join(STOP_LIMIT_S)
         self.watcher.stop()
 
     @property
--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -4,7 +4,7 @@
 import threading
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from functools import singledispatch
 from typing import Any, NamedTuple, Protocol
@@ -28,8 +28,10 @@
     AttemptEnded,
     CancelConfirmed,
     CancelFailed,
+    ListedHost,
 )
 from poplarfold._internal.core.messages import PeerMessage
+from poplarfold._internal.core.model import HostKey
 from poplarfold._internal.core.node import Node
 from poplarfold._internal.core.state import NodeState
 from poplarfold._internal.daemon.endpoint_client import (
@@ -41,7 +43,12 @@
 from poplarfold._internal.daemon.host_list_client import HostListClient
 from poplarfold._internal.daemon.log_client import LogClient
 from poplarfold._internal.daemon.metrics import DaemonMetrics
-from poplarfold._internal.exceptions import InvariantViolation
+from poplarfold._internal.exceptions import (
+    InvariantViolation,
+    NodeNotReadyError,
+    OutcomeUnknownError,
+    PoplarfoldError,
+)
 from poplarfold._internal.settings_file import DaemonSettings
 
 __all__ = ["LogWriter", "Mailbox", "PeerSender", "Runtime"]
@@ -66,6 +73,9 @@
     def send(self, host: str, message: PeerMessage) -> None:
         """Send a message to a node, or drop it."""
 
+    def learn_routes(self, hosts: Iterable[ListedHost]) -> None:
+        """Take the addresses of nodes from a host list."""
+
 
 class Query(NamedTuple):
     """A question to the core thread, answered between two steps."""
@@ -122,6 +132,11 @@
             target=self.poll_hosts, name="host-list", daemon=True
         )
 
+    @property
+    def me(self) -> HostKey:
+        """This process; its incarnation rises if peers have suspected it."""
+        return self.node.state.me
+
     def start(self) -> None:
         """Start the threads."""
         self.thread.start()
@@ -133,12 +148,24 @@
         self.inbox.put(Query(lambda state: None, queue.SimpleQueue()))
         if self.thread is not threading.current_thread():
             self.thread.join()
+        for call_id in list(self.mailboxes):
+            self.release_call(call_id)
         for handle in list(self.handles.values()):
             handle.abort()
         for pool in (self.polls, self.cancels, self.log_reads, self.appends):
             pool.shutdown(wait=False, cancel_futures=True)
         self.client.close()
 
+    def release_call(self, call_id: str) -> None:
+        """End the wait of a call's thread, as the core will not do it any more."""
+        error: PoplarfoldError = NodeNotReadyError("the node has stopped")
+        call = self.node.state.calls.get(call_id)
+        if call is not None and call.operation_id is not None:
+            error = OutcomeUnknownError("the node stopped before the call ended")
+        mailbox = self.mailboxes.get(call_id)
+        if mailbox is not None:
+            mailbox.put(FinishCall(call_id, error))
+
     def post(self, event: NamedTuple) -> None:
         """Queue an event for the next step."""
         if isinstance(event, AttemptEnded):
@@ -149,6 +176,8 @@
         """Create the mailbox of a call or of an operator's request."""
         mailbox: Mailbox[NamedTuple] = queue.SimpleQueue()
         self.mailboxes[key] = mailbox
+        if self.stopping.is_set():
+            self.release_call(key)
         return mailbox
 
     def close_mailbox(self, key: str) -> None:
@@ -216,7 +245,10 @@
         while not self.stopping.is_set():
             result = self.hosts.fetch()
             if result.is_ok():
-                self.post(result.unwrap())
+                listed = result.unwrap()
+                if self.peers is not None:
+                    self.peers.learn_routes(listed.hosts)
+                self.post(listed)
             self.stopping.wait(HOST_LIST_PERIOD_S)
 
     # Work of the pools.
