--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -41,9 +41,10 @@
 MODEL = Identity("association", "abstractor", "sha256:a1")
 OTHER_MODEL = Identity("glasscairn", "abstractor", "sha256:b1")
 SERVICE = Identity("association", "registry", "sha256:a2")
-FILING_LIMIT = 8
+FILING_LIMIT = 4
 CALL_DEADLINE_S = 20.0
-OUTPUTS = 20
+# A stream takes about 4 s, so that a lost cancel leaves memory held.
+OUTPUTS = 300
 # A caller that has gone must not hold memory longer than this without faults.
 FREED_LIMIT_S = 3.0
 CALM_S = 3.0
@@ -187,6 +188,10 @@
         """Note a fault that lasts so long; targets without faults wait."""
         self.calm_since = max(self.calm_since, self.now + seconds)
 
+    def wait_until_ready(self) -> None:
+        """Go on until the faults so far are over and the nodes have recovered."""
+        self.run(max(self.now, self.calm_since + CALM_S) + 0.1)
+
     # What the oracle sees.
 
     def carry_out(self, command: NamedTuple, host: Any) -> None:  # type: ignore[override]
@@ -258,6 +263,7 @@
             self.oracle.call_cut_off(call_id, self.now)
         host.alive = False
         self.died_at[name] = self.now
+        self.at(self.now + 3.0, self.start_again, name)
 
     def observe(self) -> None:
         """Show the oracle the back ends' counters and the nodes' catalogues."""
--- /dev/null
+++ b/tests/lib/deliberate_faults.py
@@ -0,0 +1,158 @@
+"""Deliberate faults in the code, one or more for each invariant.
+
+``FAULTS`` maps a name to the invariant that it breaks and a function that
+puts it in place with pytest's ``monkeypatch``. An invariant whose fault the
+fuzzing does not find is not proved.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from tests.lib.cluster import MODEL, OTHER_MODEL
+
+from poplarfold._internal.core.commands import FinishCall, Stop
+from poplarfold._internal.core.events import ClaimWon
+from poplarfold._internal.core.systems import (
+    calls,
+    catalogue,
+    claims,
+    health,
+    leaving,
+    limits,
+    retries,
+)
+from poplarfold._internal.exceptions import (
+    Outcome,
+    OutcomeUnknownError,
+    UpstreamFailedError,
+)
+
+
+class Fault(NamedTuple):
+    """A deliberate fault and the invariant that it breaks."""
+
+    invariant: str
+    apply: Callable[[Any], None]
+
+
+def lose_cancels(patch: Any) -> None:
+    """Work of callers that have gone is never cancelled."""
+    patch.setattr(calls, "cancel_work", lambda *args: None)
+
+
+def answer_again(patch: Any) -> None:
+    """A call that has ended is answered once more."""
+    original = calls.end_call
+
+    def end_call(state: Any, now: float, call_id: str, error: Any, *rest: Any) -> None:
+        original(state, now, call_id, error, *rest)
+        state.emit(FinishCall(call_id, error, *rest))
+
+    patch.setattr(calls, "end_call", end_call)
+
+
+def change_recorded_answers(patch: Any) -> None:
+    """A recorded answer is not the one that the first caller got."""
+    original = claims.with_outcome
+
+    def with_outcome(row: Any, outcome: Any) -> Any:
+        changed = original(row, outcome)
+        return changed._replace(body=changed.body[:-1])
+
+    patch.setattr(claims, "with_outcome", with_outcome)
+
+
+def call_anything_not_run(patch: Any) -> None:
+    """A refusal says "not run" without a look at the log."""
+    patch.setattr(claims, "outcome_of_unclaimed", lambda *args: Outcome.NOT_RUN)
+
+
+def forget_sends(patch: Any) -> None:
+    """A call whose endpoint did not answer counts as never sent."""
+    original = retries.refusal
+
+    def refusal(state: Any, now: float, call: Any, error: Any) -> Any:
+        found = original(state, now, call, error)
+        if isinstance(found, OutcomeUnknownError):
+            return UpstreamFailedError("no answer").with_outcome(Outcome.NOT_RUN)
+        return found
+
+    patch.setattr(retries, "refusal", refusal)
+
+
+def ignore_other_claims(patch: Any) -> None:
+    """A call runs although another claim on its key came first."""
+
+    def decide(
+        state: Any, part: Any, digest: bytes, pending: Any, row: Any, now: float
+    ) -> None:
+        del part.pending[digest]
+        part.held.put(pending.call_id, claims.HeldClaim(digest, row.claim))
+        state.post(ClaimWon(pending.call_id, pending.operation_id, row.claim))
+
+    patch.setattr(claims, "decide", decide)
+
+
+def ignore_leaving(patch: Any) -> None:
+    """Signs that an endpoint is leaving are not heeded."""
+    patch.setattr(leaving, "is_leaving", lambda *args: False)
+    patch.setattr(leaving, "note_refusal", lambda *args: None)
+
+
+def stop_at_once(patch: Any) -> None:
+    """A planned stop does not wait for open calls."""
+    original = calls.on_tick
+
+    def on_tick(state: Any, now: float) -> None:
+        original(state, now)
+        if state.draining:
+            state.emit(Stop())
+
+    patch.setattr(calls, "on_tick", on_tick)
+
+
+def skip_changes(patch: Any) -> None:
+    """One node does not fold records after its first ones."""
+    original = catalogue.fold_record
+
+    def fold_record(state: Any, fold: Any, record: Any) -> None:
+        if state.me.host != "lhr-a-1" or record.offset < 4:
+            original(state, fold, record)
+
+    patch.setattr(catalogue, "fold_record", fold_record)
+
+
+def trust_names(patch: Any) -> None:
+    """Engines of another fleet with the same service name are used."""
+    original = health.usable_report
+
+    def usable_report(*args: Any) -> Any:
+        report, reason = original(*args)
+        if report is not None and report.identity == OTHER_MODEL:
+            report = report._replace(identity=MODEL)
+        return report, reason
+
+    patch.setattr(health, "usable_report", usable_report)
+
+
+def take_whole_limits(patch: Any) -> None:
+    """Each node uses the whole limit of an entry."""
+    patch.setattr(limits, "integer_share", lambda state, limit: limit)
+
+
+FAULTS = {
+    fault.apply.__name__: fault
+    for fault in (
+        Fault("no-orphaned-memory", lose_cancels),
+        Fault("answered-once", answer_again),
+        Fault("whole-own-answer", change_recorded_answers),
+        Fault("not-run-is-true", call_anything_not_run),
+        Fault("not-run-is-true", forget_sends),
+        Fault("at-most-once", ignore_other_claims),
+        Fault("leaving-gets-nothing", ignore_leaving),
+        Fault("graceful-stop", stop_at_once),
+        Fault("catalogue-in-force", skip_changes),
+        Fault("served-identity", trust_names),
+        Fault("limits-hold", take_whole_limits),
+    )
+}
