--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -60,7 +60,7 @@
         """Return the body as a JSON object, or an empty one if it is not one."""
         try:
             found = json.loads(self.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             return {}
         return found if isinstance(found, dict) else {}
 
--- a/src/poplarfold/_internal/daemon/endpoint_reports.py
+++ b/src/poplarfold/_internal/daemon/endpoint_reports.py
@@ -14,6 +14,7 @@
 )
 from poplarfold._internal.core.model import EndpointRole, HostKey, Identity
 from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
+from poplarfold._internal.utils.malformed import MALFORMED
 
 __all__ = ["EndpointPoller", "parse_cache_events", "parse_report"]
 
@@ -104,7 +105,7 @@
             ),
             cache_seq=int(body["cache_seq"]),
         )
-    except (KeyError, TypeError, ValueError):
+    except MALFORMED:
         return None
 
 
@@ -118,5 +119,5 @@
         return CacheChanged(
             address, int(body.get("incarnation", 0)), changes, int(body["oldest"])
         )
-    except (KeyError, TypeError, ValueError):
+    except MALFORMED:
         return None
--- a/src/poplarfold/_internal/daemon/host_list_client.py
+++ b/src/poplarfold/_internal/daemon/host_list_client.py
@@ -11,6 +11,7 @@
 )
 from poplarfold._internal.daemon.log_client import address_of
 from poplarfold._internal.exceptions import EndpointError
+from poplarfold._internal.utils.malformed import MALFORMED
 
 __all__ = ["HostListClient", "parse_hosts"]
 
@@ -53,5 +54,5 @@
             for row in found["hosts"]
         )
         return Ok(HostsListed(int(found["version"]), rows))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except MALFORMED as error:
         return Err(EndpointError(f"malformed host list: {error!r}"))
--- a/src/poplarfold/_internal/daemon/log_client.py
+++ b/src/poplarfold/_internal/daemon/log_client.py
@@ -19,6 +19,7 @@
     EndpointClient,
     Target,
 )
+from poplarfold._internal.utils.malformed import MALFORMED
 
 __all__ = ["LogClient", "address_of"]
 
@@ -107,5 +108,5 @@
             int(body["next"]),
             records,
         )
-    except (ValueError, TypeError, KeyError):
+    except MALFORMED:
         return failed
--- a/src/poplarfold/_internal/daemon/stream_assembler.py
+++ b/src/poplarfold/_internal/daemon/stream_assembler.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from poplarfold._internal.exceptions import EndpointError
+from poplarfold._internal.utils.malformed import MALFORMED
 
 __all__ = ["StreamAssembler"]
 
@@ -56,7 +57,7 @@
                     self._accept(json.loads(event[6:]), due)
                 except EndpointError as error:
                     return Err(error)
-                except (ValueError, TypeError, KeyError) as error:
+                except MALFORMED as error:
                     return Err(EndpointError(f"malformed event in a stream: {error}"))
         if len(self.early) > EARLY_LIMIT:
             return Err(EndpointError(f"output {self.next_seq} is missing"))
