--- a/tools/update_docs.py
+++ b/tools/update_docs.py
@@ -21,6 +21,7 @@
     "daemon_refused": "command line",
     "daemon_unreachable": "command line",
     "command_unavailable": "command line",
+    "fleet_failed": "command line",
     "invalid_checkpoint": "log",
     "invalid_entry": "operators",
     "invalid_log_file": "command line",
