Show in later log lines how many events were lost

A line that could not be written was counted in the process only, so that nobody could see that a log has holes. Later lines carry lost_events.

--- a/src/poplarfold/_internal/logs/writer.py
+++ b/src/poplarfold/_internal/logs/writer.py
@@ -35,7 +35,8 @@
     """Writes the events of one process. Threads may share it.
 
     A write that fails (a full or vanished file system) is counted in
-    ``lost_events`` and does not stop the process: logs must not end calls.
+    ``lost_events``, which later lines carry, and does not stop the process:
+    logs must not end calls.
     """
 
     def __init__(
@@ -75,6 +76,8 @@
             message["monotonic"] = self.monotonic()
             message["timestamp"] = self.wall()
             message["task_level"] = [self.written_events + self.lost_events + 1]
+            if self.lost_events:
+                message["lost_events"] = self.lost_events
             try:
                 self.destination(message)
                 self.written_events += 1
--- a/tests/unit/test_timeline.py
+++ b/tests/unit/test_timeline.py
@@ -1,5 +1,6 @@
 """Reading and merging logs of several processes."""
 
+import errno
 import io
 import json
 import re
@@ -98,12 +99,18 @@
     assert json.dumps(event.fields)
 
 
+def refuse(data):
+    raise OSError(errno.ENOSPC, "No space left on device")
+
+
 def test_a_full_disk_does_not_stop_the_process():
     """Guards against a call that fails because its log line cannot be written."""
     process = Clocks("g1", 0.0)
-    process.stream.close()
+    write, process.stream.write = process.stream.write, refuse
     process.write(0.0, "PF2001", None)
-    assert process.writer.lost_events == 1
+    process.stream.write = write
+    process.write(1.0, "PF2001", None)
+    assert json.loads(process.stream.getvalue())["lost_events"] == 1
 
 
 def route_of_a_retried_call(tmp_path):
