--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -94,7 +94,10 @@
 REGION_TRIPS_S = 0.08
 # After so many tries without an answer the cell owner is asked to help.
 CANCEL_TRIES_MAX = 4
+# How long a call waits for an endpoint to come back. A patient call outlasts the
+# restart of an engine.
 NO_ENDPOINT_WAIT_S = 2.0
+PATIENT_WAIT_S = 10.0
 
 
 class AskRow(NamedTuple):
@@ -308,7 +311,9 @@
         ask_cell(state, now, call_id, ask._replace(waits=()), cell, waiting=True)
         return
     target_s = ask.entry.targets.first_output_s
-    patience_s = min(NO_ENDPOINT_WAIT_S, target_s)
+    patient = ask.entry.call_class is CallClass.PATIENT
+    longest_s = PATIENT_WAIT_S if patient else NO_ENDPOINT_WAIT_S
+    patience_s = min(longest_s, target_s)
     if ask.last_code == NoEndpointError.code or not ask.last_code or ask.waiting:
         if now + ROUND_PAUSE_S < min(ask.since + patience_s, call.arrival.deadline):
             part.put_ask(
