Queue patient calls by account and look at the first ones only

A plan looked at each waiting call of a cell. A patient call of one identity no longer blocks those of another.

--- a/src/poplarfold/_internal/core/systems/admission.py
+++ b/src/poplarfold/_internal/core/systems/admission.py
@@ -100,6 +100,9 @@
 CANDIDATES_LOGGED_MAX = 20
 
 
+PatientQueue = tuple[Identity, str]
+
+
 class WaitRow(NamedTuple):
     """A call that waits at the owner. Times are of the owner's clock."""
 
@@ -196,7 +199,9 @@
 
     def __init__(self) -> None:
         self.waiting: Table[tuple[str, str], WaitRow] = Table()
-        self.by_cell: dict[Cell, dict[tuple[str, str], None]] = {}
+        # Keys of ``waiting`` by cell; patient ones by cell, identity and account.
+        self.urgent: dict[Cell, dict[tuple[str, str], None]] = {}
+        self.patient: dict[Cell, dict[PatientQueue, dict[tuple[str, str], None]]] = {}
         self.leases: Table[str, LeaseRow] = Table()
         self.backlog: dict[tuple[Cell, Identity], tuple[int, int]] = {}
         self.granted: dict[tuple[str, str], tuple[str, PlaceGranted]] = {}
@@ -294,7 +299,7 @@
     )
     drop_waiting(part, key)
     part.waiting.put(key, row)
-    part.by_cell.setdefault(cell, {})[key] = None
+    queue_of(part, row)[key] = None
     count_backlog(part, row, 1)
     plan_cell(state, now, cell)
     if key not in part.waiting:
@@ -416,11 +421,32 @@
     )
 
 
+def is_patient(entry: CatalogueEntry) -> bool:
+    """Return whether calls of an entry wait by account and not by deadline."""
+    return entry.kind is EntryKind.MODEL and entry.call_class is CallClass.PATIENT
+
+
+def patient_queue(row: WaitRow) -> PatientQueue:
+    """Return the name of the queue of a patient call."""
+    return row.entry.identity, row.request.account
+
+
+def queue_of(part: AdmissionState, row: WaitRow) -> dict[tuple[str, str], None]:
+    """Return the queue that a waiting call belongs to."""
+    if is_patient(row.entry):
+        queues = part.patient.setdefault(row.cell, {})
+        return queues.setdefault(patient_queue(row), {})
+    return part.urgent.setdefault(row.cell, {})
+
+
 def drop_waiting(part: AdmissionState, key: tuple[str, str]) -> None:
     """Forget a waiting call."""
     row = part.waiting.pop(key, None)
     if row is not None:
-        part.by_cell[row.cell].pop(key, None)
+        queue = queue_of(part, row)
+        queue.pop(key, None)
+        if not queue and is_patient(row.entry):
+            del part.patient[row.cell][patient_queue(row)]
         count_backlog(part, row, -1)
 
 
@@ -766,32 +792,13 @@
     part = state.part(AdmissionState)
     part.dirty.pop(cell, None)
     part.wake_at.pop(cell, None)
-    keys = part.by_cell.get(cell)
-    if not keys:
-        return
     pools: dict[Identity, Pool] = {}
-    interactive: list[tuple[float, int, tuple[str, str]]] = []
-    patient: dict[str, list[tuple[str, str]]] = {}
     wakes: list[float] = []
-    for number, key in enumerate(list(keys)):
-        row = part.waiting[key]
-        if row.holder != state.me and now - row.heard_at > HOLDER_SILENT_S:
-            drop_waiting(part, key)
-            continue
-        if row.entry.identity not in pools:
-            pools[row.entry.identity] = pool_for(state, now, cell, row.entry.identity)
-        if now >= row.deadline:
-            refuse(state, now, key, DeadlineExceededError.code, "deadline passed")
-            continue
-        patient_model = (
-            row.entry.kind is EntryKind.MODEL
-            and row.entry.call_class is CallClass.PATIENT
-        )
-        if patient_model:
-            patient.setdefault(row.request.account, []).append(key)
-        else:
-            interactive.append((row.first_by, number, key))
-    by_deadline = [key for _, _, key in sorted(interactive)]
+    urgent: list[tuple[float, int, tuple[str, str]]] = []
+    for number, key in enumerate(list(part.urgent.get(cell, ()))):
+        if is_waiting_still(state, now, key, pools):
+            urgent.append((part.waiting[key].first_by, number, key))
+    by_deadline = [key for _, _, key in sorted(urgent)]
     for key in order_of(part, now, by_deadline, pools):
         row = part.waiting[key]
         pool = pools[row.entry.identity]
@@ -801,22 +808,58 @@
             wake = plan_model(state, now, key, row, pool)
         if wake is not None:
             wakes.append(wake)
-    fair = part.fair.setdefault(cell, FairClock())
-    while patient:
-        account = min(patient, key=lambda name: (fair.start_of(name), name))
-        key = patient[account].pop(0)
-        if not patient[account]:
-            del patient[account]
-        row = part.waiting[key]
-        wake = plan_model(state, now, key, row, pools[row.entry.identity])
-        if wake is not None:
-            wakes.append(wake)
-            # Later patient calls must not overtake the one that waits.
-            break
+    wakes.extend(plan_patient(state, now, cell, pools))
     if wakes:
         part.wake_at[cell] = max(min(wakes), now + 0.001)
 
 
+def is_waiting_still(
+    state: NodeState, now: float, key: tuple[str, str], pools: dict[Identity, Pool]
+) -> bool:
+    """Drop a call that is out of time or whose node is silent.
+
+    The endpoints for the others are put into ``pools``.
+    """
+    part = state.part(AdmissionState)
+    row = part.waiting[key]
+    if row.holder != state.me and now - row.heard_at > HOLDER_SILENT_S:
+        drop_waiting(part, key)
+        return False
+    if now >= row.deadline:
+        refuse(state, now, key, DeadlineExceededError.code, "deadline passed")
+        return False
+    identity = row.entry.identity
+    if identity not in pools:
+        pools[identity] = pool_for(state, now, row.cell, identity)
+    return True
+
+
+def plan_patient(
+    state: NodeState, now: float, cell: Cell, pools: dict[Identity, Pool]
+) -> list[float]:
+    """Serve the accounts in turn until the engines of each identity are in use.
+
+    Only the first call of each account is looked at, so that a long queue costs
+    no more than a short one. Returns when to look again.
+    """
+    part = state.part(AdmissionState)
+    fair = part.fair.setdefault(cell, FairClock())
+    queues = part.patient.get(cell, {})
+    wakes: dict[Identity, float] = {}
+    while True:
+        open_queues = [name for name in queues if name[0] not in wakes]
+        if not open_queues:
+            return list(wakes.values())
+        name = min(open_queues, key=lambda q: (fair.start_of(q[1]), q[1]))
+        key = next(iter(queues[name]))
+        if not is_waiting_still(state, now, key, pools):
+            continue
+        # Later patient calls must not overtake the one that waits.
+        wake = plan_model(state, now, key, part.waiting[key], pools[name[0]])
+        if wake is not None:
+            wakes[name[0]] = wake
+
+
 def patient_wait_s(state: NodeState, now: float, row: WaitRow) -> float:
     """Return the predicted wait of one more patient call in a cell."""
     part = state.part(AdmissionState)
@@ -1131,7 +1174,9 @@
 
 def demand(state: NodeState, cell: Cell) -> int:
     """Return the number of calls that wait in a cell, for the orders system."""
-    return len(state.part(AdmissionState).by_cell.get(cell, ()))
+    part = state.part(AdmissionState)
+    patient = sum(len(queue) for queue in part.patient.get(cell, {}).values())
+    return patient + len(part.urgent.get(cell, ()))
 
 
 @invariant("one-lease-per-slot")
