Measure decisions once the node owns its cell

A new node owns cells some time after its first host list, so the bench had come to measure refusals; a test now checks that all calls are placed.

--- a/src/poplarfold/_internal/bench/decisions.py
+++ b/src/poplarfold/_internal/bench/decisions.py
@@ -37,6 +37,7 @@
 DOMAINS = 21
 NODES_PER_ENDPOINT = 0.1
 CALLS = 2000
+START_S = 2.0
 SYSTEMS = (
     calls,
     membership,
@@ -74,6 +75,8 @@
     node.state.entries.put("captions", CAPTIONS.entry)
     node.state.catalogue_ready = True
     node.step(0.0, [HostsListed(1, tuple(rows))])
+    # A new node owns cells some time after its first host list.
+    node.step(START_S - 0.1, [])
     own = sorted(node.state.part(health.HealthState).polled)
     reports = []
     for number, address in enumerate(own):
@@ -96,11 +99,11 @@
                 0,
             )
         )
-    node.step(0.1, reports)
+    node.step(START_S, reports)
     placed = 0
     started = time.process_time()
     for number in range(CALLS):
-        now = 0.2 + number * 0.001
+        now = START_S + number * 0.001
         call_id = f"c{number}"
         arrival = CallArrived(
             call_id, "a", "captions", True, 500, 2000, ("p",), 10, now + 30.0
--- a/tests/unit/test_decisions.py
+++ b/tests/unit/test_decisions.py
@@ -7,6 +7,7 @@
 from test_cell_owner import LLM, entry, listed, report
 
 from poplarfold._internal.bench.bound import Job, calls_in_time_at_most
+from poplarfold._internal.bench.decisions import CALLS, decision_cost
 from poplarfold._internal.bench.goodput import GoodputRun, run_goodput
 from poplarfold._internal.core.commands import AppendLog, FinishCall, SendOrder
 from poplarfold._internal.core.events import (
@@ -316,3 +317,8 @@
     assert json.dumps(first) == json.dumps(again)
     assert first["calls_to_others"] == 0
     assert all(link["peak_share"] <= 1.0 for link in first["links"].values())
+
+
+def test_the_decision_bench_measures_placements():
+    """Guards against a cost per decision that was measured on refusals."""
+    assert decision_cost(200)["placed"] == CALLS
