--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -6,6 +6,7 @@
 predicts the shortest wait.
 """
 
+import heapq
 from functools import singledispatch
 from typing import NamedTuple
 
@@ -15,6 +16,8 @@
     AttemptClosed,
     AttemptEnded,
     CallEnded,
+    CancelFailed,
+    HostsListed,
     OwnershipChanged,
     PeerReceived,
     Placed,
@@ -23,6 +26,7 @@
     PrefillDone,
 )
 from poplarfold._internal.core.messages import (
+    CancelWanted,
     LeaseProgress,
     LeaseReleased,
     LeasesHeld,
@@ -43,6 +47,7 @@
 from poplarfold._internal.core.state import NodeState, Table
 from poplarfold._internal.core.systems import admission, calls, limits
 from poplarfold._internal.core.systems.health import HealthState
+from poplarfold._internal.core.systems.membership import live_hosts
 from poplarfold._internal.exceptions import (
     EntryNotFoundError,
     LinkBudgetError,
@@ -58,14 +63,25 @@
 # An owner that does not answer within this time is passed over. The way to
 # another region and back takes 20 ms.
 SILENT_S = 0.15
+# Other calls do not ask a silent owner for this long, so that in a partition
+# not every call loses time with it.
+SILENT_HOLD_S = 2.0
 # A waiting call is announced again, so that the owner keeps it and this node
 # notices when the owner has gone silent.
 KEEP_ALIVE_S = 0.5
 QUEUE_SILENT_S = 1.2
 # A waiting call asks other cells in turn, since they may have room sooner than
 # predicted. A patient call loses little by a longer period.
-PROBE_INTERACTIVE_S = 0.015
+PROBE_INTERACTIVE_S = 0.008
 PROBE_PATIENT_S = 0.5
+# Every so many probes one goes to another region.
+FAR_PROBE_EVERY = 2
+# How many cells a call asks in its domain, its region and other regions. Their
+# number must not grow with the fleet.
+CELLS_ASKED = (3, 3, 2)
+# The order of the cells is worked out again after this time, since changes in
+# other domains come without an event.
+CELL_ORDER_S = 2.0
 # Pause between two rounds over cells of which none has an endpoint.
 ROUND_PAUSE_S = 0.03
 # Sizes for the byte budget of the link: one output of a stream, the digest of
@@ -76,6 +92,8 @@
 # The grant, the slot, the prefill, the decode and the first output each cross
 # the link between regions, which takes 10 ms one way.
 REGION_TRIPS_S = 0.08
+# After so many tries without an answer the cell owner is asked to help.
+CANCEL_TRIES_MAX = 4
 NO_ENDPOINT_WAIT_S = 2.0
 
 
@@ -97,6 +115,7 @@
     cell: Cell | None = None
     owner: str = ""
     waiting: bool = False
+    rounds: int = 0
     heard_at: float = 0.0
     next_at: float = 0.0
     probe: int = -1
@@ -123,7 +142,32 @@
         self.held: Table[str, HeldRow] = Table()
         self.owners: dict[Cell, str | None] = {}
         self.failed: dict[str, AttemptEnded] = {}
-        self.round_robin = 0
+        self.silent: dict[str, float] = {}
+        self.due: list[tuple[float, str]] = []
+        self.order: dict[
+            str,
+            tuple[float, tuple[tuple[Cell, ...], tuple[Cell, ...], tuple[Cell, ...]]],
+        ] = {}
+
+    def put_ask(self, call_id: str, ask: AskRow) -> AskRow:
+        """Replace a row and note when it needs a look."""
+        heapq.heappush(self.due, (due_at(ask), call_id))
+        return self.asks.put(call_id, ask)
+
+    def first_due(self) -> tuple[float, str] | None:
+        """Return the earliest time and call; outdated entries are dropped."""
+        while self.due:
+            at, call_id = self.due[0]
+            ask = self.asks.get(call_id)
+            if ask is not None and due_at(ask) == at:
+                return self.due[0]
+            heapq.heappop(self.due)
+        return None
+
+
+def due_at(ask: AskRow) -> float:
+    """Return when a row needs a look."""
+    return min(ask.next_at, ask.probe_at) if ask.waiting else ask.next_at
 
 
 @singledispatch
@@ -134,29 +178,36 @@
 def on_tick(state: NodeState, now: float) -> None:
     """Ask again where an owner stays silent."""
     part = state.part(PlacementState)
-    for call_id, ask in part.asks.rows():
-        if ask.waiting and ask.probe_at <= now:
-            ask = send_probe(state, now, call_id, ask)
-        if ask.next_at > now:
-            continue
-        if isinstance(POLICIES[state.settings.policy], LocalPolicy):
-            place_locally(state, now, call_id)
-        elif ask.cell is None:
-            start_round(state, now, call_id)
-        elif ask.waiting and now - ask.heard_at < QUEUE_SILENT_S:
-            send_ask(state, now, call_id, ask)
-        else:
-            state.log("PF3005", call_id, owner=ask.owner, cell=ask.cell.key)
-            withdraw(state, now, call_id, ask)
-            ask_next(state, now, call_id, ask)
+    while (found := part.first_due()) is not None and found[0] <= now:
+        heapq.heappop(part.due)
+        look_at_ask(state, now, found[1])
+
+
+def look_at_ask(state: NodeState, now: float, call_id: str) -> None:
+    """Probe, announce a waiting call again, or go on to the next cell."""
+    part = state.part(PlacementState)
+    ask = part.asks[call_id]
+    if ask.waiting and ask.probe_at <= now:
+        ask = send_probe(state, now, call_id, ask)
+    if call_id not in part.asks or ask.next_at > now:
+        return
+    if isinstance(POLICIES[state.settings.policy], LocalPolicy):
+        place_locally(state, now, call_id)
+    elif ask.cell is None:
+        start_round(state, now, call_id)
+    elif ask.waiting and now - ask.heard_at < QUEUE_SILENT_S:
+        send_ask(state, now, call_id, ask)
+    else:
+        state.log("PF3005", call_id, owner=ask.owner, cell=ask.cell.key)
+        part.silent[ask.owner] = now + SILENT_HOLD_S
+        withdraw(state, now, call_id, ask)
+        ask_next(state, now, call_id, ask)
 
 
 def next_wakeup(state: NodeState, now: float) -> float | None:
     """Return the next time to ask again."""
-    rows = state.part(PlacementState).asks.values()
-    times = [row.next_at for row in rows]
-    times.extend(row.probe_at for row in rows if row.waiting)
-    return min(times, default=None)
+    found = state.part(PlacementState).first_due()
+    return found[0] if found else None
 
 
 @on_event.register
@@ -171,45 +222,65 @@
         return
     entry = state.entries[call.arrival.entry]
     state.sequence += 1
-    part.asks.put(event.call_id, AskRow(event, entry, now, state.sequence, ()))
+    part.put_ask(event.call_id, AskRow(event, entry, now, state.sequence, ()))
     if isinstance(POLICIES[state.settings.policy], LocalPolicy):
         place_locally(state, now, event.call_id)
     else:
         start_round(state, now, event.call_id)
 
 
-def preferred_cells(state: NodeState, ask: AskRow) -> tuple[Cell, ...]:
+def preferred_cells(state: NodeState, now: float, ask: AskRow) -> tuple[Cell, ...]:
     """Return the cells that may serve a call, the best first."""
+    part = state.part(PlacementState)
     service = ask.entry.identity.service
+    known = part.order.get(service)
+    if known is None or known[0] <= now:
+        known = part.order[service] = (
+            now + CELL_ORDER_S,
+            cells_by_distance(state, service),
+        )
+    # Plain calls and retries never go to another region.
+    local = ask.entry.kind is EntryKind.SERVICE or ask.wanted.excluded
+    return known[1][0] + known[1][1] + (() if local else known[1][2])
+
+
+def cells_by_distance(
+    state: NodeState, service: str
+) -> tuple[tuple[Cell, ...], tuple[Cell, ...], tuple[Cell, ...]]:
+    """Return the cells to ask of this domain, of its region and of others."""
     settings = state.settings
-    regional = ask.entry.kind is EntryKind.SERVICE or ask.wanted.excluded
-    found: list[tuple[int, int, Cell]] = []
+    found: tuple[list[Cell], list[Cell], list[Cell]] = ([], [], [])
     for (domain, name), count in state.part(HealthState).counts.items():
-        if name != service:
+        if name != service or not live_hosts(state, domain):
             continue
         distance = 0 if domain == settings.domain else 1
         if settings.region_of(domain) != settings.region:
-            if regional:
-                continue
             distance = 2
-        for index in range(cell_count(count)):
-            cell = Cell(domain, service, index)
-            owner = owner_of(state, cell)
-            if owner is not None:
-                found.append((distance, owner != state.me.host, cell))
-    # Equally good cells are tried in an order of this node's own, so that the
+        found[distance].extend(
+            Cell(domain, service, index) for index in range(cell_count(count))
+        )
+    # Equally good cells are asked in an order of this node's own, so that the
     # nodes of a domain do not all ask the same owner first.
-    order = ranked(state.me.host, (cell.key for _, _, cell in found))
-    place = {key: number for number, key in enumerate(order)}
-    found.sort(key=lambda row: (row[0], row[1], place[row[2].key]))
-    return tuple(cell for _, _, cell in found)
+    ordered = []
+    for limit, cells in zip(CELLS_ASKED, found, strict=True):
+        by_key = {cell.key: cell for cell in cells}
+        row = [by_key[key] for key in ranked(state.me.host, by_key)]
+        row.sort(key=lambda cell: owner_of(state, cell) != state.me.host)
+        ordered.append(tuple(row[:limit]))
+    return ordered[0], ordered[1], ordered[2]
 
 
 def start_round(state: NodeState, now: float, call_id: str) -> None:
     """Ask all cells in turn for a place without waiting."""
     ask = state.part(PlacementState).asks[call_id]
-    cells = preferred_cells(state, ask)
-    ask_next(state, now, call_id, ask._replace(cells=cells, waits=(), waiting=False))
+    cells = preferred_cells(state, now, ask)
+    here = state.settings.region
+    near = tuple(c for c in cells if state.settings.region_of(c.domain) == here)
+    if near and ask.rounds == 0:
+        # The way to another region costs more time than a short wait here.
+        cells = near
+    ask = ask._replace(cells=cells, waits=(), waiting=False, rounds=ask.rounds + 1)
+    ask_next(state, now, call_id, ask)
 
 
 def ask_next(state: NodeState, now: float, call_id: str, ask: AskRow) -> None:
@@ -219,12 +290,15 @@
     if ask.cells:
         cell, rest = ask.cells[0], ask.cells[1:]
         ask = ask._replace(cells=rest)
+        if part.silent.get(owner_of(state, cell) or "", now) > now:
+            ask_next(state, now, call_id, ask)
+            return
         if not link_budget(state, now, call_id, ask, cell, look=True):
             ask = ask._replace(
                 last_code=ask.last_code or LinkBudgetError.code,
                 last_detail=ask.last_detail or "the byte budget of the link is used up",
             )
-            part.asks.put(call_id, ask)
+            part.put_ask(call_id, ask)
             ask_next(state, now, call_id, ask)
             return
         ask_cell(state, now, call_id, ask, cell, waiting=False)
@@ -237,7 +311,7 @@
     patience_s = min(NO_ENDPOINT_WAIT_S, target_s)
     if ask.last_code == NoEndpointError.code or not ask.last_code or ask.waiting:
         if now + ROUND_PAUSE_S < min(ask.since + patience_s, call.arrival.deadline):
-            part.asks.put(
+            part.put_ask(
                 call_id,
                 ask._replace(cell=None, waiting=False, next_at=now + ROUND_PAUSE_S),
             )
@@ -295,32 +369,40 @@
     pause_s = KEEP_ALIVE_S if ask.waiting else SILENT_S
     if ask.owner == state.me.host:
         pause_s = 3600.0
-    part.asks.put(call_id, ask._replace(next_at=now + pause_s))
+    part.put_ask(call_id, ask._replace(next_at=now + pause_s))
     message = request_of(state, now, call_id, ask, ask.cell, ask.number, ask.waiting)
     tell(state, now, ask.owner, message)
 
 
 def send_probe(state: NodeState, now: float, call_id: str, ask: AskRow) -> AskRow:
-    """Ask another cell of the region while the call waits."""
+    """Ask another cell while the call waits, mostly one of the region."""
     part = state.part(PlacementState)
-    patient = ask.entry.call_class is CallClass.PATIENT
-    period_s = PROBE_PATIENT_S if patient else PROBE_INTERACTIVE_S
-    ask = ask._replace(probe_at=now + period_s, probes=ask.probes + 1)
+    ask = ask._replace(probe_at=now + SILENT_S, probes=ask.probes + 1)
+    known = preferred_cells(state, now, ask)
+    here = state.settings.region
+    far = ask.probes % FAR_PROBE_EVERY == 0
     cells = [
         cell
-        for cell in preferred_cells(state, ask)
-        if state.settings.region_of(cell.domain) == state.settings.region
+        for cell in known
+        if (state.settings.region_of(cell.domain) != here) == far
         and owner_of(state, cell) not in (None, ask.owner)
+        and (not far or link_budget(state, now, call_id, ask, cell, look=True))
     ]
-    if cells:
-        state.sequence += 1
-        cell = cells[ask.probes % len(cells)]
-        ask = ask._replace(probe=state.sequence, probe_cell=cell)
-    part.asks.put(call_id, ask)
-    if cells:
-        message = request_of(state, now, call_id, ask, cell, ask.probe, False)
-        tell(state, now, owner_of(state, cell) or "", message)
-    return part.asks.get(call_id, ask._replace(next_at=now + period_s))
+    if not cells:
+        ask = part.put_ask(call_id, ask._replace(probe_at=now + probe_pause_s(ask)))
+        return ask
+    state.sequence += 1
+    cell = cells[ask.probes % len(cells)]
+    part.put_ask(call_id, ask._replace(probe=state.sequence, probe_cell=cell))
+    message = request_of(state, now, call_id, ask, cell, state.sequence, False)
+    tell(state, now, owner_of(state, cell) or "", message)
+    return part.asks.get(call_id, ask._replace(next_at=now + SILENT_S))
+
+
+def probe_pause_s(ask: AskRow) -> float:
+    """Return the pause after a probe that was answered."""
+    patient = ask.entry.call_class is CallClass.PATIENT
+    return PROBE_PATIENT_S if patient else PROBE_INTERACTIVE_S
 
 
 def request_of(
@@ -372,6 +454,7 @@
 
 @on_event.register
 def _(event: PeerReceived, state: NodeState, now: float) -> None:
+    state.part(PlacementState).silent.pop(event.sender.host, None)
     receive(event.message, event.sender, state, now)
 
 
@@ -421,10 +504,14 @@
 def _(message: PlaceDenied, sender: HostKey, state: NodeState, now: float) -> None:
     part = state.part(PlacementState)
     ask = part.asks.get(message.call_id)
+    if ask is not None and ask.probe == message.ask:
+        pause_s = probe_pause_s(ask)
+        part.put_ask(message.call_id, ask._replace(probe=-1, probe_at=now + pause_s))
+        return
     if ask is None or ask.number != message.ask or ask.cell is None:
         return
     if message.code == "queued":
-        part.asks.put(message.call_id, ask._replace(heard_at=now))
+        part.put_ask(message.call_id, ask._replace(heard_at=now))
         return
     if message.code == "busy":
         # Of equal waits the nearer cell, which was asked earlier, is better.
@@ -457,6 +544,18 @@
         tell(state, now, owner_of(state, held.cell) or "", message)
 
 
+@on_event.register
+def _(event: CancelFailed, state: NodeState, now: float) -> None:
+    cancel = state.cancels.get((event.attempt_id, event.address))
+    if cancel is None or cancel.tries != CANCEL_TRIES_MAX:
+        return
+    # The owner of the cell may reach an endpoint that this node does not.
+    row = state.part(HealthState).endpoints.get(event.address)
+    owner = owner_of(state, row.cell) if row is not None else None
+    if owner is not None and owner != state.me.host:
+        tell(state, now, owner, CancelWanted(event.attempt_id, event.address))
+
+
 @on_event.register
 def _(event: AttemptEnded, state: NodeState, now: float) -> None:
     state.part(PlacementState).failed[event.attempt_id] = event
@@ -479,9 +578,15 @@
     tell(state, now, owner_of(state, held.cell) or "", message)
 
 
+@on_event.register
+def _(event: HostsListed, state: NodeState, now: float) -> None:
+    state.part(PlacementState).order.clear()
+
+
 @on_event.register
 def _(event: OwnershipChanged, state: NodeState, now: float) -> None:
     part = state.part(PlacementState)
+    part.order.clear()
     held: dict[str, list[tuple[str, str, str, int]]] = {}
     for lease_id, row in part.held.items():
         owner = owner_of(state, row.cell)
@@ -524,4 +629,4 @@
     if now >= min(call.arrived_at + patience_s, call.arrival.deadline):
         give_up(state, call_id, ask)
         return
-    part.asks.put(call_id, ask._replace(next_at=now + 0.02))
+    part.put_ask(call_id, ask._replace(next_at=now + 0.02))
