--- a/tests/functional/soak/__main__.py
+++ b/tests/functional/soak/__main__.py
@@ -13,6 +13,7 @@
 import tempfile
 import threading
 import time
+from contextlib import contextmanager
 from pathlib import Path
 
 from tests.functional.soak import checks
@@ -68,14 +69,26 @@
         }
 
 
-def run(options):
-    """Make one run and return its report."""
+@contextmanager
+def started(options):
+    """Start the stand-ins and daemons, publish the entries, and end them all."""
     deployment = DEPLOYMENTS[options.deployment]
     with tempfile.TemporaryDirectory(prefix="poplarfold-soak-") as directory:
         standins = StandIns(options.deployment, "merged-fleet")
         daemons = make_daemons(options, deployment, directory, standins)
         try:
-            return drive(options, deployment, standins, daemons)
+            for daemon in daemons:
+                daemon.start()
+            checks.define_entries(
+                deployment.name, deployment.model_service, deployment.plain_service
+            )
+            publish(daemons[0])
+            for daemon in daemons:
+                if daemon.wait_ready() is None:
+                    daemon.check_alive()
+                    problem = daemon.unexpected_exits
+                    raise RuntimeError(f"{daemon.host} is not ready: {problem}")
+            yield deployment, standins, daemons
         finally:
             for daemon in daemons:
                 daemon.begin_stop()
@@ -89,6 +102,12 @@
                     (target / path.name).write_bytes(path.read_bytes())
 
 
+def run(options):
+    """Make one run and return its report."""
+    with started(options) as (deployment, standins, daemons):
+        return drive(options, deployment, standins, daemons)
+
+
 def make_daemons(options, deployment, directory, standins):
     """Spread the daemons over the failure domains and write their settings."""
     names = [row.name for row in deployment.domains]
@@ -118,19 +137,9 @@
 
 
 def drive(options, deployment, standins, daemons):
-    """Start everything, load it, disturb it, let it settle and check it."""
+    """Load the daemons, disturb them, let them settle and check them."""
     record = Record()
     faults = FaultMaker(options.seed, standins, daemons, record)
-    for daemon in daemons:
-        daemon.start()
-    checks.define_entries(
-        deployment.name, deployment.model_service, deployment.plain_service
-    )
-    publish(daemons[0])
-    for daemon in daemons:
-        if daemon.wait_ready() is None:
-            daemon.check_alive()
-            raise SystemExit(f"{daemon.host} is not ready: {daemon.unexpected_exits}")
     time.sleep(1.5)
     usage = UsageWatcher(daemons)
     catalogue = CatalogueWatcher(daemons, faults, record)
@@ -218,7 +227,7 @@
             if answer is not None and answer.status in (200, 409):
                 break
             if time.monotonic() > end:
-                raise SystemExit(f"{name} was not published: {answer}")
+                raise RuntimeError(f"{name} was not published: {answer}")
             time.sleep(0.2)
 
 
--- a/tests/functional/soak/callers.py
+++ b/tests/functional/soak/callers.py
@@ -7,7 +7,13 @@
 from collections import Counter
 
 from tests.functional.soak.processes import ACCOUNT_TOKEN
-from tests.functional.soak.wire import ERRORS, Stream, request
+from tests.functional.soak.wire import (
+    ERRORS,
+    Answer,
+    Stream,
+    failure_name,
+    try_request,
+)
 
 from poplarfold._internal.standins.answers import answer_key, output_text
 from poplarfold._internal.standins.service_model import request_digest
@@ -28,7 +34,7 @@
         self.violations = []
         # (time, daemon, answer key) of callers that went before the end.
         self.gone = []
-        # Filings by request digest: the answers in order, None without one.
+        # Filings by request digest: the answers in order, or names of failures.
         self.filings = {}
         # (daemon, begin, end, outcome) of the calls, for planned stops.
         self.spans = []
@@ -80,8 +86,10 @@
                 outcome = self.make_model_call(daemon, kind)
             with self.record.lock:
                 self.record.outcomes[f"{kind}:{outcome}"] += 1
-                span = (daemon.host, began, time.monotonic(), f"{kind}:{outcome}")
-                self.record.spans.append(span)
+                if kind != "filings":
+                    # A filing goes through daemons of its own choice.
+                    span = (daemon.host, began, time.monotonic(), f"{kind}:{outcome}")
+                    self.record.spans.append(span)
             if outcome not in ("ok", "gone"):
                 self.stopping.wait(self.rng.uniform(0.02, 0.2))
 
@@ -111,10 +119,8 @@
             if stream.answer.status != 200:
                 return self.refusal(stream.answer.status, stream.answer.read())
             return self.read_answer(stream, daemon, entry, key, outputs, leave_after)
-        except ConnectionRefusedError:
-            return "no_daemon"
-        except ERRORS:
-            return "broken"
+        except ERRORS as error:
+            return failure_name(error)
         finally:
             if stream is not None:
                 stream.close()
@@ -171,9 +177,11 @@
         body = json.dumps({"lookup": self.name_call()}).encode()
         headers = {**AUTHORIZATION, "Content-Type": "application/json"}
         path = "/v1/services/lookups"
-        answer = request(daemon.callers, "POST", path, body, headers, CALL_TIMEOUT_S)
-        if answer is None:
-            return "broken"
+        answer = try_request(
+            daemon.callers, "POST", path, body, headers, CALL_TIMEOUT_S
+        )
+        if not isinstance(answer, Answer):
+            return answer
         if answer.status != 200:
             return self.refusal(answer.status, answer.body)
         found = json.loads(answer.body)
@@ -207,13 +215,21 @@
         with self.record.lock:
             self.record.filings[request_digest(body)] = (key, answers)
         last = answers[-1]
-        if last is None:
-            return "broken"
+        if not isinstance(last, Answer):
+            return last
         if last.status == 200:
             return "ok"
         return self.refusal(last.status, last.body)
 
     def file(self, body, headers, answers):
-        address = self.rng.choice(self.daemons).callers
+        daemon = self.rng.choice(self.daemons)
         path = "/v1/services/filings"
-        answers.append(request(address, "POST", path, body, headers, CALL_TIMEOUT_S))
+        began = time.monotonic()
+        answer = try_request(
+            daemon.callers, "POST", path, body, headers, CALL_TIMEOUT_S
+        )
+        answers.append(answer)
+        if not isinstance(answer, Answer):
+            with self.record.lock:
+                span = (daemon.host, began, time.monotonic(), f"filings:{answer}")
+                self.record.spans.append(span)
--- a/tests/functional/soak/checks.py
+++ b/tests/functional/soak/checks.py
@@ -5,7 +5,7 @@
 import time
 
 from tests.functional.soak.processes import OPERATOR_TOKEN
-from tests.functional.soak.wire import request
+from tests.functional.soak.wire import Answer, request
 
 IN_FORCE_S = 5.0
 ORPHANED_S = 1.0
@@ -114,7 +114,8 @@
         count = runs.get(digest, 0)
         if count > 1:
             record.violate("at-most-once", f"{key} ran {count} times")
-        done = {row.body for row in answers if row is not None and row.status == 200}
+        whole = [row for row in answers if isinstance(row, Answer)]
+        done = {row.body for row in whole if row.status == 200}
         if len(done) > 1:
             record.violate("answered-once", f"{key} has {len(done)} answers")
         for body in done:
@@ -123,7 +124,7 @@
         if done and count == 0:
             record.violate("whole-own-answer", f"{key} was answered and never ran")
         last = answers[-1]
-        if last is None or last.status == 200:
+        if not isinstance(last, Answer) or last.status == 200:
             continue
         try:
             outcome = json.loads(last.body)["error"]["outcome"]
--- a/tests/functional/soak/wire.py
+++ b/tests/functional/soak/wire.py
@@ -15,13 +15,26 @@
 
 def request(address, method, path, body=None, headers=None, timeout_s=5.0):
     """Make one request on a new connection; None if there is no whole answer."""
+    answer = try_request(address, method, path, body, headers, timeout_s)
+    return answer if isinstance(answer, Answer) else None
+
+
+def failure_name(error):
+    """Return what a caller saw: nobody listens, no answer in time, or a break."""
+    if isinstance(error, ConnectionRefusedError):
+        return "no_daemon"
+    return "timeout" if isinstance(error, TimeoutError) else "broken"
+
+
+def try_request(address, method, path, body, headers, timeout_s):
+    """Make one request; return its answer or the name of the failure."""
     connection = http.client.HTTPConnection(address, timeout=timeout_s)
     try:
         connection.request(method, path, body, headers or {})
         answer = connection.getresponse()
         return Answer(answer.status, dict(answer.headers), answer.read())
-    except ERRORS:
-        return None
+    except ERRORS as error:
+        return failure_name(error)
     finally:
         connection.close()
 
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -1,9 +1,14 @@
-"""A short run of real daemons and stand-ins under random faults."""
+"""Short runs of real daemons and stand-ins over sockets, with faults."""
 
 import json
+import time
 
 import pytest
-from tests.functional.soak.__main__ import build_parser, run
+from tests.functional.soak import checks
+from tests.functional.soak.__main__ import build_parser, run, started
+from tests.functional.soak.callers import Record
+from tests.functional.soak.checks import CatalogueWatcher
+from tests.functional.soak.faults import FaultMaker
 
 
 @pytest.mark.timeout(300)
@@ -20,3 +25,25 @@
     assert answered > 50
     assert report["faults"]
     assert report["violations"] == []
+
+
+def test_change_is_in_force_though_log_connections_are_silent():
+    """Guards against a node that waits for long on a connection that is dead."""
+    options = build_parser().parse_args(["--daemons", "3"])
+    with started(options) as (_, standins, daemons):
+        record = Record()
+        faults = FaultMaker(1, standins, daemons, record)
+        watcher = CatalogueWatcher(daemons, faults, record)
+        # Lets every node open its long polls.
+        time.sleep(2.0)
+        standins.control(standins.log, "silence")
+        current = watcher.read(daemons[0])["lookups"]
+        fields = dict(checks.ENTRIES["lookups"], cost_per_call=3)
+        answer = checks.propose(daemons[0], "lookups", fields, current)
+        began = time.monotonic()
+        assert answer is not None and answer.status == 200
+        late = list(daemons)
+        while late and time.monotonic() - began < checks.IN_FORCE_S:
+            late = [row for row in late if watcher.read(row)["lookups"] <= current]
+            time.sleep(0.05)
+        assert [row.host for row in late] == []
