Signal daemons of the soak only once they are ready

A daemon is now left alone until it is ready, and a restart that takes over 5 s with the log up is a violation, as the target says.

--- a/tests/functional/soak/faults.py
+++ b/tests/functional/soak/faults.py
@@ -11,6 +11,8 @@
 
 # Callers give a call up after 20 s, so a daemon that stops has none for longer.
 PLANNED_STOP_S = 30.0
+# From nothing to ready, with the log up.
+READY_S = 5.0
 # Outputs that engines send late all through a run.
 REORDER_SHARE = 0.03
 
@@ -82,13 +84,16 @@
         """Start a daemon again and wait until it is ready."""
         entry = {"host": daemon.host, "address": daemon.peers, "kind": "entry"}
         daemon.start()
+        began = time.monotonic()
         self.standins.control(
             self.standins.hosts, "put_host", domain=daemon.domain, **entry
         )
-        log_was_up = time.monotonic() > self.log_disturbed_until
         ready_s = daemon.wait_ready()
-        if ready_s is not None and log_was_up:
+        if ready_s is not None and began > self.log_disturbed_until:
             self.ready_s.append(ready_s)
+            if ready_s > READY_S:
+                detail = f"{daemon.host} was ready {ready_s:.1f} s after its start"
+                self.record.violate("recovery", detail)
         elif ready_s is None and daemon.process.poll() is None:
             detail = f"{daemon.host} was not ready {START_TIMEOUT_S:.0f} s after start"
             self.record.violate("recovery", detail)
--- a/tests/functional/soak/processes.py
+++ b/tests/functional/soak/processes.py
@@ -162,7 +162,8 @@
                 env=environment,
             )
         self.starts += 1
-        self.state = "up"
+        # Signals wait until the process is ready and has its handlers.
+        self.state = "starting"
 
     def wait_ready(self, timeout_s=START_TIMEOUT_S):
         """Return the seconds until the node is ready, or None."""
@@ -171,6 +172,7 @@
             answer = request(self.callers, "GET", "/readyz", timeout_s=1.0)
             if answer is not None and answer.status == 200:
                 self.baseline = self.usage()
+                self.state = "up"
                 return time.monotonic() - began
             if self.process.poll() is not None:
                 return None
@@ -201,7 +203,7 @@
     def check_alive(self):
         """Record an exit that the run did not cause."""
         code = self.process.poll()
-        if code is not None and self.state in ("up", "stopped"):
+        if code is not None and self.state in ("starting", "up", "stopped"):
             self.state = "down"
             tail = self.error_path.read_text(errors="replace")[-400:]
             self.unexpected_exits.append(f"{self.host} exited with {code}: {tail}")
