Notice a silent log connection in time for a catalogue change

Change: the catalogue is polled for 2 s at a time, and after a failed read the next one uses a new connection.

--- a/src/poplarfold/_internal/core/systems/catalogue.py
+++ b/src/poplarfold/_internal/core/systems/catalogue.py
@@ -57,7 +57,10 @@
 __all__ = ["CatalogueFold", "next_wakeup", "on_event", "on_tick", "revision"]
 
 STREAM = "catalogue"
-READ_WAIT_S = 10.0
+# A connection that has gone silent is noticed when the wait and the client's
+# 2 s on top have passed. Both, and a read on a new connection, must fit into the
+# 5 s in which a change has to be in force.
+READ_WAIT_S = 2.0
 PROPOSAL_TIMEOUT_S = 10.0
 APPEND_RETRY_S = 0.3
 # The log usually delivers a change faster than this; only then is a peer
--- a/src/poplarfold/_internal/daemon/log_client.py
+++ b/src/poplarfold/_internal/daemon/log_client.py
@@ -44,6 +44,7 @@
         self.client = client
         self.address = address_of(url)
         self.append_timeout_s = append_timeout_s
+        self.read_failed = False
 
     def read(self, command: ReadLog) -> LogRead | LogReadFailed:
         """Read records; waits up to the command's time for new ones."""
@@ -56,7 +57,10 @@
             None,
             {},
             command.wait_s + READ_TIMEOUT_S,
+            # When one connection has gone silent, the kept ones may have too.
+            fresh=self.read_failed,
         )
+        self.read_failed = result.is_err()
         if result.is_err():
             return LogReadFailed(command.stream, command.start, False, 0)
         return parse_read(command, result.unwrap())
