Let only the holder of a claim say 'not run'; let cut-off domains find relays

Change: a call that ends before its claim is decided has an unknown outcome; a relay speaks to any listed host of a domain of which it knows no live one, and takes a domain's own word for its members.

--- a/src/poplarfold/_internal/core/systems/claims.py
+++ b/src/poplarfold/_internal/core/systems/claims.py
@@ -2,8 +2,8 @@
 
 The fold of the stream ``claims`` is the same on every node. A node runs a
 non-repeatable call only after it has read its own claim back as the first one.
-It says "not run" only for a call that it has ended and never sent, or when it
-has read the log to its end since the call arrived and found no claim.
+It says "not run" only for a call whose claim it holds, that it has ended and
+never sent.
 """
 
 import math
@@ -144,28 +144,15 @@
 def outcome_of_unclaimed(state: NodeState, call: CallRow) -> Outcome:
     """Return what is known of a call that ended before its claim was decided.
 
-    Another node may have claimed the key for an earlier request, so "not run"
-    needs a look at the log's end after the call arrived. The call itself is
-    never sent: its claim, if the log holds it, is released when it is read.
+    The call itself is never sent: its claim, if the log holds it, is released
+    when it is read. But another node may have claimed the key for an earlier
+    request, and may run it after this node's last look at the log, so only the
+    holder of the claim can say "not run".
     """
     part = state.part(Claims)
-    digest = digest_of(call.arrival)
-    row = part.rows.get(digest)
-    waiting = part.pending.get(digest)
-    if waiting is not None and waiting.call_id != call.arrival.call_id:
-        # Another call with this key may win its claim and run.
-        return Outcome.UNKNOWN
-    if row is not None:
-        return Outcome.DONE if row.state == "done" else Outcome.UNKNOWN
-    if is_fresh(part, call.arrived_at):
-        return Outcome.NOT_RUN
-    return Outcome.UNKNOWN
-
-
-def is_fresh(part: Claims, since: float) -> bool:
-    """Return whether the log was read to its end by a read begun since then."""
-    caught_up_at = part.reader.caught_up_at
-    return caught_up_at is not None and caught_up_at >= since
+    row = part.rows.get(digest_of(call.arrival))
+    is_done = row is not None and row.state == "done"
+    return Outcome.DONE if is_done else Outcome.UNKNOWN
 
 
 @singledispatch
--- a/src/poplarfold/_internal/core/systems/membership.py
+++ b/src/poplarfold/_internal/core/systems/membership.py
@@ -195,7 +195,12 @@
 
 def relays(state: NodeState, domain: str) -> list[str]:
     """Return the nodes of a domain that speak with other domains."""
-    return ranked(f"relay/{domain}", live_hosts(state, domain))[:RELAYS]
+    hosts = live_hosts(state, domain)
+    if not hosts and domain != state.settings.domain:
+        # Both sides may wait to hear from each other: one must speak first.
+        rows = state.part(Members).rows
+        hosts = tuple(h for h, row in rows.items() if row.domain == domain)
+    return ranked(f"relay/{domain}", hosts)[:RELAYS]
 
 
 def is_live(row: MemberRow) -> bool:
@@ -345,9 +350,11 @@
         part.started_at = now
         for host, address, domain in state.settings.peers:
             if host != state.me.host and host not in part.rows:
-                # Nothing shows yet that this node runs.
-                row = MemberRow(host, domain, address, state="silent")
-                part.rows.put(host, row)
+                # Nothing shows yet that this node runs. Those of other domains
+                # are not probed; their relays tell.
+                is_near = domain == state.settings.domain
+                word = "silent" if is_near else "alive"
+                part.rows.put(host, MemberRow(host, domain, address, state=word))
     if part.has_joined or part.listed_at is None or not state.catalogue_ready:
         return
     if now >= part.listed_at + JOIN_AFTER_LIST_S:
@@ -776,6 +783,17 @@
             send_ping(state, part, host, now)
 
 
+def adopt_state(part: Members, domain: str, update: Update) -> None:
+    """Take a domain's own word for the state of its members."""
+    host, incarnation, text, of_domain, _ = update
+    row = part.rows.get(host)
+    word = text.partition(".")[0]
+    if row is None or of_domain != domain or row.domain != domain:
+        return
+    if word in SEVERITY and row.incarnation == incarnation and row.state != "dead":
+        part.rows.put(host, row._replace(state=word))
+
+
 def take_summary(
     state: NodeState, part: Members, summary: DomainSummary, now: float
 ) -> None:
@@ -791,6 +809,7 @@
     part.summaries[summary.domain] = summary
     for update in summary.members:
         learn(state, part, update, now)
+        adopt_state(part, summary.domain, update)
     is_near = state.settings.region_of(summary.domain) == state.settings.region
     is_news = (
         old is None
