--- a/src/poplarfold/_internal/bench/fault_world.py
+++ b/src/poplarfold/_internal/bench/fault_world.py
@@ -144,7 +144,8 @@
             name = host.node.state.me.host
             sums = ((self.bytes_sent, sent), (self.bytes_received, received))
             for table, size in sums:
-                table[name] = table.get(name, 0) + size + FRAME_BYTES
+                if size > 0:
+                    table[name] = table.get(name, 0) + size + FRAME_BYTES
 
     def send_peer(self, command: commands.SendPeer, host: NodeHost) -> None:
         """Send a message through the codec of the peer link."""
