--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -29,6 +29,8 @@
 KEEP_ALIVE_S = 30
 HEADER_LIMIT_BYTES = 32_768
 BACKLOG = 1024
+# Idle connections are held in a selector and take no thread.
+IDLE_CONNECTION_LIMIT = 4096
 # The kernel holds a new connection back for so long until its first bytes come,
 # so that idle connections take no thread.
 DEFER_ACCEPT_S = 5
@@ -173,6 +175,16 @@
             self.close_connection = True
         super().respond()
 
+    def send_headers(self) -> None:
+        """Send the head of the answer, even if the body never came whole."""
+        remaining = getattr(self.rfile, "remaining", 0)
+        if remaining > 0 and not self.close_connection:
+            try:
+                self.rfile.read(remaining)
+            except OSError:
+                self.close_connection = True
+        super().send_headers()
+
 
 class CallerConnection(cheroot_server.HTTPConnection):
     """A connection with a deadline for each request."""
@@ -224,6 +236,7 @@
             shutdown_timeout=1,
         )
         self.gateway = CallerGateway
+        self.keep_alive_conn_limit = IDLE_CONNECTION_LIMIT
         self.max_request_body_size = body_limit_bytes
         self.max_request_header_size = HEADER_LIMIT_BYTES
         self.request_read_s = request_read_s
