Let a peer confirm a checkpoint that is as new as its own catalogue

Cause: a node whose log failed between the checkpoint and the tail got no answer from peers at the same offset and was never ready. Change: peers answer at equal offsets too, and an equal answer makes the catalogue known. Result: the new unit test fails before and passes after.

--- a/src/poplarfold/_internal/core/systems/catalogue.py
+++ b/src/poplarfold/_internal/core/systems/catalogue.py
@@ -388,7 +388,7 @@
     if isinstance(message, Ping | Ack | DomainSummary):
         note_peer_revision(state, fold, event.sender.host, message.revision, now)
     elif isinstance(message, CatalogueWanted):
-        if fold.known and fold.reader.next - 1 > message.above_revision:
+        if fold.known and fold.reader.next - 1 >= message.above_revision:
             reply = state_above(state, message.above_revision)
             state.emit(SendPeer(event.sender.host, reply))
     elif isinstance(message, CatalogueState):
@@ -423,7 +423,11 @@
     state: NodeState, fold: CatalogueFold, body: CatalogueBody, source: str
 ) -> None:
     """Take over a state that covers more of the log than this node's."""
-    if body.offset <= fold.reader.next or body.above > fold.reader.next - 1:
+    if body.offset < fold.reader.next or body.above > fold.reader.next - 1:
+        return
+    if body.offset == fold.reader.next:
+        # A peer confirms that this node's checkpoint is as new as its catalogue.
+        fold.known = fold.known or source != "checkpoint"
         return
     state.log("PF5007", None, source=source, offset=body.offset)
     if fold.reader.is_waiting:
--- a/tests/unit/test_catalogue.py
+++ b/tests/unit/test_catalogue.py
@@ -4,16 +4,26 @@
 
 import pytest
 
-from poplarfold._internal.core.catalogue_codec import Change, encode_change
+from poplarfold._internal.core.catalogue_codec import (
+    CatalogueBody,
+    Change,
+    encode_change,
+    encode_state,
+)
 from poplarfold._internal.core.commands import AnswerOperator, AppendLog
 from poplarfold._internal.core.entry_codec import decode_entry
 from poplarfold._internal.core.events import (
+    Checkpoint,
     CheckpointsRead,
     EntryProposed,
     LogAppendFailed,
     LogRead,
+    LogReadFailed,
     LogRecord,
+    PeerReceived,
 )
+from poplarfold._internal.core.messages import CatalogueState
+from poplarfold._internal.core.model import HostKey
 from poplarfold._internal.core.node import Node
 from poplarfold._internal.core.systems import calls, catalogue, membership
 from poplarfold._internal.settings import DomainSettings, NodeSettings
@@ -103,3 +113,18 @@
     """Guards against entries that are accepted with a field misread."""
     error = decode_entry(entry_json(**changes)).unwrap_err()
     assert str(error).startswith(f"{field}: ")
+
+
+def test_a_checkpoint_as_new_as_the_peers_catalogue_is_enough():
+    """Guards against a node that is never ready if the log fails while it starts."""
+    settings = NodeSettings("g1", "galway-a", (DomainSettings("galway-a", "west", 1),))
+    node = Node(settings, 1, 1, systems=(calls, membership, catalogue))
+    entry = decode_entry(entry_json()).unwrap()._replace(revision=4)
+    body = encode_state(CatalogueBody(7, -1, (entry,)))
+    node.step(0.0, [CheckpointsRead(Checkpoint(7, (body,)), None)])
+    node.step(0.1, [LogReadFailed("catalogue", 7, False, 0)])
+    assert not node.state.catalogue_ready
+    same = CatalogueState(7, encode_state(CatalogueBody(7, 6, ())))
+    node.step(0.2, [PeerReceived(HostKey("g2", 1), same)])
+    node.step(3.0, [])
+    assert node.state.catalogue_ready and node.state.entries["captions"].revision == 4
