Spread a member's refutation again when a peer missed it

Members of other domains were gossiped as well. Change: any suspicion makes a member spread its present number; gossip covers the own domain only.

--- a/src/poplarfold/_internal/core/systems/membership.py
+++ b/src/poplarfold/_internal/core/systems/membership.py
@@ -483,7 +483,11 @@
 
 
 def spread(state: NodeState, part: Members, host: str) -> None:
-    """Pass news about a host on with the next messages."""
+    """Pass news about a host of this domain on with the next messages."""
+    row = part.rows.get(host)
+    if row is not None and row.domain != state.settings.domain:
+        # Members of other domains come with the summaries of their relays.
+        return
     count = 2 + len(probe_candidates(state, part))
     part.updates[host] = SENDS_PER_LOG2 * math.ceil(math.log2(count))
 
@@ -643,9 +647,11 @@
         state.me = HostKey(state.me.host, incarnation + 1)
         refute(state, part)
     elif incarnation == state.me.incarnation:
-        if word in ("suspect", "silent", "dead") and number >= part.number:
-            part.number = number
-            refute(state, part)
+        if word in ("suspect", "silent", "dead"):
+            # An older number than the present one was refuted before, but the
+            # peer has not heard of it.
+            part.number = max(part.number, number + 1)
+            spread(state, part, state.me.host)
 
 
 def take_ack(
@@ -820,6 +826,11 @@
             send_ping(state, part, host, now)
 
 
+def members_of(summary: DomainSummary) -> set[tuple[str, int, str]]:
+    """Return the members with their states, as two relays would agree on them."""
+    return {(u[0], u[1], u[2].partition(".")[0]) for u in summary.members}
+
+
 def adopt_state(part: Members, domain: str, update: Update) -> None:
     """Take a domain's own word for the state of its members."""
     host, incarnation, text, of_domain, _ = update
@@ -857,7 +868,7 @@
     is_near = state.settings.region_of(summary.domain) == state.settings.region
     is_news = (
         old is None
-        or (summary.members and old.members != summary.members)
+        or (summary.members and members_of(old) != members_of(summary))
         or old.in_force != summary.in_force
     )
     hosts = probe_candidates(state, part)
