--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -7,6 +7,7 @@
     AbortAttempt,
     AppendLog,
     FinishCall,
+    SendPeer,
     StartAttempt,
 )
 from poplarfold._internal.core.events import (
@@ -255,3 +256,22 @@
     node = Node(settings, incarnation=1, seed=1, systems=SYSTEMS)
     node.step(0.0, [PeerConnectFailed("w", True)])
     assert membership.relays(node.state, "west") == ["w"]
+
+
+def test_a_stale_suspicion_is_refuted_again():
+    """Guards against suspicions that go round in a healthy domain.
+
+    Seen in bench control with 50 nodes, seed 1: a member ignored a suspicion with
+    an older number than its own, so that its peers never heard of the newer one.
+    """
+    node = make_node("a")
+    peer = HostKey("b", 1)
+    for probe, number in ((1, 7), (2, 3)):
+        for _ in range(40):
+            node.step(float(probe), [PeerReceived(peer, Ping(0, -1, ()))])
+        suspicion = (("a", 1, f"suspect.{number}", "lhr-a", ""),)
+        commands = node.step(
+            float(probe), [PeerReceived(peer, Ping(probe, -1, suspicion))]
+        )
+        (ack,) = [c.message for c in commands if isinstance(c, SendPeer)]
+        assert ("a", 1, "alive.8", "lhr-a", "") in ack.updates
--- a/tests/unit/test_recovery_from_log.py
+++ b/tests/unit/test_recovery_from_log.py
@@ -7,7 +7,7 @@
 from poplarfold._internal.core.claims_codec import Batch, Claim, Done, encode_batch
 from poplarfold._internal.core.events import WorkItem
 from poplarfold._internal.core.model import EndpointRole, HostKey, Identity
-from poplarfold._internal.core.systems import claims, membership
+from poplarfold._internal.core.systems import claims
 from poplarfold._internal.settings import DomainSettings, NodeSettings
 from poplarfold._internal.standins.engine_model import (
     EngineConfig,
@@ -140,26 +140,3 @@
     world.kill("b")
     world.run(world.now + 3.0)
     assert held() == set()
-
-
-def test_members_of_a_healthy_domain_are_not_suspected():
-    """Guards against suspicions that go round although each was refuted once.
-
-    Seen in bench control with 50 nodes, seed 1: a member ignored a suspicion with
-    an older number than its own, so that its peers never heard of the newer one.
-    """
-    world = FaultWorld(1, 1e6, 0.001)
-    world.regions = {"lhr-a": "lahore"}
-    names = [f"n{number}" for number in range(17)]
-    for name in names:
-        world.host_list.put(0.0, entry_host_row(name, "lhr-a"))
-    for name in names:
-        world.add_node(NodeSettings(name, "lhr-a", DOMAINS))
-    world.run(25.0)
-    states = set()
-    for _ in range(50):
-        world.run(world.now + 0.1)
-        for host in world.nodes.values():
-            rows = host.node.state.part(membership.Members).rows.values()
-            states |= {row.state for row in rows}
-    assert states == {"alive"}
