--- a/src/poplarfold/_internal/daemon/attempt.py
+++ b/src/poplarfold/_internal/daemon/attempt.py
@@ -20,7 +20,9 @@
 )
 from poplarfold._internal.daemon.metrics import IntervalRecorder
 from poplarfold._internal.daemon.stream_assembler import StreamAssembler
+from poplarfold._internal.daemon.stream_pump import PumpJob, Sink, StreamPump
 from poplarfold._internal.exceptions import (
+    CallerGoneError,
     EndpointError,
     EndpointRefusedError,
     EndpointStalledError,
@@ -58,6 +60,7 @@
     post: Callable[[NamedTuple], None]
     me: HostKey
     silence_s: float
+    pump: StreamPump
 
 
 class ModelRequest(NamedTuple):
@@ -95,10 +98,13 @@
     assembler: StreamAssembler,
     handle: AbortHandle,
     recorder: IntervalRecorder,
+    sink: Callable[[], Sink | None],
 ) -> Iterator[list[str]]:
-    """Run an attempt and yield the outputs as they come, in order.
+    """Run an attempt and yield outputs in order.
 
-    Posts PrefillDone, FirstOutput and, whatever happens, AttemptEnded.
+    The first outputs are always yielded; later ones go straight to the sink if
+    there is one, and are yielded in few large lists otherwise. Posts PrefillDone,
+    FirstOutput and, whatever happens, AttemptEnded.
     """
     ending: Ending | None = Ending(EndpointError("the attempt was aborted"), True, None)
     attempt = ModelAttempt(io, start, request, assembler, handle)
@@ -110,20 +116,20 @@
             ending = opened.unwrap_err()
             return
         while True:
-            read = attempt.read()
+            if first_at:
+                read = attempt.read_pumped(recorder, sink())
+            else:
+                read = attempt.read()
             if read.is_err():
                 ending = read.unwrap_err()
                 return
             outputs = read.unwrap()
+            last_at = recorder.last_at
+            if outputs and not first_at:
+                first_at = last_at = time.monotonic()
+                io.post(FirstOutput(start.attempt_id))
+                recorder.restart(first_at, len(outputs))
             if outputs:
-                now = time.monotonic()
-                if not first_at:
-                    first_at = now
-                    io.post(FirstOutput(start.attempt_id))
-                    recorder.restart(now, len(outputs))
-                else:
-                    recorder.add(now, len(outputs))
-                last_at = now
                 yield outputs
             if assembler.done:
                 ending = None
@@ -164,6 +170,7 @@
         self.prefill = start.placement.prefill or start.placement.decode
         self.stream: EndpointStream | None = None
         self.reattached = 0
+        self.late: Ending | None = None
         self.assembler.choose(start.attempt_id)
         self.common: dict[str, Any] = {
             "attempt": start.attempt_id,
@@ -201,6 +208,34 @@
             return Err(Ending(fed.unwrap_err(), True, self.decode.address))
         return Ok(fed.unwrap())
 
+    def read_pumped(
+        self, recorder: IntervalRecorder, sink: Sink | None
+    ) -> Result[list[str], Ending]:
+        """Lend the stream to the pump until something else than outputs comes.
+
+        Returns the outputs of a call without a sink. Raises CallerGoneError.
+        """
+        if self.late is not None:
+            return Err(self.late)
+        assert self.stream is not None
+        job = PumpJob(self.stream, self.assembler, recorder, sink, self.io.silence_s)
+        self.io.pump.lend(job)
+        if sink is not None and job.pending:
+            try:
+                sink.write(job.pending)
+            except OSError:
+                raise CallerGoneError("the caller does not read") from None
+        if job.caller_gone:
+            raise CallerGoneError("the caller has gone")
+        if job.error is not None and not self.assembler.done:
+            reattached = self._reattach(job.error)
+            if reattached.is_err() and job.texts:
+                # The next attempt resumes after these outputs.
+                self.late = reattached.unwrap_err()
+                return Ok(job.texts)
+            return reattached if reattached.is_err() else Ok(job.texts)
+        return Ok(job.texts)
+
     def close(self) -> None:
         """Close the stream's connection."""
         self.handle.attach(None)
--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -17,6 +17,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
 
+from poplarfold._internal.daemon.chunked import ChunkDecoder
 from poplarfold._internal.exceptions import (
     EndpointError,
     EndpointStalledError,
@@ -110,32 +111,76 @@
 
 
 class EndpointStream:
-    """The body of an answer, read as it arrives."""
+    """The body of an answer, read as it arrives.
+
+    The body is read from the socket itself, so that the stream pump can read it
+    without blocking. ``ended`` is true when the whole body has been read.
+    """
 
     def __init__(
-        self, connection: HTTPConnection, response: BaseHTTPResponse, address: str
+        self,
+        connection: HTTPConnection,
+        sock: socket.socket,
+        response: http.client.HTTPResponse,
+        address: str,
+        silence_s: float,
     ) -> None:
         self.connection = connection
+        self.sock = sock
         self.response = response
         self.address = address
+        self.silence_s = silence_s
         self.status = response.status
-        self.headers: Mapping[str, str] = response.headers
+        self.headers: Any = response.headers
+        self.decoder = ChunkDecoder() if response.chunked else None
+        self.left = response.length
+        self.ended = False
+        # What came in one packet with the head is in the response's buffer.
+        sock.settimeout(0)
+        self.early = response.fp.read1(READ_BYTES) or b""
 
     def read(self) -> Result[bytes, Failure]:
-        """Return the next bytes, or no bytes at the end of the answer.
-
-        Waits up to the silence limit that the stream was opened with.
+        """Wait for bytes and return them, or no bytes at the end of the answer."""
+        while not self.ended:
+            try:
+                self.sock.settimeout(self.silence_s)
+                data = self._take(self.early or self.sock.recv(READ_BYTES))
+            except (OSError, ValueError) as error:
+                return Err(failure_of(error, self.address, sent=True))
+            if data:
+                return Ok(data)
+        return Ok(b"")
+
+    def read_now(self) -> Result[bytes | None, Failure]:
+        """Return the bytes that have come; None if there are none yet.
+
+        The socket must not block. No bytes mean a part of a chunk or the end.
         """
         try:
-            data = self.response.read1(READ_BYTES, decode_content=False)
-        except NETWORK_ERRORS as error:
+            return Ok(self._take(self.early or self.sock.recv(READ_BYTES)))
+        except BlockingIOError:
+            return Ok(None)
+        except (OSError, ValueError) as error:
             return Err(failure_of(error, self.address, sent=True))
-        return Ok(data or b"")
 
     def close(self) -> None:
         """Close the connection; the endpoint notices that nobody reads."""
         self.response.close()
         self.connection.close()
+        self.sock.close()
+
+    def _take(self, data: bytes) -> bytes:
+        """Remove the framing from bytes of the socket."""
+        self.early = b""
+        if not data:
+            self.ended = True
+        elif self.decoder is not None:
+            data = self.decoder.feed(data)
+            self.ended = self.decoder.ended
+        elif self.left is not None:
+            self.left -= len(data)
+            self.ended = self.left <= 0
+        return data
 
 
 class EndpointClient:
@@ -183,11 +228,20 @@
     ) -> Result[EndpointStream, Failure]:
         """Make one request on a new connection and read its answer as it comes."""
         connection = self._new_connection(target.address)
-        opened = self._send(connection, target, body, headers, silence_s, handle)
-        if opened.is_err():
+        sent = self._send(connection, target, body, headers, silence_s, handle)
+        sock = connection.sock
+        if sent is not None or sock is None:
             connection.close()
-            return Err(opened.unwrap_err())
-        return Ok(EndpointStream(connection, opened.unwrap(), target.address))
+            closed = Failure(EndpointError(f"{target.address} closed"), sent=True)
+            return Err(sent or closed)
+        try:
+            # urllib3's own response hides the buffer that the stream takes over.
+            response = http.client.HTTPConnection.getresponse(connection)
+        except NETWORK_ERRORS as error:
+            connection.close()
+            return Err(failure_of(error, target.address, sent=True))
+        stream = EndpointStream(connection, sock, response, target.address, silence_s)
+        return Ok(stream)
 
     def take_idle(self, address: str) -> HTTPConnection | None:
         """Return a kept connection that is still open, if there is one."""
@@ -233,12 +287,12 @@
         timeout_s: float,
         handle: AbortHandle | None,
     ) -> Result[Answer, Failure]:
-        opened = self._send(connection, target, body, headers, timeout_s, handle)
-        if opened.is_err():
+        failure = self._send(connection, target, body, headers, timeout_s, handle)
+        if failure is not None:
             connection.close()
-            return Err(opened.unwrap_err())
-        response = opened.unwrap()
+            return Err(failure)
         try:
+            response = connection.getresponse()
             data = response.read(ANSWER_LIMIT_BYTES + 1, decode_content=False)
             if len(data) > ANSWER_LIMIT_BYTES:
                 connection.close()
@@ -265,8 +319,8 @@
         headers: Mapping[str, str],
         timeout_s: float,
         handle: AbortHandle | None,
-    ) -> Result[BaseHTTPResponse, Failure]:
-        """Send a request and read the head of the answer."""
+    ) -> Failure | None:
+        """Send a request, and return why that was not possible."""
         sent = False
         try:
             if connection.sock is None:
@@ -275,7 +329,7 @@
             if handle is not None:
                 handle.attach(sock)
                 if handle.aborted.is_set():
-                    return Err(Failure(EndpointError("the attempt was aborted"), False))
+                    return Failure(EndpointError("the attempt was aborted"), False)
             if sock is not None:
                 sock.settimeout(timeout_s)
             connection.timeout = timeout_s
@@ -289,9 +343,9 @@
                 decode_content=False,
                 enforce_content_length=True,
             )
-            return Ok(connection.getresponse())
         except NETWORK_ERRORS as error:
-            return Err(failure_of(error, target.address, sent))
+            return failure_of(error, target.address, sent)
+        return None
 
 
 def will_close(response: BaseHTTPResponse) -> bool:
--- a/src/poplarfold/_internal/daemon/frontend.py
+++ b/src/poplarfold/_internal/daemon/frontend.py
@@ -50,6 +50,7 @@
 from poplarfold._internal.daemon.runtime import Attempt, Runtime
 from poplarfold._internal.daemon.socket_watcher import SocketWatcher
 from poplarfold._internal.daemon.stream_assembler import StreamAssembler
+from poplarfold._internal.daemon.stream_pump import Sink, StreamPump
 from poplarfold._internal.exceptions import (
     AuthenticationError,
     CallInProgressError,
@@ -77,6 +78,7 @@
 
     runtime: Runtime
     watcher: SocketWatcher
+    pump: StreamPump
     accounts: Mapping[str, str]
     operators: Mapping[str, str]
     call_numbers: "itertools.count[int]"
@@ -154,6 +156,7 @@
         self.assembler = StreamAssembler()
         self.recorder = IntervalRecorder()
         self.finished = False
+        self.sink: Sink | None = None
 
     def __iter__(self) -> Iterator[list[str]]:
         """Yield lists of outputs that are due. Raises the call's error."""
@@ -163,6 +166,7 @@
             runtime.post,
             self.services.runtime.me,
             runtime.settings.timeouts.endpoint_silence_s,
+            self.services.pump,
         )
         while True:
             command = self.mailbox.get()
@@ -179,6 +183,8 @@
                     self.assembler,
                     command.handle,
                     self.recorder,
+                    # It is set when the head of the answer has been sent.
+                    lambda: self.sink,
                 )
 
     def close(self) -> None:
@@ -206,6 +212,7 @@
         self.watched = -1
         self.outputs: CallOutputs | None = None
         self.batches: Iterator[list[str]] = iter(())
+        self.before = self.after = b""
 
     def start(self) -> bytes | Iterator[bytes]:
         """Read the body, run the call up to its first output and answer."""
@@ -262,13 +269,19 @@
         first output ends with an event that carries the typed error.
         """
         code = "caller_gone"
-        before, after = self.event_frame()
-        encode = json.dumps
+        assert self.outputs is not None
+        connection = caller_connection()
+        self.before, self.after = self.event_frame()
+        self.outputs.sink = Sink(
+            connection.socket,
+            lambda texts: connection.frame(self.encode_outputs(texts)),
+            connection.wfile.write,
+        )
         try:
             batch = first
             while True:
                 if batch:
-                    yield before + encode("".join(batch)).encode() + after
+                    yield self.encode_outputs(batch)
                 following = next(self.batches, None)
                 if following is None:
                     break
@@ -295,6 +308,10 @@
 
     # The shapes of answers.
 
+    def encode_outputs(self, texts: list[str]) -> bytes:
+        """Return one event with all of the outputs."""
+        return self.before + json.dumps("".join(texts)).encode() + self.after
+
     def event_frame(self) -> tuple[bytes, bytes]:
         """Return what stands before and after the text in each event."""
         marker = "\0"
@@ -360,12 +377,18 @@
         }
 
 
+def caller_connection() -> CallerConnection:
+    """Return the connection of the request that this thread serves."""
+    environ = cherrypy.serving.request.wsgi_environ
+    connection: CallerConnection = environ[CONNECTION_KEY]
+    return connection
+
+
 def watch_caller(services: Services, call_id: str) -> int:
     """Post CallerGone as soon as the caller closes its socket."""
-    connection: CallerConnection = cherrypy.serving.request.wsgi_environ[CONNECTION_KEY]
     runtime = services.runtime
     return services.watcher.watch(
-        connection.socket, lambda: runtime.post(CallerGone(call_id))
+        caller_connection().socket, lambda: runtime.post(CallerGone(call_id))
     )
 
 
@@ -406,8 +429,9 @@
         io = AttemptIO(
             runtime.client,
             runtime.post,
-            services.runtime.me,
+            runtime.me,
             timeouts.endpoint_silence_s,
+            services.pump,
         )
         request = ServiceRequest(call_id, data, deadline)
         while True:
@@ -613,9 +637,11 @@
         settings = runtime.settings
         self.runtime = runtime
         self.watcher = SocketWatcher()
+        self.pump = StreamPump()
         services = Services(
             runtime,
             self.watcher,
+            self.pump,
             by_digest(settings.accounts),
             by_digest(settings.operators),
             itertools.count(1),
@@ -645,6 +671,7 @@
     def start(self) -> None:
         """Listen, and serve in threads of their own."""
         self.watcher.start()
+        self.pump.start()
         for server in (self.callers, self.operators):
             server.prepare()
             thread = threading.Thread(target=server.serve, name="listen", daemon=True)
@@ -653,6 +680,7 @@
 
     def stop(self) -> None:
         """Close the listeners and the connections that wait for a request."""
+        self.pump.stop()
         # Each listener takes up to half a second to notice that it has to stop.
         stoppers = [
             threading.Thread(target=server.stop)
--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -152,6 +152,10 @@
 
     header_reader = StrictHeaderReader()
 
+    def __init__(self, server: Any, conn: Any, *options: Any) -> None:
+        super().__init__(server, conn, *options)
+        conn.request = self
+
     def simple_response(self, status: str, msg: str = "") -> None:
         """Answer an error of the HTTP layer and close the connection."""
         code, _, reason = str(status).partition(" ")
@@ -195,6 +199,13 @@
 
     def __init__(self, server: Any, sock: socket.socket, makefile: Any) -> None:
         super().__init__(server, sock, make_file)
+        self.request: CallerRequest | None = None
+
+    def frame(self, data: bytes) -> bytes:
+        """Return a part of the present answer's body in its transfer coding."""
+        if self.request is not None and self.request.chunked_write:
+            return b"%x\r\n%b\r\n" % (len(data), data)
+        return data
 
     def communicate(self) -> bool:
         """Serve one request; its deadline starts with its first byte."""
--- a/tests/functional/test_http_calls.py
+++ b/tests/functional/test_http_calls.py
@@ -224,6 +224,9 @@
             answer = sock.recv(4096)
         except TimeoutError:
             sock.sendall(b"x")
+    sock.settimeout(5)
+    while part := sock.recv(4096):
+        answer += part
     assert b" 408 " in answer.split(b"\r\n")[0]
     assert b'"request_timeout"' in answer
 
