--- /dev/null
+++ b/tests/functional/test_daemon_process.py
@@ -0,0 +1,66 @@
+"""A daemon in a process of its own, and the signals that stop it."""
+
+import http.client
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+from tests.lib.http_calls import CREDENTIAL, completion
+
+from poplarfold._internal.bench.latency import SETTINGS, publish_entries
+from poplarfold._internal.bench.local_fleet import (
+    ACCOUNT_TOKEN,
+    GLASSCAIRN,
+    HOST,
+    OPERATOR_TOKEN,
+    LocalFleet,
+    free_port,
+    token_digest,
+)
+
+
+@pytest.mark.parametrize("signals", [1, 2])
+def test_term_finishes_streams_and_a_second_one_does_not(tmp_path, signals):
+    """Guards against a planned stop that cuts streams, and one that never ends."""
+    callers, operators = free_port(), free_port()
+    with LocalFleet(GLASSCAIRN) as fleet:
+        settings = tmp_path / "settings.toml"
+        settings.write_text(
+            SETTINGS.format(
+                domain="galway-a",
+                host=HOST,
+                callers=callers,
+                operators=operators,
+                peers=free_port(),
+                log=fleet.log.address,
+                host_list=fleet.host_list.address,
+                account=GLASSCAIRN.account,
+                account_digest=token_digest(ACCOUNT_TOKEN),
+                operator_digest=token_digest(OPERATOR_TOKEN),
+                log_path=tmp_path / "daemon.log",
+            )
+        )
+        module = "poplarfold._internal.daemon.main"
+        command = [sys.executable, "-m", module, "--settings", str(settings)]
+        process = subprocess.Popen(command)
+        try:
+            publish_entries(f"{HOST}:{callers}", f"{HOST}:{operators}")
+            connection = http.client.HTTPConnection(HOST, callers, timeout=20)
+            body = json.dumps(completion("to the end", 150, stream=True))
+            connection.request("POST", "/v1/completions", body, CREDENTIAL)
+            response = connection.getresponse()
+            assert response.read(10)
+            process.send_signal(signal.SIGTERM)
+            if signals == 1:
+                assert response.read().endswith(b"data: [DONE]\n\n")
+                assert process.wait(10) == 0
+            else:
+                with pytest.raises(subprocess.TimeoutExpired):
+                    process.wait(0.3)
+                process.send_signal(signal.SIGTERM)
+                assert process.wait(1) == 1
+        finally:
+            process.kill()
+            process.wait()
