--- a/src/poplarfold/_internal/core/systems/membership.py
+++ b/src/poplarfold/_internal/core/systems/membership.py
@@ -687,7 +687,7 @@
 @on_event.register
 def _(event: HostsListed, state: NodeState, now: float) -> None:
     part = state.part(Members)
-    if event.version < part.list_version:
+    if event.version < part.list_version or event == part.last_list:
         return
     part.list_version = event.version
     part.last_list = event
