--- a/tests/functional/soak/processes.py
+++ b/tests/functional/soak/processes.py
@@ -17,6 +17,13 @@
 ACCOUNT_TOKEN = "soak-account-token"
 OPERATOR_TOKEN = "soak-operator-token"
 START_TIMEOUT_S = 15.0
+# USR1 prints the stacks of all threads, which shows where a daemon hangs.
+START_DAEMON = """
+import faulthandler, signal, sys
+faulthandler.register(signal.SIGUSR1)
+from poplarfold._internal.daemon.main import main
+sys.exit(main(sys.argv[1:]))
+"""
 STOP_TIMEOUT_S = 15.0
 
 
@@ -148,15 +155,15 @@
             environment["PYTHONPATH"] = self.daemon_source
         with self.error_path.open("ab") as errors:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "poplarfold._internal.daemon.main"]
-                + ["--settings", str(self.path)],
+                [sys.executable, "-c", START_DAEMON, "--settings", str(self.path)],
                 stdin=subprocess.DEVNULL,
                 stdout=errors,
                 stderr=errors,
                 env=environment,
             )
         self.starts += 1
-        self.state = "up"
+        # Signals wait until the process is ready and has its handlers.
+        self.state = "starting"
 
     def wait_ready(self, timeout_s=START_TIMEOUT_S):
         """Return the seconds until the node is ready, or None."""
@@ -165,6 +172,7 @@
             answer = request(self.callers, "GET", "/readyz", timeout_s=1.0)
             if answer is not None and answer.status == 200:
                 self.baseline = self.usage()
+                self.state = "up"
                 return time.monotonic() - began
             if self.process.poll() is not None:
                 return None
@@ -195,7 +203,7 @@
     def check_alive(self):
         """Record an exit that the run did not cause."""
         code = self.process.poll()
-        if code is not None and self.state in ("up", "stopped"):
+        if code is not None and self.state in ("starting", "up", "stopped"):
             self.state = "down"
             tail = self.error_path.read_text(errors="replace")[-400:]
             self.unexpected_exits.append(f"{self.host} exited with {code}: {tail}")
