End attempts whose thread or program has failed

An attempt whose waiting thread had ended, or whose service call met an internal error, posted no end: the claim stayed held and a planned stop waited for it until its limit. Change: the runtime ends an attempt without a thread as unsent; run_service posts an end whatever happens, with the outcome left open after an internal error. Conclusion: every StartAttempt now leads to an AttemptEnded.

--- a/src/poplarfold/_internal/daemon/attempt.py
+++ b/src/poplarfold/_internal/daemon/attempt.py
@@ -368,7 +368,22 @@
 def run_service(
     io: AttemptIO, start: StartAttempt, request: ServiceRequest, handle: AbortHandle
 ) -> None:
-    """Make one plain service call and post AttemptEnded with its answer."""
+    """Make one plain service call and post AttemptEnded, whatever happens."""
+    ended: AttemptEnded | None = None
+    try:
+        ended = exchange_service(io, start, request, handle)
+    finally:
+        if ended is None:
+            # A fault of this program leaves open whether the call was sent.
+            error = EndpointError("the attempt ended with an internal error")
+            ended = AttemptEnded(start.attempt_id, error, True, 0)
+        io.post(ended)
+
+
+def exchange_service(
+    io: AttemptIO, start: StartAttempt, request: ServiceRequest, handle: AbortHandle
+) -> AttemptEnded:
+    """Make one plain service call and return how it ended."""
     endpoint = start.placement.decode
     once = start.operation_id is not None
     headers = {
@@ -397,26 +412,22 @@
     if result.is_err():
         failure = result.unwrap_err()
         blamed = None if handle.aborted.is_set() else endpoint.address
-        io.post(
-            AttemptEnded(start.attempt_id, failure.error, failure.sent, 0, 0.0, blamed)
+        return AttemptEnded(
+            start.attempt_id, failure.error, failure.sent, 0, 0.0, blamed
         )
-        return
     answer = result.unwrap()
     error = service_error(start, endpoint, answer)
     if error is not None:
         # An explicit refusal says that the endpoint did not run the call.
         sent = not isinstance(error, EndpointRefusedError | IdentityMismatchError)
-        io.post(AttemptEnded(start.attempt_id, error, sent, 0, 0.0, endpoint.address))
-        return
-    io.post(
-        AttemptEnded(
-            start.attempt_id,
-            None,
-            sent=True,
-            outputs=0,
-            answer_status=answer.status,
-            answer_body=answer.body,
-        )
+        return AttemptEnded(start.attempt_id, error, sent, 0, 0.0, endpoint.address)
+    return AttemptEnded(
+        start.attempt_id,
+        None,
+        sent=True,
+        outputs=0,
+        answer_status=answer.status,
+        answer_body=answer.body,
     )
 
 
--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -44,6 +44,7 @@
 from poplarfold._internal.daemon.log_client import LogClient
 from poplarfold._internal.daemon.metrics import DaemonMetrics
 from poplarfold._internal.exceptions import (
+    CallerGoneError,
     InvariantViolation,
     NodeNotReadyError,
     OutcomeUnknownError,
@@ -307,11 +308,16 @@
 
 @carry_out.register
 def _(command: StartAttempt, runtime: Runtime) -> None:
+    mailbox = runtime.mailboxes.get(command.call_id)
+    if mailbox is None:
+        # The call's thread has ended. Without an answer the core would wait for
+        # the attempt, and a planned stop for the core.
+        error = CallerGoneError("the thread of the call has ended")
+        runtime.post(AttemptEnded(command.attempt_id, error, False, 0))
+        return
     handle = AbortHandle()
     runtime.handles[command.attempt_id] = handle
-    mailbox = runtime.mailboxes.get(command.call_id)
-    if mailbox is not None:
-        mailbox.put(Attempt(command, handle))
+    mailbox.put(Attempt(command, handle))
 
 
 @carry_out.register
