--- a/src/poplarfold/_internal/cli/commands/__init__.py
+++ b/src/poplarfold/_internal/cli/commands/__init__.py
@@ -54,6 +54,7 @@
     CommandSpec("goodput", "bench_goodput", "measure goodput and wasted prefill"),
     CommandSpec("faults", "bench_faults", "count violations under random faults"),
     CommandSpec("control", "bench_control", "measure the cost of control per node"),
+    CommandSpec("memory", "bench_memory", "measure the cost of each row of state"),
     CommandSpec("report", "bench_report", "plot the results of goodput runs"),
 )
 
