--- /dev/null
+++ b/src/poplarfold/_internal/core/systems/model_plans.py
@@ -0,0 +1,259 @@
+"""Planning of model calls: a decode slot and a prefill that are ready together."""
+
+from typing import NamedTuple
+
+from poplarfold._internal.core.messages import PlaceWanted
+from poplarfold._internal.core.model import (
+    PIECE_TOKENS,
+    PREFIX_BLOCK_TOKENS,
+    CallClass,
+    EntryKind,
+    Identity,
+)
+from poplarfold._internal.core.state import NodeState
+from poplarfold._internal.core.systems.cell_answers import grant, refuse
+from poplarfold._internal.core.systems.cell_pools import (
+    Candidate,
+    Pool,
+    is_allowed,
+    pool_for,
+)
+from poplarfold._internal.core.systems.cell_state import (
+    OUTPUT_INTERVAL_S,
+    AdmissionState,
+    LeaseRow,
+    WaitRow,
+)
+from poplarfold._internal.exceptions import (
+    NoEndpointError,
+    OverloadedError,
+    PromptTooLargeError,
+)
+
+__all__ = [
+    "order_of",
+    "patient_wait_s",
+    "plan_model",
+]
+
+# From the end of a prefill to the first output: KV transfer and one step.
+HANDOVER_BASE_S = 0.035
+HANDOVER_PER_TOKEN_S = 1 / 400_000
+# The way between the node, the engine and the caller.
+NETWORK_S = 0.012
+# A prefill is sent this long before its engine is predicted to be free, so
+# that the engine does not idle during the way of the messages.
+PREFILL_LEAD_S = 0.025
+# Above this number of waiting calls their order by deadline is kept, as the
+# search for the calls to give up grows with the square of the number.
+REORDERED_MAX = 24
+
+
+class Forecast(NamedTuple):
+    """What a model call would get. ``decode`` is None if no slot is free now."""
+
+    decode: Candidate | None
+    prefill: Candidate
+    pieces: int
+    tokens: int
+    slot_at: float
+    start_at: float
+    done_at: float
+    first_at: float
+    options: list[tuple[float, float, int, Candidate]]
+
+    def reserve(self, pool: Pool) -> None:
+        """Book the forecast in a plan."""
+        pool.free_at[self.prefill.ref] = self.done_at
+        if self.decode is not None:
+            pool.slots[self.decode.ref] -= 1
+            pool.pieces[self.decode.ref] -= self.pieces
+        elif pool.releases:
+            pool.releases.pop(0)
+
+
+def pieces_of(request: PlaceWanted) -> int:
+    """Return the engine memory that a call needs while it decodes."""
+    return -(-(request.prompt_tokens + request.max_outputs) // PIECE_TOKENS)
+
+
+def forecast(
+    part: AdmissionState,
+    now: float,
+    request: PlaceWanted,
+    pool: Pool,
+    prefills: list[Candidate],
+    decodes: list[Candidate],
+) -> Forecast:
+    """Return the pair of engines with the earliest end of the prefill."""
+    pieces = pieces_of(request)
+    fitting = [
+        c for c in decodes if pool.slots[c.ref] > 0 and pool.pieces[c.ref] >= pieces
+    ]
+    decode = max(
+        fitting, key=lambda c: (pool.slots[c.ref], pool.pieces[c.ref]), default=None
+    )
+    slot_at = now
+    if decode is None:
+        slot_at = pool.releases[0] if pool.releases else now + 0.05
+    options = []
+    for candidate in prefills:
+        load = part.prefill_loads[candidate.ref]
+        blocks = load.index.cached_blocks(request.prefixes, now)
+        tokens = max(1, request.prompt_tokens - blocks * PREFIX_BLOCK_TOKENS)
+        start_at = max(pool.free_at[candidate.ref], slot_at)
+        done_at = start_at + load.cost.predict(tokens)
+        options.append((done_at, start_at, tokens, candidate))
+    done_at, start_at, tokens, prefill = min(options, key=lambda o: o[:3])
+    handover_s = HANDOVER_BASE_S + request.prompt_tokens * HANDOVER_PER_TOKEN_S
+    return Forecast(
+        decode,
+        prefill,
+        pieces,
+        tokens,
+        slot_at,
+        start_at,
+        done_at,
+        done_at + handover_s + NETWORK_S,
+        options,
+    )
+
+
+def order_of(
+    part: AdmissionState,
+    now: float,
+    keys: list[tuple[str, str]],
+    pools: dict[Identity, Pool],
+) -> list[tuple[str, str]]:
+    """Order calls by deadline, with those to give up for the others last.
+
+    Moore and Hodgson's rule: when a call would be late, the one among those
+    before it that holds its slot longest is put last, since most others can
+    be answered instead of it.
+    """
+    if len(keys) > REORDERED_MAX:
+        return keys
+    kept: list[tuple[str, str]] = []
+    last: list[tuple[str, str]] = []
+    for key in keys:
+        kept.append(key)
+        while kept and not all_in_time(part, now, kept, pools):
+            victim = max(kept, key=lambda k: part.waiting[k].request.max_outputs)
+            kept.remove(victim)
+            last.append(victim)
+    return kept + last
+
+
+def all_in_time(
+    part: AdmissionState,
+    now: float,
+    keys: list[tuple[str, str]],
+    pools: dict[Identity, Pool],
+) -> bool:
+    """Return whether calls planned in this order all meet their targets."""
+    copies: dict[Identity, Pool] = {}
+    for key in keys:
+        row = part.waiting[key]
+        if row.entry.kind is EntryKind.SERVICE:
+            continue
+        identity = row.entry.identity
+        pool = copies.get(identity)
+        if pool is None:
+            pool = copies[identity] = pools[identity].copy()
+        decodes = [c for c in pool.decodes if is_allowed(row.request, c.ref)]
+        prefills = [c for c in pool.prefills if is_allowed(row.request, c.ref)]
+        if not decodes or not prefills:
+            continue
+        plan = forecast(part, now, row.request, pool, prefills, decodes)
+        if plan.first_at > row.first_by:
+            return False
+        plan.reserve(pool)
+    return True
+
+
+def plan_model(
+    state: NodeState, now: float, key: tuple[str, str], row: WaitRow, pool: Pool
+) -> float | None:
+    """Grant a slot and a prefill that will be ready together, or refuse.
+
+    Returns when to look again if the call waits. The plan reserves what the
+    call will probably get, so that calls behind it see the later times.
+    """
+    part = state.part(AdmissionState)
+    request = row.request
+    decodes = [c for c in pool.decodes if is_allowed(request, c.ref)]
+    prefills = [c for c in pool.prefills if is_allowed(request, c.ref)]
+    if not decodes or not prefills:
+        refuse(state, now, key, NoEndpointError.code, "no usable endpoint pair")
+        return None
+    pieces = pieces_of(request)
+    if all(pieces > c.report.pieces_total for c in decodes):
+        refuse(state, now, key, PromptTooLargeError.code, f"{pieces} pieces")
+        return None
+    plan = forecast(part, now, request, pool, prefills, decodes)
+    decode, prefill, start_at, first_at = (
+        plan.decode,
+        plan.prefill,
+        plan.start_at,
+        plan.first_at,
+    )
+    if first_at > row.first_by or first_at > row.deadline:
+        late_s = first_at - min(row.first_by, row.deadline)
+        detail = f"the first output would be {late_s:.3f} s late"
+        if request.may_wait or all(option[1] <= now for option in plan.options):
+            refuse(state, now, key, OverloadedError.code, detail, start_at - now)
+        else:
+            refuse(state, now, key, "busy", detail, start_at - now)
+        return None
+    if decode is None or start_at > now + PREFILL_LEAD_S:
+        if not request.may_wait:
+            refuse(state, now, key, "busy", "engines are in use", start_at - now)
+            return None
+        plan.reserve(pool)
+        return start_at - PREFILL_LEAD_S if decode is not None else plan.slot_at
+    plan.reserve(pool)
+    interval_s = part.decode_loads[decode.ref].interval.value
+    lease = LeaseRow(
+        call_id=request.call_id,
+        ask=request.ask,
+        holder=row.holder,
+        cell=row.cell,
+        prefill=prefill.ref,
+        decode=decode.ref,
+        pieces=pieces,
+        prefill_tokens=plan.tokens,
+        start_at=max(now, start_at - PREFILL_LEAD_S / 2),
+        slot_until=first_at + request.max_outputs * interval_s,
+        deadline=row.deadline,
+        call_class=row.entry.call_class,
+    )
+    considered = list(pool.skipped)
+    considered.extend(
+        (c.ref.address, f"done in {at - now:.3f} s") for at, _, _, c in plan.options
+    )
+    considered.extend(
+        (c.ref.address, f"{pool.slots[c.ref]} slots left") for c in decodes
+    )
+    lease_id = grant(state, now, key, lease, False, considered)
+    load = part.prefill_loads[prefill.ref]
+    load.pending[lease_id] = (lease.start_at, plan.done_at - start_at)
+    load.index.expect(now, request.prefixes)
+    if row.entry.call_class is CallClass.PATIENT:
+        cost = plan.done_at - start_at + request.max_outputs * interval_s / 20
+        part.fair[row.cell].charge(request.account, cost)
+    return None
+
+
+def patient_wait_s(state: NodeState, now: float, row: WaitRow) -> float:
+    """Return the predicted wait of one more patient call in a cell."""
+    part = state.part(AdmissionState)
+    pool = pool_for(state, now, row.cell, row.entry.identity)
+    if not pool.prefills or not pool.decodes:
+        return 3600.0
+    slots = sum(candidate.report.slots for candidate in pool.decodes)
+    tokens, outputs = part.backlog.get((row.cell, row.entry.identity), (0, 0))
+    cost = part.prefill_loads[pool.prefills[0].ref].cost
+    prefill_s = tokens * cost.per_token_s
+    free_at = min(pool.free_at.values()) - now
+    slot_s = prefill_s + outputs * OUTPUT_INTERVAL_S
+    return max(free_at + prefill_s / len(pool.prefills), slot_s / slots)
