Split the membership system into modules of one job each

Cause: membership.py held the members' tables, the merging of updates, the probes, the summaries between domains and the handlers in 886 lines. Conclusion: no change of behaviour.

--- /dev/null
+++ b/src/poplarfold/_internal/core/systems/member_state.py
@@ -0,0 +1,198 @@
+"""What a node knows of the others: members, probes, updates and summaries."""
+
+import math
+from typing import NamedTuple
+
+from poplarfold._internal.core.events import HostsListed
+from poplarfold._internal.core.messages import DomainSummary
+from poplarfold._internal.core.model import HostKey
+from poplarfold._internal.core.state import NodeState, Table
+from poplarfold._internal.utils.rendezvous import ranked
+
+__all__ = [
+    "JOINING",
+    "RELAYS",
+    "SEVERITY",
+    "DomainStatus",
+    "MemberRow",
+    "Members",
+    "Probe",
+    "Update",
+    "all_domain_members_heard",
+    "all_live_hosts",
+    "domain_status",
+    "is_dead",
+    "is_live",
+    "live_hosts",
+    "lowest_revision",
+    "relays",
+]
+
+RELAYS = 2
+# Without a summary for this long, a domain counts as out of reach.
+DOMAIN_SILENT_S = 10.0
+JOINING = "joining"
+SEVERITY = {"alive": 0, "suspect": 1, "silent": 2, "leaving": 3, "dead": 4}
+
+
+Update = tuple[str, int, str, str, str]
+
+
+class MemberRow(NamedTuple):
+    """One other node. ``incarnation`` is -1 until the node was heard of.
+
+    ``number`` orders what is said about one incarnation: the member raises it
+    to refute a suspicion. The incarnation itself names the process and its
+    work, so it must not change while the process lives.
+    """
+
+    host: str
+    domain: str
+    address: str
+    incarnation: int = -1
+    state: str = "alive"
+    number: int = 0
+    is_listed: bool = False
+    heard_at: float | None = None
+    suspect_at: float = 0.0
+    revision: int = -1
+    told_at: float = -math.inf
+
+
+class Probe(NamedTuple):
+    """A probe without an answer so far; ``asker`` if it is for another node."""
+
+    target: str
+    sent_at: float
+    is_indirect: bool = False
+    asker: str | None = None
+    asker_probe: int = 0
+
+
+class DomainStatus(NamedTuple):
+    """What this node knows of a failure domain.
+
+    ``in_force`` is the lowest revision of its live nodes, -1 if unknown.
+    """
+
+    domain: str
+    is_reachable: bool
+    in_force: int
+    live_hosts: tuple[str, ...]
+    heard_s_ago: float | None
+
+
+class Members:
+    """The other nodes by host, and what is being said about them.
+
+    ``capacity`` holds the rows that placement wants in this domain's summary,
+    ``summaries`` the newest summary of each other domain.
+    """
+
+    def __init__(self) -> None:
+        self.rows: Table[str, MemberRow] = Table()
+        self.gone: dict[str, int] = {}
+        self.number = 0
+        self.probe_id = 0
+        self.probes: Table[int, Probe] = Table()
+        self.round: list[str] = []
+        self.probe_at: float | None = None
+        self.greeted = False
+        self.last_tick: float | None = None
+        self.updates: dict[str, int] = {}
+        self.listed_at: float | None = None
+        self.list_version = -1
+        self.list_settled = False
+        self.owns_until = math.inf
+        self.is_owning = False
+        self.has_joined = False
+        self.started_at: float | None = None
+        self.last_list: HostsListed | None = None
+        self.ask_list_at = 0.0
+        self.live: tuple[str, ...] | None = None
+        self.capacity: tuple[tuple[str, str, str, int, int], ...] = ()
+        self.summaries: dict[str, DomainSummary] = {}
+        self.summary_times: dict[str, float] = {}
+        self.summary_versions: dict[tuple[str, str], int] = {}
+        self.summary_due: dict[str, float] = {}
+        self.summary_count = 0
+        self.summary_turns: dict[str, int] = {}
+        self.members_told: dict[str, tuple[object, float, int]] = {}
+        self.announced_revision = -1
+
+
+def live_hosts(state: NodeState, domain: str) -> tuple[str, ...]:
+    """Return the live hosts of a failure domain, sorted, this one included."""
+    part = state.part(Members)
+    hosts = {h for h, r in part.rows.items() if r.domain == domain and is_live(r)}
+    if domain == state.settings.domain and part.is_owning:
+        hosts.add(state.me.host)
+    return tuple(sorted(hosts))
+
+
+def all_live_hosts(state: NodeState) -> tuple[str, ...]:
+    """Return the live hosts of all failure domains, this one included."""
+    rows = state.part(Members).rows
+    hosts = {h for h, r in rows.items() if is_live(r)}
+    return tuple(sorted(hosts | {state.me.host}))
+
+
+def all_domain_members_heard(state: NodeState) -> bool:
+    """Return whether every live node of this domain has told its state."""
+    rows = state.part(Members).rows.values()
+    here = [r for r in rows if r.domain == state.settings.domain and is_live(r)]
+    return all(row.heard_at is not None for row in here)
+
+
+def relays(state: NodeState, domain: str) -> list[str]:
+    """Return the nodes of a domain that speak with other domains."""
+    hosts = live_hosts(state, domain)
+    if not hosts and domain != state.settings.domain:
+        # Both sides may wait to hear from each other: one must speak first.
+        rows = state.part(Members).rows
+        hosts = tuple(h for h, row in rows.items() if row.domain == domain)
+    return ranked(f"relay/{domain}", hosts)[:RELAYS]
+
+
+def is_live(row: MemberRow) -> bool:
+    return row.state in ("alive", "suspect")
+
+
+def is_dead(state: NodeState, member: HostKey) -> bool:
+    """Return whether there is proof that a process has ended."""
+    part = state.part(Members)
+    if member.host == state.me.host:
+        return member.incarnation < state.me.incarnation
+    row = part.rows.get(member.host)
+    if row is not None:
+        is_same = row.incarnation == member.incarnation
+        return row.incarnation > member.incarnation or (is_same and row.state == "dead")
+    if member.host in part.gone:
+        return member.incarnation <= part.gone[member.host]
+    return part.list_settled
+
+
+def domain_status(state: NodeState, now: float) -> list[DomainStatus]:
+    """Return the state of all failure domains, for ``publish --wait``."""
+    part = state.part(Members)
+    found = []
+    for domain in state.settings.domains:
+        hosts = live_hosts(state, domain.name)
+        if domain.name == state.settings.domain:
+            in_force = lowest_revision(state)
+            found.append(DomainStatus(domain.name, True, in_force, hosts, 0.0))
+            continue
+        summary = part.summaries.get(domain.name)
+        heard = part.summary_times.get(domain.name)
+        age = None if heard is None else now - heard
+        reachable = age is not None and age < DOMAIN_SILENT_S
+        in_force = summary.in_force if summary else -1
+        found.append(DomainStatus(domain.name, reachable, in_force, hosts, age))
+    return found
+
+
+def lowest_revision(state: NodeState) -> int:
+    """Return the lowest revision in force on the live nodes of this domain."""
+    rows = state.part(Members).rows.values()
+    here = [r for r in rows if r.domain == state.settings.domain and is_live(r)]
+    return min([row.revision for row in here] + [state.catalogue_revision])
