Split the engine stand-in's rows, events and prefix cache off its model

The doctest of the module imports HostKey itself, which the module no longer needs. Conclusion: no change of behaviour.

--- /dev/null
+++ b/src/poplarfold/_internal/standins/engine_cache.py
@@ -0,0 +1,88 @@
+"""The prefix cache of a model engine, and the events that tell of it."""
+
+from collections import OrderedDict, deque
+from zlib import crc32
+
+from poplarfold._internal.core.events import CacheChange
+from poplarfold._internal.standins.engine_rows import EngineConfig, PrefillJob
+
+__all__ = ["PrefixCache"]
+
+CACHE_EVENTS_KEPT = 4096
+
+
+class PrefixCache:
+    """Cached prefixes, least recently used first, and the newest cache events.
+
+    ``seq`` is the number of the newest event. Events become visible after the
+    configured lag, and a configured share of them is lost.
+    """
+
+    def __init__(self, config: EngineConfig) -> None:
+        self.config = config
+        self.prefixes: OrderedDict[str, None] = OrderedDict()
+        self.seq = 0
+        self.events: deque[tuple[float, CacheChange]] = deque(maxlen=CACHE_EVENTS_KEPT)
+
+    def __len__(self) -> int:
+        return len(self.prefixes)
+
+    def cached_tokens(self, job: PrefillJob) -> int:
+        """Return how many tokens of the prompt need no work."""
+        hits = 0
+        for prefix in job.prefixes:
+            if prefix not in self.prefixes:
+                break
+            hits += 1
+        return min(hits * self.config.block_tokens, job.tokens - 1)
+
+    def touch(self, prefixes: tuple[str, ...]) -> None:
+        """Mark cached prefixes as used, the shortest as the most recent."""
+        for prefix in reversed(prefixes):
+            if prefix in self.prefixes:
+                self.prefixes.move_to_end(prefix)
+
+    def store(self, now: float, prefixes: tuple[str, ...]) -> None:
+        """Cache the prefixes of a prompt and evict the least recently used."""
+        kept = prefixes[: self.config.cache_blocks]
+        for prefix in reversed(kept):
+            if prefix in self.prefixes:
+                self.prefixes.move_to_end(prefix)
+            else:
+                self.prefixes[prefix] = None
+                self.publish(now, True, prefix)
+        while len(self.prefixes) > self.config.cache_blocks:
+            self.evict(now, next(iter(self.prefixes)))
+
+    def evict(self, now: float, prefix: str) -> None:
+        """Drop a prefix from the cache."""
+        del self.prefixes[prefix]
+        self.publish(now, False, prefix)
+
+    def clear(self, now: float) -> None:
+        """Drop all prefixes, with an event for each."""
+        for prefix in list(self.prefixes):
+            self.evict(now, prefix)
+
+    def publish(self, now: float, stored: bool, prefix: str) -> None:
+        """Record a cache event; a fixed share of the numbers is lost."""
+        self.seq += 1
+        if self.config.cache_gap_share > 0:
+            draw = crc32(b"%d" % self.seq) / 2**32
+            if draw < self.config.cache_gap_share:
+                return
+        self.events.append((now, CacheChange(self.seq, stored, prefix)))
+
+    def changes(self, now: float, after: int) -> tuple[tuple[CacheChange, ...], int]:
+        """Return the visible cache events after a number, and the oldest kept."""
+        visible_until = now - self.config.cache_lag_s
+        oldest = self.seq + 1
+        if self.events:
+            oldest = self.events[0][1].seq
+        changes = []
+        for at, change in reversed(self.events):
+            if change.seq <= after:
+                break
+            if at <= visible_until:
+                changes.append(change)
+        return tuple(reversed(changes)), oldest
--- a/src/poplarfold/_internal/standins/engine_model.py
+++ b/src/poplarfold/_internal/standins/engine_model.py
@@ -6,6 +6,7 @@
 decode stream costs three events whatever the number of its outputs, since steps
 between two changes of the batch have equal length.
 
+    >>> from poplarfold._internal.core.model import HostKey
     >>> identity = Identity("association", "abstractor", "v1")
     >>> engine = EngineModel(EngineConfig("e1", identity, EndpointRole.DECODE))
     >>> engine.reserve(0.0, Work("a1", HostKey("h", 1), identity), pieces=4)
@@ -18,11 +19,31 @@
 import heapq
 from collections import Counter, OrderedDict, deque
 from math import floor
-from typing import NamedTuple
-from zlib import crc32
 
 from poplarfold._internal.core.events import CacheChange, EndpointReported, WorkItem
-from poplarfold._internal.core.model import EndpointRole, HostKey, Identity
+from poplarfold._internal.core.model import EndpointRole, Identity
+from poplarfold._internal.standins.engine_cache import PrefixCache
+from poplarfold._internal.standins.engine_events import (
+    DecodeFailed,
+    DecodeFinished,
+    EngineEvent,
+    FirstOutputMade,
+    KvImported,
+    LeaseExpired,
+    MemoryFreed,
+    PrefillFinished,
+    PrefillWasted,
+)
+from poplarfold._internal.standins.engine_rows import (
+    EngineConfig,
+    FinishedStream,
+    HeldResult,
+    KvExport,
+    PrefillJob,
+    Stream,
+    Work,
+    pieces_for,
+)
 
 __all__ = [
     "DecodeFailed",
@@ -41,233 +62,13 @@
     "pieces_for",
 ]
 
-PIECE_TOKENS = 128
-PREFIX_BLOCK_TOKENS = 256
 REPORT_PERIOD_S = 0.1
 TOMBSTONE_S = 300.0
 FINISHED_KEPT = 1024
 HOLDS_KEPT = 4096
-CACHE_EVENTS_KEPT = 4096
 LEAVING_GRACE_S = 3.0
 
 
-class EngineConfig(NamedTuple):
-    """The sizes and habits of one engine. Rates are per second.
-
-    With the default step times a full batch of 20 takes 28 ms a step, and a
-    prefill of 4,000 tokens costs as much engine time as 75 outputs. An engine
-    that ``fences`` refuses orders with a lower fencing number than it has seen.
-    An engine that does not check identities serves what it has loaded to anybody.
-    """
-
-    address: str
-    identity: Identity
-    role: EndpointRole
-    incarnation: int = 1
-    slots: int = 20
-    pieces_total: int = 2000
-    piece_tokens: int = PIECE_TOKENS
-    prefill_tokens_per_s: float = 40_000.0
-    prefill_overhead_s: float = 0.005
-    prefill_batch_tokens: int = 8192
-    prefill_batch_size: int = 8
-    kv_lifetime_s: float = 0.8
-    step_base_s: float = 0.012
-    step_per_request_s: float = 0.0008
-    import_tokens_per_s: float = 400_000.0
-    import_base_s: float = 0.002
-    lease_s: float = 3.0
-    cache_blocks: int = 2000
-    block_tokens: int = PREFIX_BLOCK_TOKENS
-    report_lag_s: float = 0.2
-    cache_lag_s: float = 0.5
-    cache_gap_share: float = 0.0
-    load_s: float = 2.0
-    fences: bool = True
-    checks_identity: bool = True
-
-
-class Work(NamedTuple):
-    """Who asks for what: the attempt, its node and the pinned identity.
-
-    Work with a lower ``priority`` number is prefilled first.
-    """
-
-    attempt: str
-    owner: HostKey
-    identity: Identity
-    priority: int = 0
-
-
-class KvExport(NamedTuple):
-    """A prefill result that a decode engine may import until ``expires_at``."""
-
-    source: str
-    handle: str
-    tokens: int
-    key: str
-    expires_at: float
-
-
-class PrefillFinished(NamedTuple):
-    """A prefill is done; its KV is kept until ``export.expires_at``."""
-
-    at: float
-    attempt: str
-    export: KvExport
-    cached_tokens: int
-    queued_s: float
-
-
-class PrefillWasted(NamedTuple):
-    """Prefill work whose result was never imported. Cached tokens don't count."""
-
-    at: float
-    attempt: str
-    tokens: int
-    reason: str
-
-
-class KvImported(NamedTuple):
-    """A transfer has ended; the source may free the result."""
-
-    at: float
-    attempt: str
-    source: str
-    handle: str
-
-
-class FirstOutputMade(NamedTuple):
-    """A stream made its first output."""
-
-    at: float
-    attempt: str
-
-
-class DecodeFinished(NamedTuple):
-    """A stream made its last output. ``outputs`` counts those of this engine."""
-
-    at: float
-    attempt: str
-    outputs: int
-    first_at: float
-    mean_interval_s: float
-
-
-class DecodeFailed(NamedTuple):
-    """A decode ended with an error of the protocol."""
-
-    at: float
-    attempt: str
-    code: str
-
-
-class LeaseExpired(NamedTuple):
-    """A reserved slot was not used in time."""
-
-    at: float
-    attempt: str
-
-
-class MemoryFreed(NamedTuple):
-    """An attempt holds no memory on this engine any more."""
-
-    at: float
-    attempt: str
-    pieces: int
-    held_s: float
-
-
-EngineEvent = (
-    PrefillFinished
-    | PrefillWasted
-    | KvImported
-    | FirstOutputMade
-    | DecodeFinished
-    | DecodeFailed
-    | LeaseExpired
-    | MemoryFreed
-)
-
-
-def pieces_for(tokens: int, piece_tokens: int = PIECE_TOKENS) -> int:
-    """Return how many pieces of memory so many tokens take."""
-    return max(1, -(-tokens // piece_tokens))
-
-
-class PrefillJob:
-    """A queued or running prefill."""
-
-    __slots__ = (
-        "arrived_at",
-        "cached",
-        "key",
-        "pieces",
-        "prefixes",
-        "started_at",
-        "state",
-        "tokens",
-        "work",
-    )
-
-    def __init__(
-        self, work: Work, tokens: int, key: str, prefixes: tuple[str, ...], now: float
-    ) -> None:
-        self.work = work
-        self.tokens = tokens
-        self.key = key
-        self.prefixes = prefixes
-        self.arrived_at = now
-        self.started_at = 0.0
-        self.cached = 0
-        self.pieces = 0
-        self.state = "queued"
-
-
-class HeldResult(NamedTuple):
-    """A prefill result in memory."""
-
-    job: PrefillJob
-    export: KvExport
-
-
-class Stream:
-    """A reserved slot or a decode."""
-
-    __slots__ = (
-        "first_at",
-        "held_since",
-        "join_step",
-        "key",
-        "lease_until",
-        "pieces",
-        "resume_from",
-        "state",
-        "total",
-        "work",
-    )
-
-    def __init__(self, work: Work, pieces: int, now: float, lease_until: float) -> None:
-        self.work = work
-        self.pieces = pieces
-        self.held_since = now
-        self.lease_until = lease_until
-        self.state = "reserved"
-        self.key = ""
-        self.resume_from = 0
-        self.total = 0
-        self.join_step = 0
-        self.first_at = 0.0
-
-
-class FinishedStream(NamedTuple):
-    """What is left of a decode, so that a reader can attach again."""
-
-    key: str
-    resume_from: int
-    total: int
-
-
 class EngineModel:
     """One engine process with its memory, queues, batch, cache and counters.
 
@@ -310,12 +111,7 @@
         self.step_at = 0.0
         self.step_s = 0.0
         self.changed = False
-        # Prefix cache, least recently used first.
-        self.cache: OrderedDict[str, None] = OrderedDict()
-        self.cache_seq = 0
-        self.cache_events: deque[tuple[float, CacheChange]] = deque(
-            maxlen=CACHE_EVENTS_KEPT
-        )
+        self.cache = PrefixCache(config)
         # Orders.
         self.highest_fencing = -1
         self.order_answers: dict[str, str | None] = {}
@@ -499,7 +295,7 @@
             if job.state == "cancelled":
                 heapq.heappop(self.queue)
                 continue
-            cached = self.cached_tokens(job)
+            cached = self.cache.cached_tokens(job)
             todo = job.tokens - cached
             if total and total + todo > config.prefill_batch_tokens:
                 break
@@ -511,7 +307,7 @@
             job.state = "running"
             job.started_at = self.now
             self.pieces_free -= job.pieces
-            self.touch_cache(job.prefixes)
+            self.cache.touch(job.prefixes)
             self.batch_jobs.append(job)
         if self.batch_jobs:
             duration_s = (
@@ -543,7 +339,7 @@
             self.results[handle] = HeldResult(job, export)
             self.handle_of[attempt] = handle
             self.set_timer(export.expires_at, "evict", handle)
-            self.store_prefixes(job.prefixes)
+            self.cache.store(self.now, job.prefixes)
             self.events.append(
                 PrefillFinished(
                     self.now,
@@ -944,8 +740,7 @@
         self.orders_applied += 1
         if identity != self.identity:
             # KV of other weights is of no use.
-            for prefix in list(self.cache):
-                self.evict_prefix(prefix)
+            self.cache.clear(self.now)
         self.identity = identity
 
     def leave(self, now: float) -> None:
@@ -967,64 +762,22 @@
 
     # Prefix cache.
 
-    def cached_tokens(self, job: PrefillJob) -> int:
-        """Return how many tokens of the prompt need no work."""
-        hits = 0
-        for prefix in job.prefixes:
-            if prefix not in self.cache:
-                break
-            hits += 1
-        return min(hits * self.config.block_tokens, job.tokens - 1)
-
-    def touch_cache(self, prefixes: tuple[str, ...]) -> None:
-        """Mark cached prefixes as used, the shortest as the most recent."""
-        for prefix in reversed(prefixes):
-            if prefix in self.cache:
-                self.cache.move_to_end(prefix)
-
-    def store_prefixes(self, prefixes: tuple[str, ...]) -> None:
-        """Cache the prefixes of a prompt and evict the least recently used."""
-        kept = prefixes[: self.config.cache_blocks]
-        for prefix in reversed(kept):
-            if prefix in self.cache:
-                self.cache.move_to_end(prefix)
-            else:
-                self.cache[prefix] = None
-                self.publish_cache_event(True, prefix)
-        while len(self.cache) > self.config.cache_blocks:
-            self.evict_prefix(next(iter(self.cache)))
-
-    def evict_prefix(self, prefix: str) -> None:
-        """Drop a prefix from the cache."""
-        del self.cache[prefix]
-        self.publish_cache_event(False, prefix)
-
-    def publish_cache_event(self, stored: bool, prefix: str) -> None:
-        """Record a cache event; a fixed share of the numbers is lost."""
-        self.cache_seq += 1
-        if self.config.cache_gap_share > 0:
-            draw = crc32(b"%d" % self.cache_seq) / 2**32
-            if draw < self.config.cache_gap_share:
-                return
-        change = CacheChange(self.cache_seq, stored, prefix)
-        self.cache_events.append((self.now, change))
+    @property
+    def cache_seq(self) -> int:
+        """The number of the newest cache event."""
+        return self.cache.seq
+
+    @property
+    def cache_events(self) -> deque[tuple[float, CacheChange]]:
+        """The newest cache events with their times."""
+        return self.cache.events
 
     def cache_changes(
         self, now: float, after: int
     ) -> tuple[tuple[CacheChange, ...], int]:
         """Return the visible cache events after a number, and the oldest kept."""
         self.run_until(now)
-        visible_until = now - self.config.cache_lag_s
-        oldest = self.cache_seq + 1
-        if self.cache_events:
-            oldest = self.cache_events[0][1].seq
-        changes = []
-        for at, change in reversed(self.cache_events):
-            if change.seq <= after:
-                break
-            if at <= visible_until:
-                changes.append(change)
-        return tuple(reversed(changes)), oldest
+        return self.cache.changes(now, after)
 
     # Reports and counters.
 
