Split the planning of a model and a service call into choice and grant

Change: grant_pair books the engines of a forecast, and least_used chooses the service endpoint; the order of the candidates in the log stays. Conclusion: no change of behaviour.

--- a/src/poplarfold/_internal/core/systems/model_plans.py
+++ b/src/poplarfold/_internal/core/systems/model_plans.py
@@ -7,6 +7,7 @@
     PIECE_TOKENS,
     PREFIX_BLOCK_TOKENS,
     CallClass,
+    EndpointRef,
     EntryKind,
     Identity,
 )
@@ -191,12 +192,7 @@
         refuse(state, now, key, PromptTooLargeError.code, f"{pieces} pieces")
         return None
     plan = forecast(part, now, request, pool, prefills, decodes)
-    decode, prefill, start_at, first_at = (
-        plan.decode,
-        plan.prefill,
-        plan.start_at,
-        plan.first_at,
-    )
+    decode, start_at, first_at = plan.decode, plan.start_at, plan.first_at
     if first_at > row.first_by or first_at > row.deadline:
         late_s = first_at - min(row.first_by, row.deadline)
         detail = f"the first output would be {late_s:.3f} s late"
@@ -212,36 +208,52 @@
         plan.reserve(pool)
         return start_at - PREFILL_LEAD_S if decode is not None else plan.slot_at
     plan.reserve(pool)
-    interval_s = part.decode_loads[decode.ref].interval.value
+    considered = list(pool.skipped)
+    considered.extend(
+        (c.ref.address, f"done in {at - now:.3f} s") for at, _, _, c in plan.options
+    )
+    considered.extend(
+        (c.ref.address, f"{pool.slots[c.ref]} slots left") for c in decodes
+    )
+    grant_pair(state, now, key, row, plan, decode.ref, considered)
+    return None
+
+
+def grant_pair(
+    state: NodeState,
+    now: float,
+    key: tuple[str, str],
+    row: WaitRow,
+    plan: Forecast,
+    decode: EndpointRef,
+    considered: list[tuple[str, str]],
+) -> None:
+    """Grant the engines of a forecast and book the prefill on its engine."""
+    part = state.part(AdmissionState)
+    request = row.request
+    interval_s = part.decode_loads[decode].interval.value
     lease = LeaseRow(
         call_id=request.call_id,
         ask=request.ask,
         holder=row.holder,
         cell=row.cell,
-        prefill=prefill.ref,
-        decode=decode.ref,
-        pieces=pieces,
+        prefill=plan.prefill.ref,
+        decode=decode,
+        pieces=plan.pieces,
         prefill_tokens=plan.tokens,
-        start_at=max(now, start_at - PREFILL_LEAD_S / 2),
-        slot_until=first_at + request.max_outputs * interval_s,
+        start_at=max(now, plan.start_at - PREFILL_LEAD_S / 2),
+        slot_until=plan.first_at + request.max_outputs * interval_s,
         deadline=row.deadline,
         call_class=row.entry.call_class,
     )
-    considered = list(pool.skipped)
-    considered.extend(
-        (c.ref.address, f"done in {at - now:.3f} s") for at, _, _, c in plan.options
-    )
-    considered.extend(
-        (c.ref.address, f"{pool.slots[c.ref]} slots left") for c in decodes
-    )
     lease_id = grant(state, now, key, lease, False, considered)
-    load = part.prefill_loads[prefill.ref]
-    load.pending[lease_id] = (lease.start_at, plan.done_at - start_at)
+    prefill_s = plan.done_at - plan.start_at
+    load = part.prefill_loads[plan.prefill.ref]
+    load.pending[lease_id] = (lease.start_at, prefill_s)
     load.index.expect(now, request.prefixes)
     if row.entry.call_class is CallClass.PATIENT:
-        cost = plan.done_at - start_at + request.max_outputs * interval_s / 20
+        cost = prefill_s + request.max_outputs * interval_s / 20
         part.fair[row.cell].charge(request.account, cost)
-    return None
 
 
 def patient_wait_s(state: NodeState, now: float, row: WaitRow) -> float:
--- a/src/poplarfold/_internal/core/systems/service_plans.py
+++ b/src/poplarfold/_internal/core/systems/service_plans.py
@@ -3,6 +3,8 @@
 Service calls have endpoints of their own and never wait behind streams.
 """
 
+from typing import NamedTuple
+
 from poplarfold._internal.core.model import CallClass
 from poplarfold._internal.core.state import NodeState
 from poplarfold._internal.core.systems.cell_answers import grant, refuse
@@ -23,21 +25,27 @@
 LOOKUP_RESERVE_SHARE = 0.25
 
 
-def plan_service(
-    state: NodeState, now: float, key: tuple[str, str], row: WaitRow, pool: Pool
-) -> float | None:
-    """Grant the service endpoint with the fewest outstanding calls.
+class ServiceChoice(NamedTuple):
+    """The endpoint for a service call, if one is free, and why not the others.
 
-    Returns when to look again if the call waits.
+    ``allowed`` counts the endpoints that the request does not exclude.
     """
-    part = state.part(AdmissionState)
-    request = row.request
+
+    best: Candidate | None
+    allowed: int
+    considered: list[tuple[str, str]]
+
+
+def least_used(
+    part: AdmissionState, now: float, row: WaitRow, pool: Pool
+) -> ServiceChoice:
+    """Choose the free endpoint with the fewest outstanding calls."""
     unsafe = row.entry.call_class is CallClass.NON_REPEATABLE
     best: tuple[int, Candidate] | None = None
     considered: list[tuple[str, str]] = list(pool.skipped)
     allowed = 0
     for candidate in pool.services:
-        if not is_allowed(request, candidate.ref):
+        if not is_allowed(row.request, candidate.ref):
             considered.append((candidate.ref.address, "excluded"))
             continue
         allowed += 1
@@ -53,6 +61,18 @@
             considered.append((candidate.ref.address, f"{used} outstanding"))
             if best is None or used < best[0]:
                 best = (used, candidate)
+    return ServiceChoice(best[1] if best else None, allowed, considered)
+
+
+def plan_service(
+    state: NodeState, now: float, key: tuple[str, str], row: WaitRow, pool: Pool
+) -> float | None:
+    """Grant the service endpoint with the fewest outstanding calls.
+
+    Returns when to look again if the call waits.
+    """
+    request = row.request
+    best, allowed, considered = least_used(state.part(AdmissionState), now, row, pool)
     if best is None:
         if not allowed:
             refuse(state, now, key, NoEndpointError.code, "no usable endpoint")
@@ -64,7 +84,7 @@
             refuse(state, now, key, OverloadedError.code, "the target has passed")
             return None
         return row.first_by
-    ref = best[1].ref
+    ref = best.ref
     pool.slots[ref] -= 1
     lease = LeaseRow(
         call_id=request.call_id,
@@ -80,5 +100,5 @@
         deadline=row.deadline,
         call_class=row.entry.call_class,
     )
-    grant(state, now, key, lease, best[1].report.knows_operations, considered)
+    grant(state, now, key, lease, best.report.knows_operations, considered)
     return None
