--- a/src/poplarfold/_internal/core/systems/claim_decisions.py
+++ b/src/poplarfold/_internal/core/systems/claim_decisions.py
@@ -1,11 +1,6 @@
 """Answers to calls that wait for their claim, or for another call with their key."""
 
-from poplarfold._internal.core.claims_codec import (
-    ClaimRow,
-    Done,
-    TakeOver,
-    Unknown,
-)
+from poplarfold._internal.core.claims_codec import ClaimRow, Done, TakeOver, Unknown
 from poplarfold._internal.core.events import (
     ClaimLost,
     ClaimRefused,
--- a/src/poplarfold/_internal/core/systems/claim_fold.py
+++ b/src/poplarfold/_internal/core/systems/claim_fold.py
@@ -12,10 +12,7 @@
     Unknown,
     decode_batch,
 )
-from poplarfold._internal.core.events import (
-    ClaimRefused,
-    LogRecord,
-)
+from poplarfold._internal.core.events import ClaimRefused, LogRecord
 from poplarfold._internal.core.model import HostKey
 from poplarfold._internal.core.state import NodeState
 from poplarfold._internal.core.systems.claim_decisions import (
--- a/src/poplarfold/_internal/core/systems/member_probes.py
+++ b/src/poplarfold/_internal/core/systems/member_probes.py
@@ -3,11 +3,7 @@
 import math
 
 from poplarfold._internal.core.commands import SendPeer
-from poplarfold._internal.core.messages import (
-    Ack,
-    Ping,
-    PingRequest,
-)
+from poplarfold._internal.core.messages import Ack, Ping, PingRequest
 from poplarfold._internal.core.model import HostKey
 from poplarfold._internal.core.state import NodeState
 from poplarfold._internal.core.systems.member_state import Members, Probe, is_live
