Skip unchanged host lists, keep appends to their rate, fix test examples

Cause: docs/CAPACITY.md found that an unchanged host list of 4,000 endpoints was folded twice a second (81 ms each, 17% of a core), and that the cap of 1 s on the claim interval let 400 nodes make 400 appends/s instead of 250. test_streams.py failed once on hypothesis's default limit of 200 ms an example while the machine was busy. Change: the daemon posts a host list only when it has changed; the fair interval may reach 2 s; a hypothesis profile with fixed examples and no time limit. The saved processor time was not measured on a fleet of that size.

--- a/src/poplarfold/_internal/core/systems/claim_batches.py
+++ b/src/poplarfold/_internal/core/systems/claim_batches.py
@@ -34,6 +34,8 @@
 # many, each up to its part, so that a burst is not refused.
 FLEET_APPENDS_PER_S = 250.0
 INTERVAL_MAX_S = 1.0
+# Above the 1.6 s of 400 nodes, below the 3 s that a call waits for its claim.
+FAIR_INTERVAL_MAX_S = 2.0
 # An append without any answer for this long is settled by reading.
 APPEND_TIMEOUT_S = 5.0
 
@@ -65,7 +67,7 @@
 def fair_interval(state: NodeState) -> float:
     """Return the seconds between appends that this node's part allows."""
     nodes = len(membership.all_live_hosts(state))
-    return min(INTERVAL_MAX_S, max(1, nodes) / FLEET_APPENDS_PER_S)
+    return min(FAIR_INTERVAL_MAX_S, max(1, nodes) / FLEET_APPENDS_PER_S)
 
 
 def settle_append(part: Claims, record_id: str, row: AppendRow, now: float) -> None:
--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -28,6 +28,7 @@
     AttemptEnded,
     CancelConfirmed,
     CancelFailed,
+    HostsListed,
     ListedHost,
 )
 from poplarfold._internal.core.messages import PeerMessage
@@ -242,11 +243,16 @@
             carry_out(command, self)
 
     def poll_hosts(self) -> None:
-        """Post the host list once per period; the last list stays otherwise."""
+        """Fetch the host list once per period and post it when it has changed.
+
+        Folding a list of 4,000 endpoints takes about 80 ms of processor time, so
+        that one that the core knows already is not posted again.
+        """
+        last: HostsListed | None = None
         while not self.stopping.is_set():
             result = self.hosts.fetch()
-            if result.is_ok():
-                listed = result.unwrap()
+            if result.is_ok() and result.unwrap() != last:
+                listed = last = result.unwrap()
                 if self.peers is not None:
                     self.peers.learn_routes(listed.hosts)
                 self.post(listed)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,9 +3,15 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
+# CI's verdict must be the same each time: fixed examples, and no limit on the
+# time of one example, which depends on what else the machine does.
+settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
+settings.load_profile("fixed")
+
 
 def read_known_red():
     """Return the ids of the tests in KNOWN-RED.txt."""
