--- a/src/poplarfold/_internal/bench/world.py
+++ b/src/poplarfold/_internal/bench/world.py
@@ -7,12 +7,20 @@
 
 import heapq
 import random
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from functools import singledispatchmethod
 from types import ModuleType
 from typing import Any, NamedTuple
 
+from poplarfold._internal.bench.world_parts import (
+    Attempt,
+    CallRecord,
+    Endpoint,
+    Link,
+    NodeHost,
+    engine_of,
+)
 from poplarfold._internal.core import commands, events
 from poplarfold._internal.core.model import EndpointRef, EndpointRole
 from poplarfold._internal.core.node import Node
@@ -41,84 +49,6 @@
 REQUEST_BYTES = 400
 OUTPUT_BYTES = 100
 PREFIX_BYTES = 24
-LINK_WINDOW_S = 1.0
-
-
-class CallRecord:
-    """What a caller saw of one call. Times are at the caller."""
-
-    def __init__(self, arrival: events.CallArrived, at: float) -> None:
-        self.arrival = arrival
-        self.at = at
-        self.gone_at: float | None = None
-        self.first_at: float | None = None
-        self.last_at: float | None = None
-        self.ended_at: float | None = None
-        self.error: PoplarfoldError | None = None
-        self.attempts: list[str] = []
-
-
-class Link:
-    """The paid link between two regions in one direction: a queue of bytes."""
-
-    def __init__(self, bytes_per_s: float) -> None:
-        self.bytes_per_s = bytes_per_s
-        self.free_at = 0.0
-        self.total = 0
-        self.recent: deque[tuple[float, int]] = deque()
-        self.recent_sum = 0
-        self.window_max = 0
-
-    def send(self, now: float, size: int) -> float:
-        """Count bytes and return how long they take to leave."""
-        self.total += size
-        self.recent.append((now, size))
-        self.recent_sum += size
-        while self.recent[0][0] <= now - LINK_WINDOW_S:
-            self.recent_sum -= self.recent.popleft()[1]
-        self.window_max = max(self.window_max, self.recent_sum)
-        self.free_at = max(now, self.free_at) + size / self.bytes_per_s
-        return self.free_at - now
-
-
-class NodeHost:
-    """An entry host: a node, or none while it is dead or paused."""
-
-    def __init__(self, node: Node, domain: str) -> None:
-        self.node = node
-        self.domain = domain
-        self.alive = True
-        self.paused = False
-        self.held: list[Any] = []
-        self.wake_at: float | None = None
-
-
-class Endpoint:
-    """An endpoint process in a domain."""
-
-    def __init__(
-        self,
-        model: engine_model.EngineModel | service_model.ServiceModel,
-        domain: str,
-    ) -> None:
-        self.model = model
-        self.domain = domain
-        self.alive = True
-        self.wake_at: float | None = None
-
-
-class Attempt:
-    """One attempt in the thread that runs it."""
-
-    def __init__(self, start: commands.StartAttempt, host: NodeHost) -> None:
-        self.start = start
-        self.host = host
-        self.owner = host.node.state.me
-        self.open = True
-        self.sent = False
-        self.outputs = start.resume_from
-        self.prefill_sent_at = 0.0
-        self.first_at = 0.0
 
 
 class World:
@@ -738,9 +668,3 @@
                 answer_body=happened.body,
             )
             self.step(attempt.host, [ended])
-
-
-def engine_of(endpoint: Endpoint) -> engine_model.EngineModel:
-    """Return the engine of an endpoint that must be one."""
-    assert isinstance(endpoint.model, engine_model.EngineModel)
-    return endpoint.model
--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -9,7 +9,7 @@
 import socket
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
@@ -371,19 +371,17 @@
 
 def is_refused(error: BaseException) -> bool:
     """Return whether a connection was refused, by the chain of causes."""
-    found: BaseException | None = error
-    while found is not None:
-        if isinstance(found, ConnectionRefusedError):
-            return True
-        found = found.__cause__ or found.__context__
-    return False
+    return any(isinstance(cause, ConnectionRefusedError) for cause in causes(error))
 
 
 def is_timeout(error: BaseException) -> bool:
     """Return whether a wait for bytes timed out, by the chain of causes."""
+    return any(isinstance(cause, TimeoutError) for cause in causes(error))
+
+
+def causes(error: BaseException) -> Iterator[BaseException]:
+    """Yield an error and its chain of causes, the latest first."""
     found: BaseException | None = error
     while found is not None:
-        if isinstance(found, TimeoutError):
-            return True
+        yield found
         found = found.__cause__ or found.__context__
-    return False
