--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -10,7 +10,7 @@
 from functools import singledispatch
 from typing import NamedTuple
 
-from poplarfold._internal.core.cells import Cell, cell_count, owner_of
+from poplarfold._internal.core.cells import Cell, owner_of
 from poplarfold._internal.core.commands import SendPeer
 from poplarfold._internal.core.events import (
     AttemptClosed,
@@ -36,18 +36,20 @@
     PlaceWanted,
     PlaceWithdrawn,
 )
-from poplarfold._internal.core.model import (
-    CallClass,
-    CatalogueEntry,
-    EntryKind,
-    HostKey,
-    Placement,
-)
+from poplarfold._internal.core.model import CallClass, EntryKind, HostKey, Placement
 from poplarfold._internal.core.policies import POLICIES, LocalPolicy, choose_locally
-from poplarfold._internal.core.state import NodeState, Table
+from poplarfold._internal.core.state import NodeState
 from poplarfold._internal.core.systems import admission, calls, limits
 from poplarfold._internal.core.systems.health import HealthState
-from poplarfold._internal.core.systems.membership import live_hosts
+from poplarfold._internal.core.systems.placement_cells import (
+    link_budget,
+    preferred_cells,
+)
+from poplarfold._internal.core.systems.placement_state import (
+    AskRow,
+    HeldRow,
+    PlacementState,
+)
 from poplarfold._internal.exceptions import (
     EntryNotFoundError,
     LinkBudgetError,
@@ -56,7 +58,6 @@
     PoplarfoldError,
     PromptTooLargeError,
 )
-from poplarfold._internal.utils.rendezvous import ranked
 
 __all__ = ["PlacementState", "next_wakeup", "on_event", "on_tick"]
 
@@ -76,19 +77,8 @@
 PROBE_PATIENT_S = 0.5
 # Every so many probes one goes to another region.
 FAR_PROBE_EVERY = 2
-# How many cells a call asks in its domain, its region and other regions. Their
-# number must not grow with the fleet.
-CELLS_ASKED = (3, 3, 2)
-# The order of the cells is worked out again after this time, since changes in
-# other domains come without an event.
-CELL_ORDER_S = 2.0
 # Pause between two rounds over cells of which none has an endpoint.
 ROUND_PAUSE_S = 0.03
-# Sizes for the byte budget of the link: one output of a stream, the digest of
-# one block of the prompt, and the headers of the requests of one attempt.
-OUTPUT_BYTES = 100
-PREFIX_BYTES = 40
-MESSAGE_BYTES = 2000
 # The grant, the slot, the prefill, the decode and the first output each cross
 # the link between regions, which takes 10 ms one way.
 REGION_TRIPS_S = 0.08
@@ -100,79 +90,6 @@
 PATIENT_WAIT_S = 10.0
 
 
-class AskRow(NamedTuple):
-    """A call that this node tries to place.
-
-    ``cells`` are yet to be asked in this round, and ``waits`` what others have
-    answered: (predicted wait, cell). ``waiting`` is true once the call waits at
-    the owner of ``cell`` without a limit. ``probe`` numbers a request to another
-    cell that was made meanwhile.
-    """
-
-    wanted: PlacementWanted
-    entry: CatalogueEntry
-    since: float
-    number: int
-    cells: tuple[Cell, ...]
-    waits: tuple[tuple[int, int, Cell], ...] = ()
-    cell: Cell | None = None
-    owner: str = ""
-    waiting: bool = False
-    rounds: int = 0
-    heard_at: float = 0.0
-    next_at: float = 0.0
-    probe: int = -1
-    probe_cell: Cell | None = None
-    probe_at: float = 0.0
-    probes: int = 0
-    last_code: str = ""
-    last_detail: str = ""
-
-
-class HeldRow(NamedTuple):
-    """A lease that an attempt of this node uses."""
-
-    call_id: str
-    cell: Cell
-    placement: Placement
-
-
-class PlacementState:
-    """The calls to place and the leases in use."""
-
-    def __init__(self) -> None:
-        self.asks: Table[str, AskRow] = Table()
-        self.held: Table[str, HeldRow] = Table()
-        self.owners: dict[Cell, str | None] = {}
-        self.failed: dict[str, AttemptEnded] = {}
-        self.silent: dict[str, float] = {}
-        self.due: list[tuple[float, str]] = []
-        self.order: dict[
-            str,
-            tuple[float, tuple[tuple[Cell, ...], tuple[Cell, ...], tuple[Cell, ...]]],
-        ] = {}
-
-    def put_ask(self, call_id: str, ask: AskRow) -> AskRow:
-        """Replace a row and note when it needs a look."""
-        heapq.heappush(self.due, (due_at(ask), call_id))
-        return self.asks.put(call_id, ask)
-
-    def first_due(self) -> tuple[float, str] | None:
-        """Return the earliest time and call; outdated entries are dropped."""
-        while self.due:
-            at, call_id = self.due[0]
-            ask = self.asks.get(call_id)
-            if ask is not None and due_at(ask) == at:
-                return self.due[0]
-            heapq.heappop(self.due)
-        return None
-
-
-def due_at(ask: AskRow) -> float:
-    """Return when a row needs a look."""
-    return min(ask.next_at, ask.probe_at) if ask.waiting else ask.next_at
-
-
 @singledispatch
 def on_event(event: NamedTuple, state: NodeState, now: float) -> None:
     """Handle one event; events of other systems are ignored."""
@@ -232,47 +149,6 @@
         start_round(state, now, event.call_id)
 
 
-def preferred_cells(state: NodeState, now: float, ask: AskRow) -> tuple[Cell, ...]:
-    """Return the cells that may serve a call, the best first."""
-    part = state.part(PlacementState)
-    service = ask.entry.identity.service
-    known = part.order.get(service)
-    if known is None or known[0] <= now:
-        known = part.order[service] = (
-            now + CELL_ORDER_S,
-            cells_by_distance(state, service),
-        )
-    # Plain calls and retries never go to another region.
-    local = ask.entry.kind is EntryKind.SERVICE or ask.wanted.excluded
-    return known[1][0] + known[1][1] + (() if local else known[1][2])
-
-
-def cells_by_distance(
-    state: NodeState, service: str
-) -> tuple[tuple[Cell, ...], tuple[Cell, ...], tuple[Cell, ...]]:
-    """Return the cells to ask of this domain, of its region and of others."""
-    settings = state.settings
-    found: tuple[list[Cell], list[Cell], list[Cell]] = ([], [], [])
-    for (domain, name), count in state.part(HealthState).counts.items():
-        if name != service or not live_hosts(state, domain):
-            continue
-        distance = 0 if domain == settings.domain else 1
-        if settings.region_of(domain) != settings.region:
-            distance = 2
-        found[distance].extend(
-            Cell(domain, service, index) for index in range(cell_count(count))
-        )
-    # Equally good cells are asked in an order of this node's own, so that the
-    # nodes of a domain do not all ask the same owner first.
-    ordered = []
-    for limit, cells in zip(CELLS_ASKED, found, strict=True):
-        by_key = {cell.key: cell for cell in cells}
-        row = [by_key[key] for key in ranked(state.me.host, by_key)]
-        row.sort(key=lambda cell: owner_of(state, cell) != state.me.host)
-        ordered.append(tuple(row[:limit]))
-    return ordered[0], ordered[1], ordered[2]
-
-
 def start_round(state: NodeState, now: float, call_id: str) -> None:
     """Ask all cells in turn for a place without waiting."""
     ask = state.part(PlacementState).asks[call_id]
@@ -324,18 +200,6 @@
     give_up(state, call_id, ask)
 
 
-def link_budget(
-    state: NodeState, now: float, call_id: str, ask: AskRow, cell: Cell, look: bool
-) -> bool:
-    """Take the byte budget for a cell of another region, or only look at it."""
-    if state.settings.region_of(cell.domain) == state.settings.region:
-        return True
-    arrival = state.calls[call_id].arrival
-    sent = arrival.prompt_bytes + PREFIX_BYTES * len(arrival.prefixes) + MESSAGE_BYTES
-    received = arrival.max_outputs * OUTPUT_BYTES + MESSAGE_BYTES
-    return limits.take_link(state, now, ask.entry, sent, received, look).is_ok()
-
-
 def give_up(state: NodeState, call_id: str, ask: AskRow) -> None:
     """Refuse a call for which no cell has a place in time."""
     del state.part(PlacementState).asks[call_id]
