Poll endpoints without work once a second

Cause: each endpoint was polled four times a second whether or not it had work. A poll cost a thread hand-over, a request and two steps of the core.

Change: an endpoint without leases of this node whose last two reports were idle is polled once a second, at times common to all idle endpoints, so that one step sends their polls. A lease or work in a report brings the full rate back.

--- a/src/poplarfold/_internal/core/systems/admission.py
+++ b/src/poplarfold/_internal/core/systems/admission.py
@@ -391,7 +391,7 @@
             now,
             CallClass.INTERACTIVE,
         )
-        add_lease(part, now, lease_id, lease)
+        add_lease(state, now, lease_id, lease)
 
 
 @receive.register
@@ -453,9 +453,13 @@
 # Leases.
 
 
-def add_lease(part: AdmissionState, now: float, lease_id: str, lease: LeaseRow) -> None:
+def add_lease(state: NodeState, now: float, lease_id: str, lease: LeaseRow) -> None:
     """Book a lease on its endpoints."""
+    part = state.part(AdmissionState)
     part.leases.put(lease_id, lease)
+    for ref in (lease.prefill, lease.decode):
+        if ref is not None:
+            health.note_lease(state, now, ref)
     load = decode_load(part, lease.decode)
     load.leases[lease_id] = lease.slot_until
     load.pieces += lease.pieces
@@ -492,6 +496,9 @@
     lease = part.leases.pop(lease_id, None)
     if lease is None:
         return
+    for ref in (lease.prefill, lease.decode):
+        if ref is not None:
+            health.note_lease_end(state, ref)
     part.dirty[lease.cell] = None
     key = (lease.holder.host, lease.call_id)
     if part.granted.get(key, ("",))[0] == lease_id:
@@ -1127,7 +1134,7 @@
     part = state.part(AdmissionState)
     lease_id = state.new_id("l")
     drop_waiting(part, key)
-    add_lease(part, now, lease_id, lease)
+    add_lease(state, now, lease_id, lease)
     priority = 1 if lease.call_class is CallClass.PATIENT else 0
     message = PlaceGranted(
         lease.call_id,
--- a/src/poplarfold/_internal/core/systems/health.py
+++ b/src/poplarfold/_internal/core/systems/health.py
@@ -9,6 +9,7 @@
 
 import heapq
 from functools import singledispatch
+from math import floor
 from statistics import median
 from typing import NamedTuple
 
@@ -27,6 +28,8 @@
     "EndpointRow",
     "HealthState",
     "next_wakeup",
+    "note_lease",
+    "note_lease_end",
     "note_outcome",
     "on_event",
     "on_tick",
@@ -34,10 +37,13 @@
 ]
 
 POLL_PERIOD_S = 0.25
+# For an endpoint without work and without leases of this node. Even a poll that
+# starts this late shows a sign of leaving, or work of a dead node, well within 3 s.
+IDLE_POLL_PERIOD_S = 1.0
 # A poll without an answer counts as lost after this time.
 POLL_LOST_S = 2.0
-# Without a newer report an endpoint gets no work. Reports come every 0.25 s, so
-# several were lost.
+# Without a newer report an endpoint gets no work. Reports come every 0.25 s, or
+# every second from an idle endpoint, so several were lost.
 REPORT_STALE_S = 3.0
 POLL_FAILURES_MAX = 3
 
@@ -97,6 +103,9 @@
         self.polled: set[str] = set()
         self.polls: list[tuple[float, str]] = []
         self.next_poll: dict[str, float] = {}
+        # The time at which a poll without an answer counts as lost.
+        self.open_polls: dict[str, float] = {}
+        self.leases: dict[str, int] = {}
         self.ejections: list[tuple[float, EndpointRef]] = []
 
 
@@ -114,8 +123,10 @@
             continue
         if address not in part.polled:
             del part.next_poll[address]
+            part.open_polls.pop(address, None)
             continue
         schedule_poll(part, address, now + POLL_LOST_S)
+        part.open_polls[address] = now + POLL_LOST_S
         state.emit(PollEndpoint(address))
     while part.ejections and part.ejections[0][0] <= now:
         _, ref = heapq.heappop(part.ejections)
@@ -141,6 +152,52 @@
     heapq.heappush(part.polls, (due, address))
 
 
+def poll_after_report(
+    state: NodeState, now: float, event: EndpointReported, was_idle: bool
+) -> float:
+    """Return the time of the next poll of an endpoint that has just reported.
+
+    Two idle reports in a row are needed, since reports lag behind the engine.
+    Policies without owners decide from reports alone and need them all.
+    """
+    part = state.part(HealthState)
+    if state.settings.policy != "owner" or event.address in part.leases:
+        return now + POLL_PERIOD_S
+    if not was_idle or not is_idle(event):
+        return now + POLL_PERIOD_S
+    # Polls of idle endpoints fall on common times, so that one step sends them all.
+    return floor(now / POLL_PERIOD_S) * POLL_PERIOD_S + IDLE_POLL_PERIOD_S
+
+
+def is_idle(report: EndpointReported) -> bool:
+    """Return whether an endpoint says that it has no work and stays."""
+    return not (report.work or report.busy or report.queued_tokens or report.leaving)
+
+
+def note_lease(state: NodeState, now: float, ref: EndpointRef) -> None:
+    """Poll an endpoint at the full rate from now on, as it gets work."""
+    part = state.part(HealthState)
+    part.leases[ref.address] = part.leases.get(ref.address, 0) + 1
+    due = part.next_poll.get(ref.address)
+    row = part.endpoints.get(ref.address)
+    if due is None or row is None:
+        return
+    # While a poll is open, ``due`` is when it counts as lost. The wait for its
+    # answer must not be cut short by a second poll.
+    if part.open_polls.get(ref.address, -1.0) == due:
+        return
+    if due > now + POLL_PERIOD_S:
+        schedule_poll(part, ref.address, now + POLL_PERIOD_S)
+
+
+def note_lease_end(state: NodeState, ref: EndpointRef) -> None:
+    """Forget one lease of an endpoint."""
+    part = state.part(HealthState)
+    left = part.leases.pop(ref.address, 0) - 1
+    if left > 0:
+        part.leases[ref.address] = left
+
+
 @on_event.register
 def _(event: HostsListed, state: NodeState, now: float) -> None:
     part = state.part(HealthState)
@@ -219,7 +276,9 @@
         event.address, row._replace(report=event, reported_at=now, poll_failures=0)
     )
     if event.address in part.polled:
-        schedule_poll(part, event.address, now + POLL_PERIOD_S)
+        was_idle = row.report is not None and is_idle(row.report)
+        due = poll_after_report(state, now, event, was_idle)
+        schedule_poll(part, event.address, due)
 
 
 @on_event.register
--- /dev/null
+++ b/tests/unit/test_poll_rate.py
@@ -0,0 +1,152 @@
+"""How often a node asks an endpoint for its report."""
+
+import pytest
+
+from poplarfold._internal.core.commands import PollEndpoint
+from poplarfold._internal.core.events import (
+    EndpointPollFailed,
+    EndpointReported,
+    HostsListed,
+    ListedHost,
+    WorkItem,
+)
+from poplarfold._internal.core.model import (
+    EndpointRef,
+    EndpointRole,
+    HostKey,
+    Identity,
+)
+from poplarfold._internal.core.node import Node
+from poplarfold._internal.core.systems import health, leaving, membership
+from poplarfold._internal.settings import DomainSettings, NodeSettings
+
+STEP_S = 0.01
+LEAVING_LIMIT_S = 3.0
+IDLE = EndpointReported(
+    address="d",
+    incarnation=1,
+    identity=Identity("studio", "llm", "v1"),
+    role=EndpointRole.DECODE,
+    slots=20,
+    busy=0,
+    queued_tokens=0,
+    pieces_total=2000,
+    pieces_free=2000,
+    leaving=False,
+    fences=True,
+    knows_operations=False,
+    work=(),
+    cache_seq=0,
+)
+BUSY = IDLE._replace(busy=1, work=(WorkItem("a", HostKey("other", 5), "decode"),))
+
+
+class Pool:
+    """A node with one endpoint, which answers each poll at once."""
+
+    def __init__(self, policy="owner"):
+        settings = NodeSettings(
+            "me",
+            "west-a",
+            (DomainSettings("west-a", "west", 1),),
+            policy=policy,
+            strict_invariants=True,
+        )
+        self.node = Node(settings, 1, 7, (membership, health, leaving))
+        self.node.state.catalogue_ready = True
+        self.answer = IDLE
+        self.polls = []
+        self.events = []
+        self.now = 0.0
+        host = ListedHost("d", "d", "endpoint", "west-a", "llm", False)
+        self.node.step(0.0, [HostsListed(1, (host,))])
+
+    def run(self, seconds):
+        """Advance the time and return the polls of that time."""
+        ends_at = self.now + seconds
+        before = len(self.polls)
+        while self.now < ends_at:
+            self.now += STEP_S
+            commands = self.node.step(self.now, self.events)
+            polls = [c for c in commands if isinstance(c, PollEndpoint)]
+            self.polls.extend(self.now for _ in polls)
+            self.events = [self.answer for _ in polls if self.answer is not None]
+        return self.polls[before:]
+
+
+@pytest.fixture
+def pool():
+    pool = Pool()
+    pool.run(5.0)
+    return pool
+
+
+def test_idle_endpoint_is_polled_about_once_a_second(pool):
+    # Guards against the processor time that polls of idle endpoints cost.
+    assert 9 <= len(pool.run(10.0)) <= 14
+
+
+def test_policies_without_owners_poll_idle_endpoints_at_the_full_rate():
+    # They place calls by reports alone, so a report of 1 s ago misleads them.
+    pool = Pool("p2c")
+    pool.run(5.0)
+    assert len(pool.run(10.0)) >= 35
+
+
+def test_work_of_another_node_brings_the_full_rate_back(pool):
+    # Guards against late cancels of the work of a dead node.
+    pool.answer = BUSY
+    pool.run(1.1)
+    assert len(pool.run(10.0)) >= 35
+
+
+def test_lease_brings_the_full_rate_back_while_it_is_held(pool):
+    # Guards against late reports of an endpoint that this node sends work to.
+    ref = EndpointRef("d", 1)
+    health.note_lease(pool.node.state, pool.now, ref)
+    health.note_lease(pool.node.state, pool.now, ref)
+    first = pool.run(1.0)[0]
+    assert first - (pool.now - 1.0) <= health.POLL_PERIOD_S + 2 * STEP_S
+    health.note_lease_end(pool.node.state, ref)
+    assert len(pool.run(10.0)) >= 35
+    health.note_lease_end(pool.node.state, ref)
+    pool.run(1.0)
+    assert len(pool.run(10.0)) <= 14
+
+
+def test_lease_does_not_repeat_a_poll_that_is_still_open(pool):
+    # Guards against a second poll while the first one waits for its answer.
+    pool.answer = None
+    for _ in range(200):
+        if pool.run(STEP_S):
+            break
+    health.note_lease(pool.node.state, pool.now, EndpointRef("d", 1))
+    assert pool.run(health.POLL_LOST_S - 0.1) == []
+
+
+def test_failed_poll_of_an_idle_endpoint_is_repeated_at_the_full_rate(pool):
+    # Guards against three seconds until a dead endpoint counts as silent.
+    pool.answer = EndpointPollFailed("d", False)
+    pool.run(1.0 + health.POLL_FAILURES_MAX * (health.POLL_PERIOD_S + 2 * STEP_S))
+    row = pool.node.state.part(health.HealthState).endpoints["d"]
+    assert health.usable_report(pool.node.state, pool.now, row)[1] == "silent"
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.2, 0.4, 0.6, 0.8, 0.99])
+def test_sign_of_leaving_of_an_idle_endpoint_is_seen_in_time(pool, phase):
+    # leaving-gets-nothing: a report may be the only sign, and it lags by 0.5 s.
+    pool.run(phase)
+    pool.answer = IDLE._replace(leaving=True)
+    pool.run(LEAVING_LIMIT_S - 0.5)
+    ref = EndpointRef("d", 1)
+    assert leaving.is_leaving(pool.node.state, pool.now, ref)
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.2, 0.4, 0.6, 0.8, 0.99])
+def test_idle_endpoint_that_goes_silent_gets_no_work_in_time(pool, phase):
+    # leaving-gets-nothing: an endpoint that leaves may answer no poll any more.
+    pool.run(phase)
+    pool.answer = None
+    pool.run(LEAVING_LIMIT_S + STEP_S)
+    row = pool.node.state.part(health.HealthState).endpoints["d"]
+    assert health.usable_report(pool.node.state, pool.now, row)[0] is None
