Close kept connections that are no longer used

Cause: each request on a new connection added one to the pool of its address and took none, up to 64 per address. The newest connection is used first, so older ones stayed open for good, also those to addresses that had gone.

Change: such a connection replaces the oldest kept one, and connections that have been idle for 5 s are closed.

Memory still grows by a row per claim, which is kept for the horizon of claims.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -188,7 +188,9 @@
 
     def __init__(self, connect_timeout_s: float) -> None:
         self.connect_timeout_s = connect_timeout_s
+        # Per address in the order of the times since which they are idle.
         self.idle: dict[str, list[tuple[HTTPConnection, float]]] = {}
+        self.sweep_at = 0.0
         self.lock = threading.Lock()
 
     def exchange(
@@ -216,7 +218,7 @@
                 if result.is_ok() or stalled or is_aborted(handle):
                     return result
         connection = self._new_connection(target.address)
-        return self._try(connection, target, body, headers, timeout_s, handle)
+        return self._try(connection, target, body, headers, timeout_s, handle, fresh)
 
     def open_stream(
         self,
@@ -255,14 +257,44 @@
                 return connection
             connection.close()
 
-    def keep(self, address: str, connection: HTTPConnection) -> None:
-        """Keep a connection whose last answer was read to its end."""
+    def keep(
+        self, address: str, connection: HTTPConnection, replaces_oldest: bool = False
+    ) -> None:
+        """Keep a connection whose last answer was read to its end.
+
+        Requests that must have a new connection take none of the kept ones, so
+        each of theirs replaces one. Otherwise they would fill the pool.
+        """
+        now = time.monotonic()
         with self.lock:
+            unused = self._expired(now)
             kept = self.idle.setdefault(address, [])
+            if replaces_oldest and kept:
+                unused.append(kept.pop(0)[0])
             if len(kept) < IDLE_CONNECTIONS_PER_ADDRESS:
-                kept.append((connection, time.monotonic()))
-                return
-        connection.close()
+                kept.append((connection, now))
+            else:
+                unused.append(connection)
+        for other in unused:
+            other.close()
+
+    def _expired(self, now: float) -> list[HTTPConnection]:
+        """Remove and return the connections that have been idle for too long.
+
+        The newest one of an address is used first, so those that a burst of calls
+        has opened would otherwise stay open for good. The lock must be held.
+        """
+        if now < self.sweep_at:
+            return []
+        self.sweep_at = now + IDLE_LIMIT_S / 2
+        expired: list[HTTPConnection] = []
+        for address, kept in list(self.idle.items()):
+            count = sum(now - since >= IDLE_LIMIT_S for _, since in kept)
+            expired.extend(connection for connection, _ in kept[:count])
+            del kept[:count]
+            if not kept:
+                del self.idle[address]
+        return expired
 
     def close(self) -> None:
         """Close all kept connections."""
@@ -286,6 +318,7 @@
         headers: Mapping[str, str],
         timeout_s: float,
         handle: AbortHandle | None,
+        fresh: bool = False,
     ) -> Result[Answer, Failure]:
         failure = self._send(connection, target, body, headers, timeout_s, handle)
         if failure is not None:
@@ -308,7 +341,7 @@
             connection.close()
         else:
             response.close()
-            self.keep(target.address, connection)
+            self.keep(target.address, connection, replaces_oldest=fresh)
         return Ok(Answer(response.status, response.headers, data))
 
     def _send(
