--- a/src/poplarfold/_internal/core/systems/admission.py
+++ b/src/poplarfold/_internal/core/systems/admission.py
@@ -220,7 +220,7 @@
             now,
             CallClass.INTERACTIVE,
         )
-        add_lease(part, now, lease_id, lease)
+        add_lease(state, now, lease_id, lease)
 
 
 @receive.register
--- a/src/poplarfold/_internal/core/systems/cell_answers.py
+++ b/src/poplarfold/_internal/core/systems/cell_answers.py
@@ -69,7 +69,7 @@
     part = state.part(AdmissionState)
     lease_id = state.new_id("l")
     drop_waiting(part, key)
-    add_lease(part, now, lease_id, lease)
+    add_lease(state, now, lease_id, lease)
     priority = 1 if lease.call_class is CallClass.PATIENT else 0
     message = PlaceGranted(
         lease.call_id,
--- a/src/poplarfold/_internal/core/systems/cell_leases.py
+++ b/src/poplarfold/_internal/core/systems/cell_leases.py
@@ -34,9 +34,13 @@
 RELEASED_KEPT_S = 1.0
 
 
-def add_lease(part: AdmissionState, now: float, lease_id: str, lease: LeaseRow) -> None:
+def add_lease(state: NodeState, now: float, lease_id: str, lease: LeaseRow) -> None:
     """Book a lease on its endpoints."""
+    part = state.part(AdmissionState)
     part.leases.put(lease_id, lease)
+    for ref in (lease.prefill, lease.decode):
+        if ref is not None:
+            health.note_lease(state, now, ref)
     load = decode_load(part, lease.decode)
     load.leases[lease_id] = lease.slot_until
     load.pieces += lease.pieces
@@ -51,6 +55,9 @@
     lease = part.leases.pop(lease_id, None)
     if lease is None:
         return
+    for ref in (lease.prefill, lease.decode):
+        if ref is not None:
+            health.note_lease_end(state, ref)
     part.dirty[lease.cell] = None
     key = (lease.holder.host, lease.call_id)
     if part.granted.get(key, ("",))[0] == lease_id:
