Put deliberate faults in place wherever a function is used

Change: a fault replaces its function in every module that holds it, and names it where it is defined. Conclusion: later moves of functions break the fault's import, not its effect.

--- a/tests/lib/deliberate_faults.py
+++ b/tests/lib/deliberate_faults.py
@@ -5,6 +5,7 @@
 fuzzing does not find is not proved.
 """
 
+import sys
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -15,7 +16,8 @@
 from poplarfold._internal.core.systems import (
     calls,
     catalogue,
-    claims,
+    claim_decisions,
+    claim_state,
     health,
     leaving,
     limits,
@@ -28,6 +30,16 @@
 )
 
 
+def replace(patch: Any, original: Any, changed: Any) -> None:
+    """Put ``changed`` in the place of a function in all modules that use it."""
+    for name, module in list(sys.modules.items()):
+        if not name.startswith("poplarfold."):
+            continue
+        for attribute, value in list(vars(module).items()):
+            if value is original:
+                patch.setattr(module, attribute, changed)
+
+
 class Fault(NamedTuple):
     """A deliberate fault and the invariant that it breaks."""
 
@@ -37,7 +49,7 @@
 
 def lose_cancels(patch: Any) -> None:
     """Work of callers that have gone is never cancelled."""
-    patch.setattr(calls, "cancel_work", lambda *args: None)
+    replace(patch, calls.cancel_work, lambda *args: None)
 
 
 def answer_again(patch: Any) -> None:
@@ -48,23 +60,23 @@
         original(state, now, call_id, error, *rest)
         state.emit(FinishCall(call_id, error, *rest))
 
-    patch.setattr(calls, "end_call", end_call)
+    replace(patch, calls.end_call, end_call)
 
 
 def change_recorded_answers(patch: Any) -> None:
     """A recorded answer is not the one that the first caller got."""
-    original = claims.with_outcome
+    original = claim_decisions.with_outcome
 
     def with_outcome(row: Any, outcome: Any) -> Any:
         changed = original(row, outcome)
         return changed._replace(body=changed.body[:-1])
 
-    patch.setattr(claims, "with_outcome", with_outcome)
+    replace(patch, claim_decisions.with_outcome, with_outcome)
 
 
 def call_anything_not_run(patch: Any) -> None:
     """A refusal says "not run" without a look at the log."""
-    patch.setattr(claims, "outcome_of_unclaimed", lambda *args: Outcome.NOT_RUN)
+    replace(patch, claim_decisions.outcome_of_unclaimed, lambda *args: Outcome.NOT_RUN)
 
 
 def forget_sends(patch: Any) -> None:
@@ -77,7 +89,7 @@
             return UpstreamFailedError("no answer").with_outcome(Outcome.NOT_RUN)
         return found
 
-    patch.setattr(retries, "refusal", refusal)
+    replace(patch, retries.refusal, refusal)
 
 
 def ignore_other_claims(patch: Any) -> None:
@@ -87,16 +99,16 @@
         state: Any, part: Any, digest: bytes, pending: Any, row: Any, now: float
     ) -> None:
         del part.pending[digest]
-        part.held.put(pending.call_id, claims.HeldClaim(digest, row.claim))
+        part.held.put(pending.call_id, claim_state.HeldClaim(digest, row.claim))
         state.post(ClaimWon(pending.call_id, pending.operation_id, row.claim))
 
-    patch.setattr(claims, "decide", decide)
+    replace(patch, claim_decisions.decide, decide)
 
 
 def ignore_leaving(patch: Any) -> None:
     """Signs that an endpoint is leaving are not heeded."""
-    patch.setattr(leaving, "is_leaving", lambda *args: False)
-    patch.setattr(leaving, "note_refusal", lambda *args: None)
+    replace(patch, leaving.is_leaving, lambda *args: False)
+    replace(patch, leaving.note_refusal, lambda *args: None)
 
 
 def stop_at_once(patch: Any) -> None:
@@ -108,7 +120,7 @@
         if state.draining:
             state.emit(Stop())
 
-    patch.setattr(calls, "on_tick", on_tick)
+    replace(patch, calls.on_tick, on_tick)
 
 
 def skip_changes(patch: Any) -> None:
@@ -119,7 +131,7 @@
         if state.me.host != "lhr-a-1" or record.offset < 4:
             original(state, fold, record)
 
-    patch.setattr(catalogue, "fold_record", fold_record)
+    replace(patch, catalogue.fold_record, fold_record)
 
 
 def trust_names(patch: Any) -> None:
@@ -132,12 +144,12 @@
             report = report._replace(identity=MODEL)
         return report, reason
 
-    patch.setattr(health, "usable_report", usable_report)
+    replace(patch, health.usable_report, usable_report)
 
 
 def take_whole_limits(patch: Any) -> None:
     """Each node uses the whole limit of an entry."""
-    patch.setattr(limits, "integer_share", lambda state, limit: limit)
+    replace(patch, limits.integer_share, lambda state, limit: limit)
 
 
 FAULTS = {
