Let stream readers handle gaps and failures, and name the placing systems once

Cause: a read of the whole change. The catalogue and the claims each logged a gap or a failed read and stopped their reader with the same lines, two benches and a test listed the same eight systems, and the policy names stand in two modules. Change: StreamReader logs, and waits for a checkpoint, itself; DECISION_SYSTEMS beside ALL_SYSTEMS; a test that the settings' policy names are the core's. The names stay apart, since the settings parser must not load the core's systems. Conclusion: behaviour is unchanged; no test's assertion changes.

--- a/src/poplarfold/_internal/bench/decisions.py
+++ b/src/poplarfold/_internal/bench/decisions.py
@@ -19,14 +19,8 @@
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.core.node import Node
 from poplarfold._internal.core.systems import (
-    admission,
-    calls,
+    DECISION_SYSTEMS,
     health,
-    leaving,
-    limits,
-    membership,
-    placement,
-    retries,
 )
 from poplarfold._internal.core.systems.calls import attempt_of_lease
 from poplarfold._internal.settings import DomainSettings, NodeSettings
@@ -38,16 +32,6 @@
 NODES_PER_ENDPOINT = 0.1
 CALLS = 2000
 START_S = 2.0
-SYSTEMS = (
-    calls,
-    membership,
-    health,
-    leaving,
-    limits,
-    admission,
-    placement,
-    retries,
-)
 
 
 def decision_cost(endpoints: int, seed: int = 1) -> dict[str, Any]:
@@ -71,7 +55,7 @@
     # The node that owns the first cell of its domain.
     hosts = [f"{names[0]}-{slot}" for slot in range(nodes)]
     host = choose(Cell(names[0], DESIGN.service, 0).key, hosts) or hosts[0]
-    node = Node(NodeSettings(host, names[0], settings), 1, seed, SYSTEMS)
+    node = Node(NodeSettings(host, names[0], settings), 1, seed, DECISION_SYSTEMS)
     node.state.entries.put("captions", CAPTIONS.entry)
     node.state.catalogue_ready = True
     node.step(0.0, [HostsListed(1, tuple(rows))])
--- a/src/poplarfold/_internal/bench/goodput.py
+++ b/src/poplarfold/_internal/bench/goodput.py
@@ -22,14 +22,7 @@
 )
 from poplarfold._internal.core.policies import POLICIES
 from poplarfold._internal.core.systems import (
-    admission,
-    calls,
-    health,
-    leaving,
-    limits,
-    membership,
-    placement,
-    retries,
+    DECISION_SYSTEMS,
 )
 from poplarfold._internal.settings import NodeSettings
 from poplarfold._internal.standins.engine_model import EngineConfig, EngineModel
@@ -37,16 +30,6 @@
 
 __all__ = ["GoodputRun", "policy_names", "run_goodput", "run_world", "table"]
 
-SYSTEMS = (
-    calls,
-    membership,
-    health,
-    leaving,
-    limits,
-    admission,
-    placement,
-    retries,
-)
 # Nodes poll the endpoints before the first call.
 WARM_UP_S = 2.0
 DRAIN_S = 60.0
@@ -136,7 +119,7 @@
                     strict_invariants=True,
                     health_across_incarnations=run.health_across_incarnations,
                 ),
-                systems=SYSTEMS,
+                systems=DECISION_SYSTEMS,
             )
             for workload in deployment.workloads:
                 node.state.entries.put(workload.entry.name, workload.entry)
--- a/src/poplarfold/_internal/core/log_reader.py
+++ b/src/poplarfold/_internal/core/log_reader.py
@@ -98,9 +98,24 @@
             self.overdue_at = now
 
     def on_read(
+        self, event: LogRead, now: float, state: NodeState
+    ) -> tuple[LogRecord, ...] | None:
+        """Take an answer and return the records that follow, in order.
+
+        Returns None after a gap: the reader then waits for a checkpoint.
+        """
+        records = self.check_read(event, now)
+        if isinstance(records, Err):
+            problem = str(records.err_value)
+            state.log("PF5005", None, stream=self.stream, problem=problem)
+            self.is_waiting = True
+            return None
+        return records.ok_value
+
+    def check_read(
         self, event: LogRead, now: float
     ) -> Result[tuple[LogRecord, ...], LogGapError]:
-        """Take an answer and return the records that follow, in order."""
+        """Move on by an answer, unless its offsets are not contiguous."""
         if event.start != self.next:
             return Ok(())
         asked_at = self.asked_at
@@ -133,11 +148,16 @@
 
     def on_failure(self, event: LogReadFailed, now: float, state: NodeState) -> None:
         """Take a failed read and back off with jitter."""
+        if not self.is_failing:
+            state.log("PF5004", None, stream=self.stream, expired=event.expired)
         if event.start != self.next:
             return
         self.asked_at = None
         self.first = max(self.first, event.first)
         self.back_off(now, state.rng.random())
+        if event.expired:
+            # Records below the retention are gone: only a checkpoint can tell them.
+            self.is_waiting = True
 
     def back_off(self, now: float, jitter: float = 0.5) -> None:
         delay = min(READ_RETRY_MAX_S, READ_RETRY_MIN_S * 2 ** min(self.failures, 8))
--- a/src/poplarfold/_internal/core/systems/__init__.py
+++ b/src/poplarfold/_internal/core/systems/__init__.py
@@ -22,7 +22,7 @@
     retries,
 )
 
-__all__ = ["ALL_SYSTEMS"]
+__all__ = ["ALL_SYSTEMS", "DECISION_SYSTEMS"]
 
 ALL_SYSTEMS: tuple[ModuleType, ...] = (
     calls,
@@ -39,3 +39,15 @@
     retries,
     orders,
 )
+
+# Those that place calls, without the ones that read or write the log.
+DECISION_SYSTEMS: tuple[ModuleType, ...] = (
+    calls,
+    membership,
+    health,
+    leaving,
+    limits,
+    admission,
+    placement,
+    retries,
+)
--- a/src/poplarfold/_internal/core/systems/catalogue.py
+++ b/src/poplarfold/_internal/core/systems/catalogue.py
@@ -207,12 +207,10 @@
     if event.stream != STREAM:
         return
     fold = state.part(CatalogueFold)
-    records = fold.reader.on_read(event, now)
-    if isinstance(records, Err):
-        state.log("PF5005", None, stream=STREAM, problem=str(records.err_value))
-        fold.reader.is_waiting = True
+    records = fold.reader.on_read(event, now, state)
+    if records is None:
         return
-    for record in records.ok_value:
+    for record in records:
         fold_record(state, fold, record)
     if fold.reader.caught_up_at is not None:
         fold.known = True
@@ -222,15 +220,8 @@
 
 @on_event.register
 def _(event: LogReadFailed, state: NodeState, now: float) -> None:
-    if event.stream != STREAM:
-        return
-    fold = state.part(CatalogueFold)
-    if not fold.reader.is_failing:
-        state.log("PF5004", None, stream=STREAM, expired=event.expired)
-    fold.reader.on_failure(event, now, state)
-    if event.expired and event.start == fold.reader.next:
-        # Records below the retention are gone: only a checkpoint can tell them.
-        fold.reader.is_waiting = True
+    if event.stream == STREAM:
+        state.part(CatalogueFold).reader.on_failure(event, now, state)
 
 
 def fold_record(state: NodeState, fold: CatalogueFold, record: LogRecord) -> None:
--- a/src/poplarfold/_internal/core/systems/claims.py
+++ b/src/poplarfold/_internal/core/systems/claims.py
@@ -247,12 +247,10 @@
     if event.stream != STREAM:
         return
     part = state.part(Claims)
-    records = part.reader.on_read(event, now)
-    if isinstance(records, Err):
-        state.log("PF5005", None, stream=STREAM, problem=str(records.err_value))
-        part.reader.is_waiting = True
+    records = part.reader.on_read(event, now, state)
+    if records is None:
         return
-    for record in records.ok_value:
+    for record in records:
         fold_record(state, part, record, now)
     for record_id, row in part.appends.rows():
         settle_append(part, record_id, row, now)
@@ -260,15 +258,8 @@
 
 @on_event.register
 def _(event: LogReadFailed, state: NodeState, now: float) -> None:
-    if event.stream != STREAM:
-        return
-    part = state.part(Claims)
-    if not part.reader.is_failing:
-        state.log("PF5004", None, stream=STREAM, expired=event.expired)
-    part.reader.on_failure(event, now, state)
-    if event.expired and event.start == part.reader.next:
-        # Records below the retention are gone: only a checkpoint can tell them.
-        part.reader.is_waiting = True
+    if event.stream == STREAM:
+        state.part(Claims).reader.on_failure(event, now, state)
 
 
 @on_event.register
--- a/tests/unit/test_cell_owner.py
+++ b/tests/unit/test_cell_owner.py
@@ -34,28 +34,12 @@
 )
 from poplarfold._internal.core.node import Node
 from poplarfold._internal.core.systems import (
-    admission,
+    DECISION_SYSTEMS,
     calls,
-    health,
-    leaving,
-    limits,
-    membership,
-    placement,
-    retries,
 )
 from poplarfold._internal.core.systems.admission import AdmissionState
 from poplarfold._internal.settings import DomainSettings, NodeSettings
 
-SYSTEMS = (
-    calls,
-    membership,
-    health,
-    leaving,
-    limits,
-    admission,
-    placement,
-    retries,
-)
 LLM = Identity("studio", "llm", "v1")
 OTHER = Identity("stranger", "llm", "v1")
 PEER = HostKey("other", 5)
@@ -97,7 +81,7 @@
 @pytest.fixture
 def node():
     settings = NodeSettings("me", "west-a", (DomainSettings("west-a", "west", 2),))
-    node = Node(settings._replace(strict_invariants=True), 1, 7, SYSTEMS)
+    node = Node(settings._replace(strict_invariants=True), 1, 7, DECISION_SYSTEMS)
     node.state.catalogue_ready = True
     for row in (
         entry("captions"),
@@ -286,7 +270,7 @@
 def test_a_silent_owner_is_passed_over():
     """Guards against calls that wait for an owner that a partition hides."""
     domains = (DomainSettings("west-a", "west", 1), DomainSettings("west-b", "west", 1))
-    node = Node(NodeSettings("me", "west-a", domains), 1, 7, SYSTEMS)
+    node = Node(NodeSettings("me", "west-a", domains), 1, 7, DECISION_SYSTEMS)
     node.state.catalogue_ready = True
     node.state.entries.put("captions", entry("captions"))
     rows = (
--- a/tests/unit/test_settings_file.py
+++ b/tests/unit/test_settings_file.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from poplarfold._internal import settings_keys
+from poplarfold._internal.core import policies
 from poplarfold._internal.settings_file import parse_settings, read_settings
 
 GOOD = """
@@ -103,3 +105,8 @@
     error = read_settings(tmp_path / "none.toml").unwrap_err()
     assert error.code == "invalid_settings"
     assert "none.toml" in str(error)
+
+
+def test_each_policy_of_the_settings_exists():
+    """Guards against a policy that passes the check and stops the node."""
+    assert set(settings_keys.POLICIES) == set(policies.POLICIES)
