Move the policies into the package of the systems that they use

Cause: core/policies.py imports two systems, and the package of the systems imports it, so that a module which imported the policies first failed with a circular import. tests/unit/test_settings_file.py failed so when run by itself since its new test; the full run hid it, as other modules came first. Change: the module is core/systems/policies.py; importing it loads its package first. Conclusion: the order of imports no longer matters.

--- a/src/poplarfold/_internal/bench/goodput.py
+++ b/src/poplarfold/_internal/bench/goodput.py
@@ -20,10 +20,10 @@
     EndpointRole,
     EntryKind,
 )
-from poplarfold._internal.core.policies import POLICIES
 from poplarfold._internal.core.systems import (
     DECISION_SYSTEMS,
 )
+from poplarfold._internal.core.systems.policies import POLICIES
 from poplarfold._internal.settings import NodeSettings
 from poplarfold._internal.standins.engine_model import EngineConfig, EngineModel
 from poplarfold._internal.standins.service_model import ServiceConfig, ServiceModel
--- a/src/poplarfold/_internal/bench/report.py
+++ b/src/poplarfold/_internal/bench/report.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from poplarfold._internal.bench.goodput import GoodputRun, run_goodput
-from poplarfold._internal.core.policies import POLICIES
+from poplarfold._internal.core.systems.policies import POLICIES
 
 __all__ = ["write_report"]
 
--- a/src/poplarfold/_internal/cli/commands/bench_goodput.py
+++ b/src/poplarfold/_internal/cli/commands/bench_goodput.py
@@ -11,7 +11,7 @@
     run_goodput,
     table,
 )
-from poplarfold._internal.core.policies import POLICIES
+from poplarfold._internal.core.systems.policies import POLICIES
 
 __all__ = ["add_arguments", "run"]
 
--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -37,7 +37,6 @@
     PlaceWithdrawn,
 )
 from poplarfold._internal.core.model import CallClass, EntryKind, HostKey, Placement
-from poplarfold._internal.core.policies import POLICIES, LocalPolicy, choose_locally
 from poplarfold._internal.core.state import NodeState
 from poplarfold._internal.core.systems import admission, calls, limits
 from poplarfold._internal.core.systems.health import HealthState
@@ -50,6 +49,11 @@
     HeldRow,
     PlacementState,
 )
+from poplarfold._internal.core.systems.policies import (
+    POLICIES,
+    LocalPolicy,
+    choose_locally,
+)
 from poplarfold._internal.exceptions import (
     EntryNotFoundError,
     LinkBudgetError,
--- a/tests/unit/test_settings_file.py
+++ b/tests/unit/test_settings_file.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarfold._internal import settings_keys
-from poplarfold._internal.core import policies
+from poplarfold._internal.core.systems import policies
 from poplarfold._internal.settings_file import parse_settings, read_settings
 
 GOOD = """
