Serve the prepared platform: adapter, decisions of the fleet and a gateway process

Cause: the users' machines speak a protocol of their own, and the daemon serves only the product's interface.

The adapter in platform/ decodes the settings, routes, endpoints, headers and calls once. core/fleet holds the decisions (directory, choice of endpoints, retry budget, door of the decode slots) without I/O. gateway/ is the process.

--- /dev/null
+++ b/src/poplarfold/_internal/core/fleet/choice.py
@@ -0,0 +1,182 @@
+"""Chooses endpoints by the time that a call is expected to take there.
+
+The expectation answers three loads: uneven arrivals (use against slots), slow
+endpoints (answer times) and endpoints that fail a part of their calls while
+they report good health (failures).
+"""
+
+from collections.abc import Collection, Iterable
+from typing import NamedTuple
+
+from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
+from poplarfold._internal.core.state import Table
+
+__all__ = ["EndpointUse", "UseTable", "choose", "expected_s"]
+
+# One way and back, to another domain of the region and to another region.
+DOMAIN_PENALTY_S = 0.012
+REGION_PENALTY_S = 0.040
+# What a failed call costs its caller, weighed with the share of failed calls.
+FAILURE_PENALTY_S = 0.6
+# The weight of the newest call in the moving averages.
+AVERAGE_WEIGHT = 0.15
+# The share of failures halves in this time without calls, so that an endpoint
+# which failed is tried again.
+FAILURE_HALF_LIFE_S = 2.5
+# A load that an endpoint told counts less with its age, and not after this.
+LOAD_LIFE_S = 1.0
+USUAL_ANSWER_S = 0.08
+# A silent or unreachable endpoint gets no calls for this time.
+SILENCE_PENALTY_S = 1.5
+
+
+class EndpointUse(NamedTuple):
+    """What this node knows of one incarnation of an endpoint.
+
+    ``open_calls`` are this node's own. ``others`` is the use by other nodes
+    as of ``others_at``. ``avoid_until`` keeps new calls away for a while.
+    """
+
+    born: int = 0
+    open_calls: int = 0
+    others: int = 0
+    others_at: float = 0.0
+    answer_s: float = USUAL_ANSWER_S
+    failure_share: float = 0.0
+    failure_at: float = 0.0
+    avoid_until: float = 0.0
+    full_until: float = 0.0
+
+
+class UseTable:
+    """The use of all endpoints, by id. A new incarnation starts empty."""
+
+    def __init__(self) -> None:
+        self.rows: Table[str, EndpointUse] = Table()
+
+    def get(self, endpoint: FleetEndpoint) -> EndpointUse:
+        """Return the row of this incarnation."""
+        row = self.rows.get(endpoint.endpoint_id)
+        if row is None or row.born != endpoint.born:
+            row = EndpointUse(born=endpoint.born)
+            self.rows.put(endpoint.endpoint_id, row)
+        return row
+
+    def put(self, endpoint: FleetEndpoint, row: EndpointUse) -> None:
+        """Replace the row of this incarnation."""
+        self.rows.put(endpoint.endpoint_id, row)
+
+    def begin(self, endpoint: FleetEndpoint) -> None:
+        """Count a call that starts."""
+        row = self.get(endpoint)
+        self.put(endpoint, row._replace(open_calls=row.open_calls + 1))
+
+    def end(self, endpoint: FleetEndpoint) -> None:
+        """Count a call that has ended."""
+        row = self.get(endpoint)
+        self.put(endpoint, row._replace(open_calls=max(0, row.open_calls - 1)))
+
+    def note_load(
+        self, endpoint: FleetEndpoint, load: EndpointLoad | None, now: float
+    ) -> None:
+        """Take the load that came with an answer."""
+        if load is None:
+            return
+        row = self.get(endpoint)
+        others = max(0, load.running + load.waiting - row.open_calls)
+        self.put(endpoint, row._replace(others=others, others_at=now))
+
+    def note_answer(
+        self, endpoint: FleetEndpoint, answer_s: float, ok: bool, now: float
+    ) -> None:
+        """Take how long an answer took and whether the call succeeded."""
+        row = self.get(endpoint)
+        average_s = row.answer_s + AVERAGE_WEIGHT * (answer_s - row.answer_s)
+        share = failure_share(row, now)
+        share += AVERAGE_WEIGHT * ((0.0 if ok else 1.0) - share)
+        self.put(
+            endpoint,
+            row._replace(
+                answer_s=average_s if ok else row.answer_s,
+                failure_share=share,
+                failure_at=now,
+            ),
+        )
+
+    def avoid(self, endpoint: FleetEndpoint, now: float) -> None:
+        """Keep new calls away from an endpoint that gave no answer."""
+        row = self.get(endpoint)
+        self.put(endpoint, row._replace(avoid_until=now + SILENCE_PENALTY_S))
+
+    def mark_full(self, endpoint: FleetEndpoint, until: float) -> None:
+        """Ask an engine that refused a lease again at ``until`` only."""
+        self.put(endpoint, self.get(endpoint)._replace(full_until=until))
+
+    def forget(self, endpoint_ids: Collection[str]) -> None:
+        """Drop the rows of endpoints that are not announced any more."""
+        for endpoint_id in endpoint_ids:
+            self.rows.pop(endpoint_id, None)
+
+
+def failure_share(row: EndpointUse, now: float) -> float:
+    """Return the share of failed calls, faded by the time since the last one."""
+    age_s = max(0.0, now - row.failure_at)
+    return float(row.failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
+
+
+def in_use(row: EndpointUse, now: float) -> float:
+    """Return the estimated number of calls at an endpoint, of all nodes."""
+    age_s = max(0.0, now - row.others_at)
+    fresh = max(0.0, 1.0 - age_s / LOAD_LIFE_S)
+    return row.open_calls + row.others * fresh
+
+
+def distance_s(endpoint: FleetEndpoint, domain: str, regions: dict[str, str]) -> float:
+    """Return what the way to an endpoint costs."""
+    if endpoint.failure_domain == domain:
+        return 0.0
+    if regions.get(endpoint.failure_domain) == regions.get(domain):
+        return DOMAIN_PENALTY_S
+    return REGION_PENALTY_S
+
+
+def expected_s(
+    endpoint: FleetEndpoint,
+    row: EndpointUse,
+    domain: str,
+    regions: dict[str, str],
+    now: float,
+) -> float:
+    """Return the time that a call is expected to take at an endpoint."""
+    crowding = max(1.0, (in_use(row, now) + 1.0) / max(1, endpoint.slots))
+    # Below the slots, a less used endpoint is still a little faster.
+    spread = 0.1 * in_use(row, now) / max(1, endpoint.slots)
+    cost = row.answer_s * (crowding + spread)
+    cost += FAILURE_PENALTY_S * failure_share(row, now)
+    if row.avoid_until > now:
+        cost += SILENCE_PENALTY_S
+    return cost + distance_s(endpoint, domain, regions)
+
+
+def choose(
+    endpoints: Iterable[FleetEndpoint],
+    uses: UseTable,
+    domain: str,
+    regions: dict[str, str],
+    now: float,
+    excluded: Collection[str] = (),
+) -> FleetEndpoint | None:
+    """Return the endpoint with the shortest expected time, or None.
+
+    Endpoints that were marked full are left out until their time has come.
+    """
+    best: FleetEndpoint | None = None
+    best_s = float("inf")
+    for endpoint in endpoints:
+        row = uses.get(endpoint)
+        if endpoint.endpoint_id in excluded or row.full_until > now:
+            continue
+        cost = expected_s(endpoint, row, domain, regions, now)
+        if cost < best_s:
+            best, best_s = endpoint, cost
+    return best
--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -9,7 +9,7 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
@@ -22,6 +22,7 @@
     EndpointError,
     EndpointStalledError,
     EndpointUnreachableError,
+    ForeignAnswerError,
 )
 
 __all__ = [
@@ -135,6 +136,8 @@
         self.decoder = ChunkDecoder() if response.chunked else None
         self.left = response.length
         self.ended = False
+        # Set if the answer ended before its framing said so.
+        self.is_cut = False
         # What came in one packet with the head is in the response's buffer.
         sock.settimeout(0)
         self.early = response.fp.read1(READ_BYTES) or b""
@@ -174,6 +177,7 @@
         self.early = b""
         if not data:
             self.ended = True
+            self.is_cut = self.decoder is not None or self.left is not None
         elif self.decoder is not None:
             data = self.decoder.feed(data)
             self.ended = self.decoder.ended
@@ -201,9 +205,13 @@
         timeout_s: float,
         fresh: bool = False,
         handle: AbortHandle | None = None,
+        is_own: Callable[[Mapping[str, str]], bool] | None = None,
     ) -> Result[Answer, Failure]:
         """Make one request and read its whole answer.
 
+        ``is_own`` tells from the headers whether the answer belongs to this
+        request; the connection of one that does not is closed.
+
         A request on a kept connection that the endpoint has closed meanwhile is
         repeated once on a new one, so requests without ``fresh`` must be safe
         to repeat. ``timeout_s`` bounds each wait for bytes.
@@ -211,14 +219,18 @@
         if not fresh:
             connection = self.take_idle(target.address)
             if connection is not None:
-                result = self._try(connection, target, body, headers, timeout_s, handle)
+                result = self._try(
+                    connection, target, body, headers, timeout_s, handle, is_own=is_own
+                )
                 stalled = result.is_err() and isinstance(
                     result.unwrap_err().error, EndpointStalledError
                 )
                 if result.is_ok() or stalled or is_aborted(handle):
                     return result
         connection = self._new_connection(target.address)
-        return self._try(connection, target, body, headers, timeout_s, handle, fresh)
+        return self._try(
+            connection, target, body, headers, timeout_s, handle, fresh, is_own
+        )
 
     def open_stream(
         self,
@@ -319,6 +331,7 @@
         timeout_s: float,
         handle: AbortHandle | None,
         fresh: bool = False,
+        is_own: Callable[[Mapping[str, str]], bool] | None = None,
     ) -> Result[Answer, Failure]:
         failure = self._send(connection, target, body, headers, timeout_s, handle)
         if failure is not None:
@@ -337,6 +350,10 @@
         finally:
             if handle is not None:
                 handle.attach(None)
+        if is_own is not None and not is_own(response.headers):
+            connection.close()
+            message = f"{target.address} answered another request"
+            return Err(Failure(ForeignAnswerError(message), sent=True))
         if is_aborted(handle) or will_close(response):
             connection.close()
         else:
--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -231,7 +231,7 @@
     def __init__(
         self,
         address: tuple[str, int],
-        application: Callable[..., Any],
+        application: Callable[..., Any] | None,
         threads: int,
         body_limit_bytes: int,
         request_read_s: float,
@@ -253,10 +253,16 @@
         self.request_read_s = request_read_s
         self.on_error = on_error
 
+    # Subclasses whose callers open connections ahead of their requests set 0.
+    defer_accept_s = DEFER_ACCEPT_S
+
     def bind(self, family: int, type: int, proto: int = 0) -> socket.socket:
         """Bind the listener and let the kernel hold idle connections back."""
         sock = super().bind(family, type, proto)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_ACCEPT_S)
+        if self.defer_accept_s:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, self.defer_accept_s
+            )
         return sock
 
     def error_log(
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -345,6 +345,12 @@
     code = "endpoint_stalled"
 
 
+class ForeignAnswerError(EndpointError):
+    """The answer on the connection belongs to another request."""
+
+    code = "foreign_answer"
+
+
 class IdentityMismatchError(EndpointError):
     """The endpoint serves something else than the entry pins."""
 
@@ -379,3 +385,57 @@
     """An invariant of the core does not hold."""
 
     code = "invariant_violation"
+
+
+class PlatformFormatError(PoplarfoldError):
+    """The platform wrote something that cannot be decoded."""
+
+    code = "platform_format"
+
+
+class StoreUnavailableError(PoplarfoldError):
+    """The platform's store gave no answer, or refused the call."""
+
+    code = "store_unavailable"
+    status = 503
+
+
+class StoreGapError(StoreUnavailableError):
+    """Records after the wanted offset have been deleted from the store."""
+
+    code = "store_gap"
+
+
+class NoRouteTableError(PoplarfoldError):
+    """This node has not seen a configuration yet. The call has not run."""
+
+    code = "no_route_table"
+    status = 503
+
+
+class RouteNotFoundError(PoplarfoldError):
+    """No published route matches the host and path of the call."""
+
+    code = "route_not_found"
+    status = 404
+
+
+class NotRunError(PoplarfoldError):
+    """No endpoint has taken the call. It has not run and will not."""
+
+    code = "not_run"
+    status = 503
+
+
+class NoRoomError(PoplarfoldError):
+    """All decode engines are full. The call has not run."""
+
+    code = "no_room"
+    status = 503
+
+
+class CallTimeoutError(PoplarfoldError):
+    """The call has reached its deadline; it may have run."""
+
+    code = "call_timeout"
+    status = 504
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -0,0 +1,89 @@
+"""What all calls of one process share, and the parts of a call's own work."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from poplarfold._internal.daemon.endpoint_client import AbortHandle, EndpointClient
+from poplarfold._internal.daemon.socket_watcher import SocketWatcher
+from poplarfold._internal.exceptions import CallTimeoutError, PoplarfoldError
+from poplarfold._internal.gateway.fleet import Fleet, MatchedRoute
+from poplarfold._internal.gateway.metrics import GatewayMetrics
+from poplarfold._internal.gateway.server import CallerExchange
+from poplarfold._internal.platform import CallerCall, EngineCalls
+
+__all__ = ["CallContext", "Services"]
+
+WriteLog = Callable[[str, str | None, dict[str, object]], None]
+
+
+class Services(NamedTuple):
+    """What all calls of one process share."""
+
+    fleet: Fleet
+    client: EndpointClient
+    engines: EngineCalls
+    watcher: SocketWatcher
+    metrics: GatewayMetrics
+    write_log: WriteLog
+
+
+class CallContext:
+    """One caller's call in progress. Times are monotonic seconds.
+
+    ``abort`` ends the blocking I/O of the call as soon as its caller has gone.
+    """
+
+    def __init__(
+        self,
+        services: Services,
+        exchange: CallerExchange,
+        call: CallerCall,
+        matched: MatchedRoute,
+        body: bytes,
+    ) -> None:
+        self.services = services
+        self.exchange = exchange
+        self.call = call
+        self.route = matched.route
+        self.service = matched.service
+        self.details = matched.details
+        self.version = matched.version
+        self.body = body
+        self.arrived_at = time.monotonic()
+        wait_s = matched.route.timeout_s
+        if call.deadline_s is not None:
+            wait_s = min(wait_s, call.deadline_s)
+        self.deadline_at = self.arrived_at + wait_s
+        self.caller_gone = threading.Event()
+        self.abort = AbortHandle()
+
+    def on_caller_gone(self) -> None:
+        """End the call's I/O; called from the watcher's thread."""
+        self.caller_gone.set()
+        self.abort.abort()
+        fleet = self.services.fleet
+        with fleet.lock:
+            fleet.changed.notify_all()
+
+    def remaining_s(self) -> float:
+        """Return the time that is left. Raises CallTimeoutError at the deadline."""
+        left = self.deadline_at - time.monotonic()
+        if left <= 0:
+            raise CallTimeoutError("the deadline has passed")
+        return left
+
+    def log(self, number: str, **fields: Any) -> None:
+        """Write a numbered event of this call."""
+        self.services.write_log(number, self.call.request_id, fields)
+
+    def log_failure(self, endpoint_id: str, error: PoplarfoldError, sent: bool) -> None:
+        """Write why an attempt at an endpoint failed."""
+        self.log(
+            "PF1103",
+            endpoint=endpoint_id,
+            code=error.code,
+            problem=str(error),
+            sent=sent,
+        )
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/events.py
@@ -0,0 +1,39 @@
+"""Splits a stream of server-sent events into whole events."""
+
+import re
+
+__all__ = ["EventSplitter"]
+
+EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+
+
+class EventSplitter:
+    """Takes bytes as they arrive and returns whole events only.
+
+    >>> splitter = EventSplitter(None)
+    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2")
+    b'id: 1\\ndata: a\\n\\n'
+    >>> splitter.last_id, splitter.rest
+    ('1', b'id: 2')
+    """
+
+    def __init__(self, last_id: str | None) -> None:
+        self.last_id = last_id
+        self.rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the events that are complete now; the rest waits."""
+        buffer = self.rest + data
+        end = 0
+        for match in EVENT_END.finditer(buffer):
+            end = match.end()
+        whole, self.rest = buffer[:end], buffer[end:]
+        ids = EVENT_ID.findall(whole)
+        if ids:
+            self.last_id = ids[-1].decode("latin-1").strip()
+        return whole
+
+    def restart(self) -> None:
+        """Drop a part of an event whose stream has broken off."""
+        self.rest = b""
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -0,0 +1,169 @@
+"""The decisions of one node behind one lock, for the threads that need them."""
+
+import random
+import threading
+import time
+from collections.abc import Callable, Collection
+from typing import NamedTuple
+
+from poplarfold._internal.core.fleet.budget import RetryBudget
+from poplarfold._internal.core.fleet.choice import UseTable, choose
+from poplarfold._internal.core.fleet.directory import Directory, EndpointChange
+from poplarfold._internal.core.fleet.door import Door
+from poplarfold._internal.core.fleet.rows import (
+    EndpointLoad,
+    FleetEndpoint,
+    Route,
+    Service,
+)
+from poplarfold._internal.core.model import EndpointRole
+from poplarfold._internal.exceptions import NoRouteTableError, RouteNotFoundError
+from poplarfold._internal.gateway.settings import GatewaySettings
+from poplarfold._internal.platform import HostSettings
+
+__all__ = ["Fleet", "MatchedRoute"]
+
+
+class MatchedRoute(NamedTuple):
+    """A route, the service drawn for this call, and the configuration's version."""
+
+    route: Route
+    service: str
+    details: Service | None
+    version: int
+
+
+class Fleet:
+    """What this node believes about routes, endpoints and its own use of them."""
+
+    def __init__(
+        self,
+        host: HostSettings,
+        settings: GatewaySettings,
+        seed: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.host = host
+        self.settings = settings
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.changed = threading.Condition(self.lock)
+        self.rng = random.Random(seed)
+        self.directory = Directory()
+        self.uses = UseTable()
+        self.door = Door(settings.door)
+        self.budgets: dict[str, RetryBudget] = {}
+        # Called outside the lock when an endpoint must get no new work.
+        self.nodes = settings.expected_nodes
+
+    def match(self, host: str, path: str) -> MatchedRoute:
+        """Return the route of a call. Raises NoRouteTableError, RouteNotFoundError."""
+        with self.lock:
+            table = self.directory.table
+            if table is None:
+                raise NoRouteTableError("no configuration has been seen yet")
+            route = self.directory.match_route(host, path)
+            if route is None:
+                raise RouteNotFoundError(f"no route for {host}{path}")
+            weights = [max(0.0, share.weight) for share in route.services]
+            total = sum(weights)
+            if len(weights) > 1 and total > 0:
+                service = self.rng.choices(route.services, weights)[0].service
+            else:
+                service = route.services[0].service
+            details = table.services.get(service)
+            return MatchedRoute(route, service, details, table.version)
+
+    def note_request(self, service: str) -> None:
+        """Count a caller's request towards the retry budget of its service."""
+        with self.lock:
+            self._budget(service).note_request(self.clock())
+
+    def may_repeat(self, service: str) -> bool:
+        """Spend one repeat of a service's retry budget if this node has one."""
+        with self.lock:
+            return self._budget(service).take(self.nodes, self.clock())
+
+    def pick(
+        self, service: str, role: EndpointRole, excluded: Collection[str] = ()
+    ) -> FleetEndpoint | None:
+        """Choose an endpoint and count a call there; ``done`` must follow."""
+        with self.lock:
+            endpoint = self._choose(service, role, excluded)
+            if endpoint is not None:
+                self.uses.begin(endpoint)
+            return endpoint
+
+    def done(self, endpoint: FleetEndpoint) -> None:
+        """Count a call at an endpoint as ended."""
+        with self.lock:
+            self.uses.end(endpoint)
+            self.changed.notify_all()
+
+    def note_answer(
+        self,
+        endpoint: FleetEndpoint,
+        started_at: float,
+        ok: bool,
+        load: EndpointLoad | None = None,
+    ) -> None:
+        """Take the outcome of a call at an endpoint."""
+        with self.lock:
+            now = self.clock()
+            self.uses.note_load(endpoint, load, now)
+            self.uses.note_answer(endpoint, now - started_at, ok, now)
+
+    def note_silence(self, endpoint: FleetEndpoint) -> None:
+        """Keep new calls away from an endpoint that gave no answer."""
+        with self.lock:
+            now = self.clock()
+            self.uses.note_answer(endpoint, 0.0, False, now)
+            self.uses.avoid(endpoint, now)
+
+    def mark_full(self, endpoint: FleetEndpoint) -> None:
+        """Leave out an engine that refused a lease for a moment."""
+        with self.lock:
+            wait_s = self.settings.door.full_retry_s * (0.75 + 0.5 * self.rng.random())
+            self.uses.mark_full(endpoint, self.clock() + wait_s)
+
+    def is_usable(self, endpoint: FleetEndpoint) -> bool:
+        """Return whether an endpoint chosen before may still get new work."""
+        with self.lock:
+            return self.directory.is_usable(endpoint)
+
+    def has_role(self, service: str, role: EndpointRole) -> bool:
+        """Return whether any endpoint of a service has a role."""
+        with self.lock:
+            return bool(self.directory.usable(service, role))
+
+    def drop_gone(self, changes: list[EndpointChange]) -> None:
+        """Forget the use of endpoints that are gone. The lock must be held."""
+        self.uses.forget(
+            [
+                change.before.endpoint_id
+                for change in changes
+                if change.before is not None and change.after is None
+            ]
+        )
+        self.changed.notify_all()
+
+    def _choose(
+        self, service: str, role: EndpointRole, excluded: Collection[str]
+    ) -> FleetEndpoint | None:
+        return choose(
+            self.directory.usable(service, role),
+            self.uses,
+            self.host.failure_domain,
+            self.host.regions,
+            self.clock(),
+            excluded,
+        )
+
+    def _budget(self, service: str) -> RetryBudget:
+        found = self.budgets.get(service)
+        if found is None:
+            bounds = self.host.bounds
+            found = self.budgets[service] = RetryBudget(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+            )
+        return found
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -0,0 +1,205 @@
+"""The router's process on the platform: start, reload and planned stop."""
+
+import argparse
+import os
+import signal
+import sys
+import threading
+import time
+from pathlib import Path
+
+from poplarfold._internal.daemon.endpoint_client import EndpointClient
+from poplarfold._internal.daemon.socket_watcher import SocketWatcher
+from poplarfold._internal.exceptions import PlatformFormatError, SettingsError
+from poplarfold._internal.gateway.context import Services
+from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.handler import CallHandler
+from poplarfold._internal.gateway.metrics import GatewayMetrics
+from poplarfold._internal.gateway.server import CallerExchange, GatewayServer
+from poplarfold._internal.gateway.settings import (
+    GatewaySettings,
+    read_gateway_settings,
+)
+from poplarfold._internal.gateway.store_reader import StoreReader
+from poplarfold._internal.logs.queued import QueuedStream
+from poplarfold._internal.logs.writer import EventWriter
+from poplarfold._internal.platform import (
+    EngineCalls,
+    HostSettings,
+    StoreClient,
+    read_boot_file,
+)
+
+__all__ = ["Gateway", "main"]
+
+EXIT_SETTINGS = 2
+READY_THREADS = 3
+THREAD_STACK_BYTES = 512 * 1024
+BODY_LIMIT_BYTES = 16_000_000
+REQUEST_READ_S = 5.0
+SMALL_BODY_BYTES = 65_536
+# How often a planned stop looks whether the open calls have ended.
+STOP_LOOK_S = 0.05
+# A signal interrupts this sleep of the main thread.
+SIGNAL_LOOK_S = 60.0
+READY_PATH = "/v1/readyz"
+METRICS_PATH = "/metrics"
+
+
+class Gateway:
+    """One process with its listeners.
+
+    gateway = Gateway(host, settings, writer)
+    gateway.start()
+    gateway.stop_gracefully()
+    """
+
+    def __init__(
+        self, host: HostSettings, settings: GatewaySettings, writer: EventWriter
+    ) -> None:
+        self.host = host
+        self.settings = settings
+        self.writer = writer
+        self.stopping = threading.Event()
+        client = EndpointClient(settings.connect_s)
+        seed = int.from_bytes(os.urandom(8), "big")
+        self.fleet = Fleet(host, settings, seed)
+        self.watcher = SocketWatcher()
+        self.metrics = GatewayMetrics()
+        services = Services(
+            self.fleet,
+            client,
+            EngineCalls(client),
+            self.watcher,
+            self.metrics,
+            writer.write_event,
+        )
+        self.handler = CallHandler(services)
+        self.reader = StoreReader(
+            self.fleet, StoreClient(client, host.store_address), writer.write_event
+        )
+        self.servers = [
+            self.make_server(host.caller_listen, self.handler, False),
+            self.make_server(host.ready_listen, self.answer_ready, True),
+            self.make_server(
+                (host.ip, settings.metrics_port), self.answer_metrics, True
+            ),
+        ]
+
+    def make_server(
+        self, address: tuple[str, int], handler: object, is_small: bool
+    ) -> GatewayServer:
+        """Return one listener."""
+        return GatewayServer(
+            address,
+            handler,  # type: ignore[arg-type]
+            self.stopping.is_set,
+            READY_THREADS if is_small else self.settings.request_threads,
+            SMALL_BODY_BYTES if is_small else BODY_LIMIT_BYTES,
+            REQUEST_READ_S,
+            self.log_server_error,
+        )
+
+    def log_server_error(self, message: str) -> None:
+        """Write what the HTTP server says of itself."""
+        self.writer.write_event("PF9003", None, {"message": message, "traceback": None})
+
+    def start(self) -> None:
+        """Start all threads and listen."""
+        self.watcher.start()
+        self.reader.start()
+        for server in self.servers:
+            server.prepare()
+            threading.Thread(target=server.serve, name="listen", daemon=True).start()
+
+    def is_ready(self) -> bool:
+        """Return whether this node should get new connections."""
+        with self.fleet.lock:
+            has_routes = self.fleet.directory.table is not None
+            has_endpoints = bool(self.fleet.directory.endpoints)
+        return has_routes and has_endpoints and not self.stopping.is_set()
+
+    def answer_ready(self, exchange: CallerExchange) -> None:
+        """Answer the balancer's question."""
+        is_known = exchange.target == READY_PATH
+        status = (200 if self.is_ready() else 503) if is_known else 404
+        exchange.send_whole(status, [], b"")
+
+    def answer_metrics(self, exchange: CallerExchange) -> None:
+        """Answer with all metrics as text."""
+        if exchange.target != METRICS_PATH:
+            exchange.send_whole(404, [], b"")
+            return
+        headers = [("Content-Type", "text/plain; version=0.0.4; charset=utf-8")]
+        exchange.send_whole(200, headers, self.metrics.render())
+
+    def stop_gracefully(self) -> None:
+        """Say that the node is not ready, and end when the open calls have ended.
+
+        Requests that still come on open connections are served, and their
+        answers end these connections.
+        """
+        started_at = time.monotonic()
+        self.stopping.set()
+        self.writer.write_event("PF2102", None, {"open_calls": self.handler.open_calls})
+        limit_s = self.host.bounds.grace_s - self.settings.stop_margin_s
+        while True:
+            elapsed_s = time.monotonic() - started_at
+            if elapsed_s >= limit_s:
+                break
+            is_idle = self.handler.open_calls == 0
+            if is_idle and elapsed_s >= self.settings.stop_linger_s:
+                break
+            time.sleep(STOP_LOOK_S)
+        self.writer.write_event("PF2103", None, {"open_calls": self.handler.open_calls})
+
+    def reload(self) -> None:
+        """Read the platform's settings file again; no connection is cut."""
+        try:
+            host = read_boot_file()
+        except (PlatformFormatError, OSError) as error:
+            self.writer.write_event("PF2104", None, {"problem": str(error)})
+            return
+        with self.fleet.lock:
+            self.fleet.host = host
+        self.writer.write_event("PF2104", None, {"problem": ""})
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the router on the platform until SIGTERM and return the exit code."""
+    parser = argparse.ArgumentParser(prog="poplarfold-gateway", description=__doc__)
+    parser.add_argument("--settings", type=Path, metavar="FILE")
+    options = parser.parse_args(argv)
+    try:
+        settings = GatewaySettings()
+        if options.settings is not None:
+            settings = read_gateway_settings(options.settings)
+        host = read_boot_file()
+    except (PlatformFormatError, SettingsError, OSError) as error:
+        print(f"poplarfold-gateway: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    threading.stack_size(THREAD_STACK_BYTES)
+    stream = QueuedStream(sys.stdout.fileno(), settings.log_queue_lines)
+    incarnation = int(time.time() * 1000)
+    writer = EventWriter(stream, host.host, incarnation)  # type: ignore[arg-type]
+    gateway = Gateway(host, settings, writer)
+    signals: list[int] = []
+    signal.signal(signal.SIGTERM, lambda number, frame: signals.append(number))
+    signal.signal(signal.SIGINT, lambda number, frame: signals.append(number))
+    signal.signal(signal.SIGHUP, lambda number, frame: signals.append(number))
+    gateway.start()
+    writer.write_event("PF2101", None, {"failure_domain": host.failure_domain})
+    while True:
+        while signals:
+            if signals.pop(0) == signal.SIGHUP:
+                gateway.reload()
+                continue
+            gateway.stop_gracefully()
+            stream.close()
+            # The listeners' threads would wait for idle connections.
+            os._exit(0)
+        time.sleep(SIGNAL_LOOK_S)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -0,0 +1,89 @@
+"""The router's own settings on the platform, read from TOML and checked."""
+
+import tomllib
+from pathlib import Path
+from typing import Any, NamedTuple, get_type_hints
+
+from poplarfold._internal.core.fleet.door import DoorPolicy
+from poplarfold._internal.exceptions import SettingsError, SettingsProblem
+
+__all__ = ["GatewaySettings", "read_gateway_settings"]
+
+
+class GatewaySettings(NamedTuple):
+    """Limits of one process. Times are in seconds.
+
+    ``request_threads`` bounds the requests in progress. ``connect_s`` bounds
+    the time for a connection to an endpoint or the store. ``lease_call_s``
+    bounds a call that reserves or releases something at an engine.
+    ``first_output_s`` is the longest wait for the first event of a stream that
+    may be repeated, ``silence_s`` that between two of its events.
+    """
+
+    request_threads: int = 96
+    metrics_port: int = 9464
+    connect_s: float = 0.4
+    lease_call_s: float = 0.4
+    prefill_s: float = 1.5
+    first_output_s: float = 2.0
+    silence_s: float = 2.0
+    store_call_s: float = 1.0
+    route_wait_s: float = 1.5
+    endpoint_poll_s: float = 1.0
+    expected_nodes: int = 12
+    stop_linger_s: float = 3.0
+    stop_margin_s: float = 0.6
+    log_queue_lines: int = 2000
+    door: DoorPolicy = DoorPolicy()
+
+
+def read_gateway_settings(path: Path) -> GatewaySettings:
+    """Read a settings file; keys that it lacks keep their defaults.
+
+    Raises SettingsError that names each unknown key and each wrong value.
+    """
+    problems: list[SettingsProblem] = []
+    try:
+        fields = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    door = check_table(fields.pop("door", {}), DoorPolicy, "door.", path, problems)
+    top = check_table(fields, GatewaySettings, "", path, problems)
+    if problems:
+        raise SettingsError("\n".join(map(str, problems)))
+    return GatewaySettings(**top)._replace(door=DoorPolicy(**door))
+
+
+def check_table(
+    fields: Any,
+    kind: type[NamedTuple],
+    prefix: str,
+    path: Path,
+    problems: list[SettingsProblem],
+) -> dict[str, Any]:
+    """Return the valid fields of a table, and append what is wrong."""
+    if not isinstance(fields, dict):
+        problems.append(SettingsProblem(str(path), 0, prefix, "must be a table"))
+        return {}
+    types = get_type_hints(kind)
+    checked = {}
+    for key, value in fields.items():
+        problem = check_value(types.get(key), value)
+        if problem is None:
+            checked[key] = float(value) if types[key] is float else value
+        else:
+            problems.append(SettingsProblem(str(path), 0, prefix + key, problem))
+    return checked
+
+
+def check_value(kind: object, value: object) -> str | None:
+    """Return what is wrong with a value of a key, or None."""
+    if kind not in (int, float):
+        return "is not a key of this file"
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return "must be a number"
+    if kind is int and not isinstance(value, int):
+        return "must be a whole number"
+    if value < 0:
+        return "must not be negative"
+    return None
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -0,0 +1,196 @@
+"""Threads that follow the configuration and the endpoints in the platform's store."""
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from poplarfold._internal.core.fleet.directory import EndpointChange
+from poplarfold._internal.core.fleet.rows import FleetEndpoint
+from poplarfold._internal.exceptions import (
+    PlatformFormatError,
+    PoplarfoldError,
+    StoreGapError,
+)
+from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.platform import (
+    NewestRecords,
+    Record,
+    StoreClient,
+    StoreTopic,
+    decode_endpoint,
+    decode_routes,
+)
+
+__all__ = ["StoreReader"]
+
+# The pause after a failed call to the store, so that an outage costs few calls.
+RETRY_S = 0.4
+ROUTES_KEY = "config"
+
+WriteLog = Callable[[str, str | None, dict[str, object]], None]
+
+
+class FollowedTopic(NamedTuple):
+    """How a topic is followed: how long a read waits and the pause after it."""
+
+    topic: StoreTopic
+    wait_s: float
+    pause_s: float
+    apply: Callable[[tuple[Record, ...], bool], None]
+
+
+class StoreReader:
+    """Follows both topics, each in a thread of its own.
+
+    A read that fails is repeated from the same offset. If records have been
+    deleted, the newest record of each key is read anew.
+    """
+
+    def __init__(self, fleet: Fleet, store: StoreClient, write_log: WriteLog) -> None:
+        self.fleet = fleet
+        self.store = store
+        self.write_log = write_log
+        self.call_s = fleet.settings.store_call_s
+        self.stopping = threading.Event()
+        settings = fleet.settings
+        self.topics = (
+            FollowedTopic(
+                StoreTopic.ROUTES, settings.route_wait_s, 0.0, self.apply_routes
+            ),
+            FollowedTopic(
+                StoreTopic.ENDPOINTS, 0.0, settings.endpoint_poll_s, self.apply_entries
+            ),
+        )
+
+    def start(self) -> None:
+        """Start the threads."""
+        for topic in self.topics:
+            name = f"follow-{topic.topic.name.lower()}"
+            threading.Thread(
+                target=self.follow, args=(topic,), name=name, daemon=True
+            ).start()
+
+    def follow(self, topic: FollowedTopic) -> None:
+        """Read a topic until the process ends."""
+        offset: int | None = None
+        while not self.stopping.is_set():
+            result = self.read(topic, offset)
+            if result.is_ok():
+                read = result.unwrap()
+                topic.apply(read.records, offset is None)
+                offset = read.end
+                self.note_store(topic, None)
+                self.stopping.wait(topic.pause_s)
+                continue
+            error = result.unwrap_err()
+            if isinstance(error, StoreGapError):
+                self.write_log("PF7101", None, {"topic": topic.topic.value})
+                offset = None
+                continue
+            self.note_store(topic, error)
+            self.stopping.wait(RETRY_S)
+
+    def read(
+        self, topic: FollowedTopic, offset: int | None
+    ) -> Result[NewestRecords, PoplarfoldError]:
+        """Read on from an offset, or the newest records without one."""
+        if offset is None:
+            newest = self.store.read_newest(topic.topic, self.call_s)
+            return Ok(newest.unwrap()) if newest.is_ok() else Err(newest.unwrap_err())
+        read = self.store.read_from(topic.topic, offset, topic.wait_s, self.call_s)
+        return Ok(read.unwrap()) if read.is_ok() else Err(read.unwrap_err())
+
+    def note_store(self, topic: FollowedTopic, error: PoplarfoldError | None) -> None:
+        """Note whether the store answered, and log each change of that."""
+        if topic.topic is not StoreTopic.ENDPOINTS:
+            return
+        with self.fleet.lock:
+            now = self.fleet.clock()
+            has_changed = self.fleet.directory.note_store(error is None, now)
+            dropped = self.fleet.directory.drop_lapsed(now)
+            self.fleet.drop_gone([EndpointChange(row, None) for row in dropped])
+        for row in dropped:
+            self.write_log("PF7104", None, {"endpoint": row.endpoint_id})
+        if has_changed:
+            number = "PF7102" if error is not None else "PF7103"
+            self.write_log(number, None, {"problem": str(error) if error else ""})
+
+    def apply_routes(self, records: tuple[Record, ...], is_whole: bool) -> None:
+        """Put the newest configuration among the records in force."""
+        for record in records:
+            if record.key != ROUTES_KEY or record.value is None:
+                continue
+            try:
+                table = decode_routes(record.value)
+            except PlatformFormatError as error:
+                self.write_log("PF7105", None, {"problem": str(error)})
+                continue
+            with self.fleet.lock:
+                is_new = self.fleet.directory.apply_routes(table)
+                self.fleet.changed.notify_all()
+            if is_new:
+                count = len(table.routes)
+                self.write_log(
+                    "PF7106", None, {"version": table.version, "routes": count}
+                )
+
+    def apply_entries(self, records: tuple[Record, ...], is_whole: bool) -> None:
+        """Apply the endpoints' entries, in the order of their offsets."""
+        found: dict[str, FleetEndpoint | None] = {}
+        for record in records:
+            found[record.key] = self.decode_entry(record)
+        with self.fleet.lock:
+            now = self.fleet.clock()
+            directory = self.fleet.directory
+            if is_whole:
+                rows = {key: row for key, row in found.items() if row is not None}
+                changes = directory.replace_endpoints(rows, now)
+            else:
+                changes = [
+                    directory.apply_endpoint(key, row, now)
+                    for key, row in found.items()
+                ]
+            self.fleet.drop_gone(changes)
+        for change in changes:
+            self.log_change(change)
+
+    def decode_entry(self, record: Record) -> FleetEndpoint | None:
+        """Decode one entry; one that names no endpoint counts as dropped."""
+        if record.value is None:
+            return None
+        try:
+            return decode_endpoint(record.key, record.value)
+        except PlatformFormatError as error:
+            self.write_log("PF7105", None, {"problem": str(error)})
+            return None
+
+    def log_change(self, change: EndpointChange) -> None:
+        """Log what changes the choice of endpoints; heartbeats do not."""
+        before, after = change
+        if before == after or (before is None and after is None):
+            return
+        row = after or before
+        if row is None:
+            return
+        if before is not None and after is not None:
+            same = before._replace(cold_left_s=0.0) == after._replace(cold_left_s=0.0)
+            if same:
+                return
+        self.write_log(
+            "PF7107",
+            None,
+            {
+                "endpoint": row.endpoint_id,
+                "service": row.service,
+                "address": row.address,
+                "role": row.role.value,
+                "born": row.born,
+                "state": "gone"
+                if after is None
+                else "leaving"
+                if after.is_leaving
+                else "ready",
+            },
+        )
--- /dev/null
+++ b/src/poplarfold/_internal/platform/__init__.py
@@ -0,0 +1,44 @@
+"""The adapter to the prepared platform: its names, formats and calls.
+
+Nothing here decides. Each name of the platform is decoded once, into the
+project's own types, and no module outside this package knows any of them.
+"""
+
+from poplarfold._internal.platform.boot import HostSettings, read_boot_file
+from poplarfold._internal.platform.calls import (
+    CallerCall,
+    CallTarget,
+    caller_answer_headers,
+    decode_call,
+    endpoint_headers,
+    read_proof,
+)
+from poplarfold._internal.platform.engines import EngineCalls
+from poplarfold._internal.platform.records import (
+    decode_endpoint,
+    decode_routes,
+)
+from poplarfold._internal.platform.store import (
+    NewestRecords,
+    Record,
+    StoreClient,
+    StoreTopic,
+)
+
+__all__ = [
+    "CallTarget",
+    "CallerCall",
+    "EngineCalls",
+    "HostSettings",
+    "NewestRecords",
+    "Record",
+    "StoreClient",
+    "StoreTopic",
+    "caller_answer_headers",
+    "decode_call",
+    "decode_endpoint",
+    "decode_routes",
+    "endpoint_headers",
+    "read_boot_file",
+    "read_proof",
+]
--- /dev/null
+++ b/src/poplarfold/_internal/platform/boot.py
@@ -0,0 +1,109 @@
+"""Reads the file in which the platform tells a process about its host."""
+
+import json
+import os
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from poplarfold._internal.exceptions import PlatformFormatError
+
+__all__ = ["Address", "Bounds", "HostSettings", "read_boot_file"]
+
+BOOT_VARIABLE = "POPLARFOLD_BOOT"
+
+
+class Address(NamedTuple):
+    """An IPv4 address and a port."""
+
+    host: str
+    port: int
+
+
+class Bounds(NamedTuple):
+    """The platform's bounds that the router's decisions depend on.
+
+    ``leaving_s`` is how long after the store's acknowledgement a leaving
+    endpoint may still get work. ``grace_s`` is the time between SIGTERM and
+    SIGKILL. The retry budget is shared by all nodes: ``retry_ratio`` of the
+    requests in ``retry_window_s`` and ``retry_slack`` more.
+    """
+
+    leaving_s: float = 2.5
+    grace_s: float = 8.0
+    apply_s: float = 2.5
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 50.0
+
+
+class HostSettings(NamedTuple):
+    """What the platform says about the host of this process.
+
+    ``regions`` maps each failure domain to its region.
+    """
+
+    host: str
+    failure_domain: str
+    region: str
+    regions: dict[str, str]
+    caller_listen: Address
+    ready_listen: Address
+    store_address: str
+    memory_mb: int
+    peer_ports: tuple[int, int]
+    ip: str
+    bounds: Bounds
+
+
+def read_boot_file(path: str | None = None) -> HostSettings:
+    """Read and check the file that the platform writes for this process.
+
+    Unknown fields are ignored. Raises PlatformFormatError if a field that is
+    needed is missing or malformed, and OSError if the file cannot be read.
+    """
+    name = path or os.environ.get(BOOT_VARIABLE, "")
+    if not name:
+        raise PlatformFormatError(f"{BOOT_VARIABLE} names no settings file")
+    try:
+        fields = json.loads(Path(name).read_text())
+        return decode_boot(fields)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise PlatformFormatError(f"{name}: {error!r}") from error
+
+
+def decode_boot(fields: dict[str, Any]) -> HostSettings:
+    """Decode the fields of the platform's settings file."""
+    listen = fields["listen"]
+    ports = fields.get("port_range") or [0, 0]
+    return HostSettings(
+        host=str(fields["node_name"]),
+        failure_domain=str(fields["zone"]),
+        region=str(fields["region"]),
+        regions={str(key): str(value) for key, value in fields["zones"].items()},
+        caller_listen=decode_address(listen["front"]),
+        ready_listen=decode_address(listen["ready"]),
+        store_address=str(fields["platform"]["address"]),
+        memory_mb=int(fields["limits"]["memory_mb"]),
+        peer_ports=(int(ports[0]), int(ports[1])),
+        ip=str(fields["ip"]),
+        bounds=decode_bounds(fields.get("bounds") or {}),
+    )
+
+
+def decode_bounds(fields: dict[str, Any]) -> Bounds:
+    """Decode the platform's bounds; a missing one keeps its default."""
+    usual = Bounds()
+    return Bounds(
+        leaving_s=float(fields.get("drain_ms", usual.leaving_s * 1000)) / 1000,
+        grace_s=float(fields.get("grace_s", usual.grace_s)),
+        apply_s=float(fields.get("config_apply_ms", usual.apply_s * 1000)) / 1000,
+        retry_ratio=float(fields.get("retry_budget_ratio", usual.retry_ratio)),
+        retry_window_s=float(fields.get("budget_window_s", usual.retry_window_s)),
+        retry_slack=float(fields.get("budget_slack", usual.retry_slack)),
+    )
+
+
+def decode_address(text: str) -> Address:
+    """Decode ``IP:PORT``."""
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
--- /dev/null
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -0,0 +1,129 @@
+"""The calls to engines beside the caller's own: leases, prefills and handles."""
+
+import json
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from poplarfold._internal.core.fleet.rows import EndpointLoad
+from poplarfold._internal.core.model import EndpointRole
+from poplarfold._internal.daemon.endpoint_client import (
+    AbortHandle,
+    EndpointClient,
+    Failure,
+    Target,
+)
+from poplarfold._internal.exceptions import EndpointError, EndpointRefusedError
+from poplarfold._internal.platform.calls import (
+    CallerCall,
+    CallTarget,
+    endpoint_headers,
+    read_proof,
+)
+
+__all__ = ["EngineCalls", "Lease", "PrefillResult"]
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+TARGET_INSTANCE = "Poplarfold-Target-Instance"
+
+
+class Lease(NamedTuple):
+    """A reserved slot at a decode engine, with the load that it told."""
+
+    lease_id: str
+    load: EndpointLoad | None
+
+
+class PrefillResult(NamedTuple):
+    """The handle under which an engine keeps the result of a prefill."""
+
+    handle: str
+    tokens: int
+
+
+class EngineCalls:
+    """Makes the engine's calls of its own. Safe for many threads."""
+
+    def __init__(self, client: EndpointClient) -> None:
+        self.client = client
+
+    def take_lease(
+        self,
+        address: str,
+        endpoint_id: str,
+        tokens: int,
+        ttl_s: float,
+        timeout_s: float,
+        handle: AbortHandle,
+    ) -> Result[Lease, Failure]:
+        """Reserve a slot and memory for ``tokens`` at a decode engine.
+
+        Each error means that no work was started; an answer that was lost
+        leaves a lease that lapses after ``ttl_s``.
+        """
+        body = json.dumps({"tokens": tokens, "ttl_ms": int(ttl_s * 1000)}).encode()
+        headers = {**JSON_HEADERS, TARGET_INSTANCE: endpoint_id}
+        result = self.client.exchange(
+            Target(address, "POST", "/v1/hold-take"),
+            body,
+            headers,
+            timeout_s,
+            handle=handle,
+        )
+        if result.is_err():
+            return Err(result.unwrap_err())
+        answer = result.unwrap()
+        proof = read_proof(answer.status, answer.headers)
+        lease_id = answer.json().get("hold")
+        if answer.status == 200 and isinstance(lease_id, str):
+            return Ok(Lease(lease_id, proof.load))
+        message = f"{address} refused a lease with status {answer.status}"
+        return Err(Failure(EndpointRefusedError(message), sent=False))
+
+    def drop_lease(self, address: str, lease_id: str, timeout_s: float) -> bool:
+        """Release a lease that is not used; return whether it is confirmed."""
+        return self._delete(address, f"/v1/hold-drop/{lease_id}", timeout_s)
+
+    def drop_prefill(self, address: str, handle: str, timeout_s: float) -> bool:
+        """Release the result of a prefill; return whether it is confirmed."""
+        return self._delete(address, f"/v1/kv-handle/{handle}", timeout_s)
+
+    def prefill(
+        self,
+        address: str,
+        call: CallerCall,
+        body: bytes,
+        endpoint_id: str,
+        remaining_s: float,
+        timeout_s: float,
+        handle: AbortHandle,
+    ) -> Result[PrefillResult, Failure]:
+        """Have a prompt prefilled. The call itself does not run by that."""
+        target = CallTarget(endpoint_id, remaining_s, EndpointRole.PREFILL)
+        result = self.client.exchange(
+            Target(address, call.method, call.path),
+            body,
+            endpoint_headers(call, target),
+            timeout_s,
+            fresh=True,
+            handle=handle,
+        )
+        if result.is_err():
+            return Err(result.unwrap_err())
+        answer = result.unwrap()
+        proof = read_proof(answer.status, answer.headers)
+        found = answer.json()
+        kv_handle = found.get("handle")
+        is_own = proof.request_id in (None, call.request_id)
+        if answer.status == 200 and isinstance(kv_handle, str) and is_own:
+            tokens = found.get("tokens")
+            return Ok(PrefillResult(kv_handle, tokens if type(tokens) is int else 0))
+        message = f"{address} answered a prefill with status {answer.status}"
+        kind = EndpointRefusedError if proof.not_run else EndpointError
+        return Err(Failure(kind(message), sent=not proof.not_run))
+
+    def _delete(self, address: str, path: str, timeout_s: float) -> bool:
+        result = self.client.exchange(
+            Target(address, "DELETE", path), None, {}, timeout_s
+        )
+        return result.is_ok() and result.unwrap().status in (200, 404)
--- /dev/null
+++ b/src/poplarfold/_internal/platform/store.py
@@ -0,0 +1,152 @@
+"""The platform's store: newest records of a topic, and reads from an offset."""
+
+import base64
+import json
+import struct
+from enum import StrEnum
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+from result import Err, Ok, Result
+
+from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
+from poplarfold._internal.exceptions import (
+    PlatformFormatError,
+    StoreGapError,
+    StoreUnavailableError,
+)
+
+__all__ = ["NewestRecords", "Record", "StoreClient", "StoreTopic"]
+
+# The end and the first kept offset come before the records of a read.
+READ_HEAD = struct.Struct(">QQ")
+RECORD_LENGTH = struct.Struct(">I")
+READ_LIMIT_KB = 4096
+
+
+class StoreTopic(StrEnum):
+    """The keyed topics that the router reads."""
+
+    ROUTES = "keyed.op"
+    ENDPOINTS = "keyed.servers"
+
+
+class Record(NamedTuple):
+    """One record. ``value`` is None if the key was dropped."""
+
+    key: str
+    value: bytes | None
+
+
+class NewestRecords(NamedTuple):
+    """Records in the order of their offsets, and the offset after the last."""
+
+    records: tuple[Record, ...]
+    end: int
+
+
+class StoreClient:
+    """Reads the store over one client. Safe for many threads."""
+
+    def __init__(self, client: EndpointClient, address: str) -> None:
+        self.client = client
+        self.address = address
+
+    def read_newest(
+        self, topic: StoreTopic, timeout_s: float
+    ) -> Result[NewestRecords, StoreUnavailableError | PlatformFormatError]:
+        """Return the newest record of each key of a topic.
+
+        Pages are no snapshot, so the end of the first page is returned: a
+        read from there repeats what changed while the pages were fetched.
+        """
+        records: list[Record] = []
+        first_end: int | None = None
+        after: str | None = None
+        while True:
+            query = {"topic": topic.value, "part": "0"}
+            if after is not None:
+                query["after"] = after
+            answered = self._get("/v1/log-newest", query, timeout_s)
+            if answered.is_err():
+                return Err(answered.unwrap_err())
+            try:
+                page = json.loads(answered.unwrap())
+                rows = [
+                    Record(str(row["key"]), base64.b64decode(row["value"]))
+                    for row in page["items"]
+                ]
+                end = int(page["end"])
+                has_more = bool(page.get("has_more")) and bool(rows)
+            except (ValueError, KeyError, TypeError) as error:
+                return Err(PlatformFormatError(f"newest records: {error!r}"))
+            records.extend(rows)
+            first_end = end if first_end is None else first_end
+            if not has_more:
+                return Ok(NewestRecords(tuple(records), first_end))
+            after = rows[-1].key
+
+    def read_from(
+        self, topic: StoreTopic, offset: int, wait_s: float, timeout_s: float
+    ) -> Result[NewestRecords, StoreUnavailableError | PlatformFormatError]:
+        """Return the records from an offset, waiting up to ``wait_s`` for one.
+
+        Returns StoreGapError if those records have been deleted.
+        """
+        query = {
+            "topic": topic.value,
+            "part": "0",
+            "from": str(offset),
+            "max_kb": str(READ_LIMIT_KB),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        answered = self._get("/v1/log-read", query, wait_s + timeout_s)
+        if answered.is_err():
+            return Err(answered.unwrap_err())
+        try:
+            return Ok(decode_read(answered.unwrap(), offset))
+        except (struct.error, ValueError) as error:
+            return Err(PlatformFormatError(f"records of {topic}: {error!r}"))
+
+    def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> Result[bytes, StoreUnavailableError]:
+        target = Target(self.address, "GET", f"{path}?{urlencode(query)}")
+        result = self.client.exchange(target, None, {}, timeout_s)
+        if result.is_err():
+            return Err(StoreUnavailableError(str(result.unwrap_err().error)))
+        answer = result.unwrap()
+        if answer.status == 410:
+            return Err(StoreGapError(f"{path}: the records have been deleted"))
+        if answer.status != 200:
+            return Err(StoreUnavailableError(f"{path}: status {answer.status}"))
+        return Ok(answer.body)
+
+
+def decode_read(data: bytes, offset: int) -> NewestRecords:
+    """Decode the body of a read. Raises struct.error or ValueError."""
+    READ_HEAD.unpack_from(data)
+    at = READ_HEAD.size
+    records: list[Record] = []
+    count = 0
+    while at < len(data):
+        (length,) = RECORD_LENGTH.unpack_from(data, at)
+        at += RECORD_LENGTH.size
+        content = data[at : at + length]
+        if len(content) < length:
+            raise ValueError("a record is cut off")
+        at += length
+        count += 1
+        record = decode_keyed(content)
+        if record is not None:
+            records.append(record)
+    return NewestRecords(tuple(records), offset + count)
+
+
+def decode_keyed(content: bytes) -> Record | None:
+    """Decode the key and value of one record; None if it is malformed."""
+    if not content or len(content) < 1 + content[0]:
+        return None
+    key = content[1 : 1 + content[0]].decode("utf-8", "replace")
+    value = content[1 + content[0] :]
+    return Record(key, value or None)
