--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -31,6 +31,7 @@
     "EndpointClient",
     "EndpointStream",
     "Failure",
+    "OwnAnswerCheck",
     "Target",
 ]
 
@@ -43,6 +44,10 @@
 NETWORK_ERRORS = (OSError, http.client.HTTPException, HTTPError)
 
 
+OwnAnswerCheck = Callable[[int, Mapping[str, str]], bool]
+"""Tells from its status and headers whether an answer belongs to the request."""
+
+
 class Target(NamedTuple):
     """A method and path at one address."""
 
@@ -205,7 +210,7 @@
         timeout_s: float,
         fresh: bool = False,
         handle: AbortHandle | None = None,
-        is_own: Callable[[Mapping[str, str]], bool] | None = None,
+        is_own: OwnAnswerCheck | None = None,
     ) -> Result[Answer, Failure]:
         """Make one request and read its whole answer.
 
@@ -331,7 +336,7 @@
         timeout_s: float,
         handle: AbortHandle | None,
         fresh: bool = False,
-        is_own: Callable[[Mapping[str, str]], bool] | None = None,
+        is_own: OwnAnswerCheck | None = None,
     ) -> Result[Answer, Failure]:
         failure = self._send(connection, target, body, headers, timeout_s, handle)
         if failure is not None:
@@ -350,7 +355,7 @@
         finally:
             if handle is not None:
                 handle.attach(None)
-        if is_own is not None and not is_own(response.headers):
+        if is_own is not None and not is_own(response.status, response.headers):
             connection.close()
             message = f"{target.address} answered another request"
             return Err(Failure(ForeignAnswerError(message), sent=True))
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import os
+import queue
 import signal
 import sys
 import threading
@@ -40,8 +41,6 @@
 SMALL_BODY_BYTES = 65_536
 # How often a planned stop looks whether the open calls have ended.
 STOP_LOOK_S = 0.05
-# A signal interrupts this sleep of the main thread.
-SIGNAL_LOOK_S = 60.0
 READY_PATH = "/v1/readyz"
 METRICS_PATH = "/metrics"
 
@@ -183,22 +182,17 @@
     incarnation = int(time.time() * 1000)
     writer = EventWriter(stream, host.host, incarnation)  # type: ignore[arg-type]
     gateway = Gateway(host, settings, writer)
-    signals: list[int] = []
-    signal.signal(signal.SIGTERM, lambda number, frame: signals.append(number))
-    signal.signal(signal.SIGINT, lambda number, frame: signals.append(number))
-    signal.signal(signal.SIGHUP, lambda number, frame: signals.append(number))
+    signals: queue.SimpleQueue[int] = queue.SimpleQueue()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda number, frame: signals.put(number))
     gateway.start()
     writer.write_event("PF2101", None, {"failure_domain": host.failure_domain})
-    while True:
-        while signals:
-            if signals.pop(0) == signal.SIGHUP:
-                gateway.reload()
-                continue
-            gateway.stop_gracefully()
-            stream.close()
-            # The listeners' threads would wait for idle connections.
-            os._exit(0)
-        time.sleep(SIGNAL_LOOK_S)
+    while signals.get() == signal.SIGHUP:
+        gateway.reload()
+    gateway.stop_gracefully()
+    stream.close()
+    # The listeners' threads would wait for idle connections.
+    os._exit(0)
 
 
 if __name__ == "__main__":
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -138,9 +138,8 @@
         call = context.call
         target = CallTarget(endpoint.endpoint_id, max(0.001, remaining_s))
 
-        def is_own(headers: Mapping[str, str]) -> bool:
-            proof = read_proof(0, headers)
-            return proof.request_id in (None, call.request_id)
+        def is_own(status: int, headers: Mapping[str, str]) -> bool:
+            return read_proof(status, headers).belongs_to(call)
 
         return context.services.client.exchange(
             Target(endpoint.address, call.method, call.path),
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -15,7 +15,8 @@
 
     ``request_threads`` bounds the requests in progress. ``connect_s`` bounds
     the time for a connection to an endpoint or the store. ``lease_call_s``
-    bounds a call that reserves or releases something at an engine.
+    bounds a call that reserves or releases something at an engine. A lease
+    covers the prompt and ``lease_output_factor`` times the expected outputs.
     ``first_output_s`` is the longest wait for the first event of a stream that
     may be repeated, ``silence_s`` that between two of its events.
     """
@@ -24,6 +25,7 @@
     metrics_port: int = 9464
     connect_s: float = 0.4
     lease_call_s: float = 0.4
+    lease_output_factor: float = 100.0
     prefill_s: float = 1.5
     first_output_s: float = 2.0
     silence_s: float = 2.0
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -21,6 +21,7 @@
     EndpointError,
     EndpointRefusedError,
     EndpointStalledError,
+    ForeignAnswerError,
     NoRoomError,
     NotRunError,
     PoplarfoldError,
@@ -169,9 +170,8 @@
     def take_lease(self, endpoint: FleetEndpoint) -> Reservation | None:
         """Ask one engine for a slot; it counts as in use while it is held."""
         context = self.context
-        tokens = context.call.prompt_tokens + context.call.max_outputs
+        tokens = self.lease_tokens()
         hold_s = context.details.hold_s if context.details else 0.0
-        started_at = time.monotonic()
         result = self.services.engines.take_lease(
             endpoint.address,
             endpoint.endpoint_id,
@@ -197,9 +197,14 @@
             self.fleet.note_silence(endpoint)
             self.fleet.mark_full(endpoint)
             context.log_failure(endpoint.endpoint_id, failure.error, sent=False)
-        del started_at
         return None
 
+    def lease_tokens(self) -> int:
+        """Return how much memory to reserve for the prompt and the outputs."""
+        call = self.context.call
+        outputs = call.expected_outputs * self.settings.lease_output_factor
+        return call.prompt_tokens + min(call.max_outputs, int(outputs))
+
     # The prefill.
 
     def prefill(self, reservation: Reservation) -> PreparedDecode:
@@ -305,9 +310,9 @@
         """Pass an endpoint's answer on as it arrives."""
         context = self.context
         proof = read_proof(stream.status, stream.headers)
-        if proof.request_id not in (None, context.call.request_id):
+        if not proof.belongs_to(context.call):
             self.is_unrun = False
-            raise EndpointError("the answer belongs to another request")
+            raise ForeignAnswerError("the answer does not belong to the request")
         self.is_unrun = self.is_unrun and proof.not_run
         context.log(
             "PF1102",
@@ -316,7 +321,7 @@
             not_run=proof.not_run,
             answer_s=round(time.monotonic() - started_at, 4),
         )
-        if stream.status != 200 or not proof.is_stamped:
+        if stream.status != 200:
             self.release(prepared)
             return self.relay_failure(stream, endpoint, started_at)
         while not stream.ended:
--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -113,6 +113,18 @@
     is_encoded: bool
     load: EndpointLoad | None
 
+    def belongs_to(self, call: CallerCall) -> bool:
+        """Return whether the answer may be passed on to the caller of a call.
+
+        A head that was cut off parses as one with fewer headers, so an answer
+        without the call's id or the endpoint's stamp proves nothing. A promise
+        not to run the call needs neither.
+        """
+        if self.request_id is None and self.not_run:
+            return True
+        is_whole = self.is_stamped and not self.is_encoded
+        return self.request_id == call.request_id and (is_whole or self.not_run)
+
 
 def decode_call(method: str, target: str, headers: Mapping[str, str]) -> CallerCall:
     """Decode a call from its request line and headers (names in any case).
