--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -116,6 +116,48 @@
         pass
 
 
+class HeadReader:
+    """Reads the lines of an answer's head and refuses one that is cut off.
+
+    The standard library takes the end of the connection for the end of the
+    head: an answer would lose its length and look complete without its body.
+    """
+
+    def __init__(self, source: Any) -> None:
+        self.source = source
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return a whole line. Raises IncompleteRead at the end of the input."""
+        line: bytes = self.source.readline(limit)
+        if not line.endswith(b"\n") and len(line) != limit:
+            raise http.client.IncompleteRead(line)
+        return line
+
+    def close(self) -> None:
+        """Close the source, as the standard library does for some answers."""
+        self.source.close()
+
+
+class WholeHeadResponse(http.client.HTTPResponse):
+    """An answer whose head must have come whole."""
+
+    def begin(self) -> None:
+        """Read the head. Raises IncompleteRead if it is cut off."""
+        reader = HeadReader(self.fp)
+        self.fp = reader  # type: ignore[assignment]
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = reader.source
+
+
+class EndpointConnection(HTTPConnection):
+    """A connection whose answers must have whole heads."""
+
+    response_class = WholeHeadResponse
+
+
 class EndpointStream:
     """The body of an answer, read as it arrives.
 
@@ -323,7 +365,7 @@
 
     def _new_connection(self, address: str) -> HTTPConnection:
         host, _, port = address.rpartition(":")
-        return HTTPConnection(
+        return EndpointConnection(
             host.strip("[]"), int(port), timeout=self.connect_timeout_s
         )
 
--- a/src/poplarfold/_internal/gateway/events.py
+++ b/src/poplarfold/_internal/gateway/events.py
@@ -21,6 +21,7 @@
     def __init__(self, last_id: str | None) -> None:
         self.last_id = last_id
         self.rest = b""
+        self.events = 0
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that are complete now; the rest waits."""
@@ -28,6 +29,7 @@
         end = 0
         for match in EVENT_END.finditer(buffer):
             end = match.end()
+            self.events += 1
         whole, self.rest = buffer[:end], buffer[end:]
         ids = EVENT_ID.findall(whole)
         if ids:
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -25,7 +25,7 @@
     metrics_port: int = 9464
     connect_s: float = 0.4
     lease_call_s: float = 0.4
-    lease_output_factor: float = 100.0
+    lease_output_factor: float = 1.8
     prefill_s: float = 1.5
     first_output_s: float = 2.0
     silence_s: float = 2.0
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -355,6 +355,9 @@
         context.log(
             "PF1107",
             endpoint=endpoint.endpoint_id,
+            events=self.splitter.events,
+            expected_outputs=context.call.expected_outputs,
+            max_outputs=context.call.max_outputs,
             stream_s=round(time.monotonic() - started_at, 3),
         )
         return True
