Match the prefill and decode pools by orders under a lease in the store's log

Bursts were refused although prefill engines stood idle.

Conclusion: one batch of orders before traffic; later changes one at a time.

--- /dev/null
+++ b/src/poplarfold/_internal/core/fleet/roles.py
@@ -0,0 +1,131 @@
+"""How many engines of a service prefill and how many decode.
+
+Answers a lasting mismatch of the two pools: a stream needs a prefill engine for
+the time of its prefill and a share of a decode engine's memory or slots for its
+whole length. The number of prefill engines is the one at which the weaker pool
+carries the most streams.
+"""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from poplarfold._internal.core.fleet.rows import FleetEndpoint, Service
+from poplarfold._internal.core.model import EndpointRole
+
+__all__ = ["RoleChange", "StreamCost", "plan_role_changes", "streams_per_s"]
+
+# A change takes an engine out for seconds, so it has to gain this much.
+GAIN_MIN = 1.08
+# With fewer engines, losing one to a change would stop the service.
+ENGINES_MIN = 3
+# A prefill engine's queue grows long above this part of its rate.
+PREFILL_USE_MAX = 0.75
+# The fastest prefills tell the engine's rate; the others have waited in its queue.
+FASTER_WEIGHT = 0.2
+SLOWER_WEIGHT = 0.002
+STREAM_WEIGHT = 0.02
+
+
+class StreamCost(NamedTuple):
+    """What a usual stream costs, learned from those that were served.
+
+    ``prompt_tokens`` are prefilled at ``prefill_rate`` tokens a second;
+    decoding takes ``decode_s`` and reserves ``tokens`` of memory. The defaults
+    hold until streams have been seen.
+    """
+
+    prompt_tokens: float = 5_000.0
+    prefill_rate: float = 50_000.0
+    decode_s: float = 3.3
+    tokens: float = 12_000.0
+    is_learned: bool = False
+
+    @property
+    def prefill_s(self) -> float:
+        """The time of a prefill that does not wait."""
+        return self.prompt_tokens / max(1.0, self.prefill_rate)
+
+    def with_prefill(self, seconds: float, tokens: int) -> "StreamCost":
+        """Return the cost after another prefill."""
+        rate = tokens / max(0.001, seconds)
+        weight = FASTER_WEIGHT if rate > self.prefill_rate else SLOWER_WEIGHT
+        return self._replace(
+            prompt_tokens=self.prompt_tokens
+            + STREAM_WEIGHT * (tokens - self.prompt_tokens),
+            prefill_rate=self.prefill_rate + weight * (rate - self.prefill_rate),
+            is_learned=True,
+        )
+
+    def with_stream(self, seconds: float, tokens: int) -> "StreamCost":
+        """Return the cost after another stream that reserved ``tokens``."""
+        return self._replace(
+            decode_s=self.decode_s + STREAM_WEIGHT * (seconds - self.decode_s),
+            tokens=self.tokens + STREAM_WEIGHT * (tokens - self.tokens),
+        )
+
+
+class RoleChange(NamedTuple):
+    """An engine that should get another role, and the gain in streams a second."""
+
+    endpoint: FleetEndpoint
+    role: EndpointRole
+    gain: float
+
+
+def streams_per_s(
+    prefill: int, decode: int, service: Service, cost: StreamCost
+) -> float:
+    """Return how many streams a second both pools carry together."""
+    at_once = min(service.slots, service.memory_tokens / max(1.0, cost.tokens))
+    carried = decode * max(1.0, at_once) / max(0.001, cost.decode_s)
+    prefilled = prefill * PREFILL_USE_MAX / max(0.001, cost.prefill_s)
+    return min(carried, prefilled)
+
+
+def plan_role_changes(
+    engines: Sequence[FleetEndpoint], service: Service, cost: StreamCost
+) -> list[RoleChange]:
+    """Return the changes of roles that are wanted now.
+
+    While streams are served, one engine changes at a time, since it serves
+    nothing until it has changed.
+    """
+    changes: list[RoleChange] = []
+    rows = list(engines)
+    while True:
+        change = plan_one_change(rows, service, cost)
+        if change is None:
+            return changes
+        changes.append(change)
+        if cost.is_learned or len(changes) >= len(engines):
+            return changes
+        rows.remove(change.endpoint)
+        rows.append(change.endpoint._replace(role=change.role))
+
+
+def plan_one_change(
+    engines: Sequence[FleetEndpoint], service: Service, cost: StreamCost
+) -> RoleChange | None:
+    """Return the next change of one engine's role, or None if none gains enough."""
+    prefill = [row for row in engines if row.role is EndpointRole.PREFILL]
+    decode = [row for row in engines if row.role is EndpointRole.DECODE]
+    total = len(prefill) + len(decode)
+    if total < ENGINES_MIN:
+        return None
+    present = streams_per_s(len(prefill), len(decode), service, cost)
+    more_decode = streams_per_s(len(prefill) - 1, len(decode) + 1, service, cost)
+    more_prefill = streams_per_s(len(prefill) + 1, len(decode) - 1, service, cost)
+    wanted = max(more_decode, more_prefill)
+    if wanted <= 0.0 or wanted < present * GAIN_MIN:
+        return None
+    gain = wanted - present
+    if more_decode >= more_prefill:
+        return RoleChange(surplus_engine(prefill), EndpointRole.DECODE, gain)
+    return RoleChange(surplus_engine(decode), EndpointRole.PREFILL, gain)
+
+
+def surplus_engine(pool: Sequence[FleetEndpoint]) -> FleetEndpoint:
+    """Return an engine of the failure domain that has the most of a pool."""
+    sizes = Counter(row.failure_domain for row in pool)
+    return min(pool, key=lambda row: (-sizes[row.failure_domain], row.endpoint_id))
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -10,6 +10,7 @@
 from poplarfold._internal.core.fleet.choice import UseTable, choose
 from poplarfold._internal.core.fleet.directory import Directory, EndpointChange
 from poplarfold._internal.core.fleet.door import Door
+from poplarfold._internal.core.fleet.roles import StreamCost
 from poplarfold._internal.core.fleet.rows import (
     EndpointLoad,
     FleetEndpoint,
@@ -53,7 +54,7 @@
         self.uses = UseTable()
         self.door = Door(settings.door)
         self.budgets: dict[str, RetryBudget] = {}
-        # Called outside the lock when an endpoint must get no new work.
+        self.cost = StreamCost()
         self.nodes = settings.expected_nodes
 
     def match(self, host: str, path: str) -> MatchedRoute:
@@ -120,6 +121,16 @@
             self.uses.note_answer(endpoint, 0.0, False, now)
             self.uses.avoid(endpoint, now)
 
+    def note_prefill_time(self, seconds: float, tokens: int) -> None:
+        """Take how long a prefill took."""
+        with self.lock:
+            self.cost = self.cost.with_prefill(seconds, tokens)
+
+    def note_stream_time(self, seconds: float, tokens: int) -> None:
+        """Take how long a stream held how much memory."""
+        with self.lock:
+            self.cost = self.cost.with_stream(seconds, tokens)
+
     def mark_full(self, endpoint: FleetEndpoint) -> None:
         """Leave out an engine that refused a lease for a moment."""
         with self.lock:
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -16,6 +16,7 @@
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.handler import CallHandler
 from poplarfold._internal.gateway.metrics import GatewayMetrics
+from poplarfold._internal.gateway.role_orders import RoleOrders
 from poplarfold._internal.gateway.server import CallerExchange, GatewayServer
 from poplarfold._internal.gateway.settings import (
     GatewaySettings,
@@ -74,8 +75,10 @@
             writer.write_event,
         )
         self.handler = CallHandler(services)
-        self.reader = StoreReader(
-            self.fleet, StoreClient(client, host.store_address), writer.write_event
+        store = StoreClient(client, host.store_address)
+        self.reader = StoreReader(self.fleet, store, writer.write_event)
+        self.orders = RoleOrders(
+            self.fleet, store, services.engines, writer.write_event
         )
         self.servers = [
             self.make_server(host.caller_listen, self.handler, False),
@@ -107,6 +110,7 @@
         """Start all threads and listen."""
         self.watcher.start()
         self.reader.start()
+        self.orders.start()
         for server in self.servers:
             server.prepare()
             threading.Thread(target=server.serve, name="listen", daemon=True).start()
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -229,6 +229,9 @@
         self.check_caller()
         if result.is_ok():
             self.fleet.note_answer(endpoint, started_at, ok=True)
+            self.fleet.note_prefill_time(
+                time.monotonic() - started_at, context.call.prompt_tokens
+            )
             done = result.unwrap()
             source = f"{endpoint.address}/{done.handle}"
             context.log(
@@ -352,6 +355,7 @@
         if not self.began:
             raise EndpointError("the stream had no event")
         context.exchange.end_stream()
+        self.fleet.note_stream_time(time.monotonic() - started_at, self.lease_tokens())
         context.log(
             "PF1107",
             endpoint=endpoint.endpoint_id,
@@ -393,7 +397,8 @@
         ok = stream.status < 500
         self.fleet.note_answer(endpoint, started_at, ok, proof.load)
         if proof.not_run:
-            self.fleet.mark_full(endpoint)
+            # It granted a lease before, so it is leaving or changing its role.
+            self.fleet.note_silence(endpoint)
             raise EndpointRefusedError(f"{endpoint.address} refused the stream")
         parts = []
         while not stream.ended:
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -380,6 +380,18 @@
         ("problem",),
         "the settings file was read again; if it is malformed, the old ones stay",
     ),
+    EventKind(
+        "PF3501",
+        "role_ordered",
+        ("endpoint", "role", "fence", "gain", "status"),
+        "an engine was ordered to take a role; a null status means no answer",
+    ),
+    EventKind(
+        "PF3502",
+        "order_not_given",
+        ("problem",),
+        "a change of a role is wanted, but this node may not order it now",
+    ),
     EventKind(
         "PF7101",
         "store_gap",
--- a/src/poplarfold/_internal/platform/__init__.py
+++ b/src/poplarfold/_internal/platform/__init__.py
@@ -13,7 +13,7 @@
     endpoint_headers,
     read_proof,
 )
-from poplarfold._internal.platform.engines import EngineCalls
+from poplarfold._internal.platform.engines import EngineCalls, OrderRequest
 from poplarfold._internal.platform.records import (
     decode_endpoint,
     decode_routes,
@@ -31,6 +31,7 @@
     "EngineCalls",
     "HostSettings",
     "NewestRecords",
+    "OrderRequest",
     "Record",
     "StoreClient",
     "StoreTopic",
--- a/src/poplarfold/_internal/platform/boot.py
+++ b/src/poplarfold/_internal/platform/boot.py
@@ -25,7 +25,8 @@
     ``leaving_s`` is how long after the store's acknowledgement a leaving
     endpoint may still get work. ``grace_s`` is the time between SIGTERM and
     SIGKILL. The retry budget is shared by all nodes: ``retry_ratio`` of the
-    requests in ``retry_window_s`` and ``retry_slack`` more.
+    requests in ``retry_window_s`` and ``retry_slack`` more. Nodes that give
+    orders must not take turns within ``lease_s``.
     """
 
     leaving_s: float = 2.5
@@ -34,6 +35,7 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
+    lease_s: float = 3.0
 
 
 class HostSettings(NamedTuple):
@@ -100,6 +102,7 @@
         retry_ratio=float(fields.get("retry_budget_ratio", usual.retry_ratio)),
         retry_window_s=float(fields.get("budget_window_s", usual.retry_window_s)),
         retry_slack=float(fields.get("budget_slack", usual.retry_slack)),
+        lease_s=float(fields.get("lease_ms", usual.lease_s * 1000)) / 1000,
     )
 
 
--- a/src/poplarfold/_internal/platform/engines.py
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -21,7 +21,7 @@
     read_proof,
 )
 
-__all__ = ["EngineCalls", "Lease", "PrefillResult"]
+__all__ = ["EngineCalls", "Lease", "OrderRequest", "PrefillResult"]
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 TARGET_INSTANCE = "Poplarfold-Target-Instance"
@@ -41,6 +41,19 @@
     tokens: int
 
 
+class OrderRequest(NamedTuple):
+    """An order to take a role.
+
+    ``fence`` is the fencing number and ``accepted`` the number of orders that
+    the engine must have accepted before; otherwise it refuses.
+    """
+
+    role: EndpointRole
+    holder: str
+    fence: int
+    accepted: int
+
+
 class EngineCalls:
     """Makes the engine's calls of its own. Safe for many threads."""
 
@@ -122,6 +135,47 @@
         kind = EndpointRefusedError if proof.not_run else EndpointError
         return Err(Failure(kind(message), sent=not proof.not_run))
 
+    def accepted_orders(
+        self, address: str, endpoint_id: str, timeout_s: float
+    ) -> int | None:
+        """Return how many orders an engine has accepted.
+
+        Returns None if it does not tell, or while it carries one out.
+        """
+        result = self.client.exchange(
+            Target(address, "GET", "/v1/report"),
+            None,
+            {TARGET_INSTANCE: endpoint_id},
+            timeout_s,
+        )
+        if result.is_err() or result.unwrap().status != 200:
+            return None
+        report = result.unwrap().json()
+        accepted = report.get("seq")
+        if report.get("busy") is not False or type(accepted) is not int:
+            return None
+        return accepted
+
+    def order_role(
+        self, address: str, endpoint_id: str, request: OrderRequest, timeout_s: float
+    ) -> int | None:
+        """Order an engine to take a role; return the status of its answer."""
+        body = {
+            "op": "stage",
+            "stage": request.role.value,
+            "holder": request.holder,
+            "fence": request.fence,
+            "expect": request.accepted,
+        }
+        result = self.client.exchange(
+            Target(address, "POST", "/v1/order"),
+            json.dumps(body).encode(),
+            {**JSON_HEADERS, TARGET_INSTANCE: endpoint_id},
+            timeout_s,
+            fresh=True,
+        )
+        return result.unwrap().status if result.is_ok() else None
+
     def _delete(self, address: str, path: str, timeout_s: float) -> bool:
         result = self.client.exchange(
             Target(address, "DELETE", path), None, {}, timeout_s
--- a/src/poplarfold/_internal/platform/store.py
+++ b/src/poplarfold/_internal/platform/store.py
@@ -108,6 +108,43 @@
         except (struct.error, ValueError) as error:
             return Err(PlatformFormatError(f"records of {topic}: {error!r}"))
 
+    def read_end(
+        self, topic: str, offset: int, timeout_s: float
+    ) -> Result[int, StoreUnavailableError]:
+        """Return the end of a topic's log, read from an offset."""
+        query = {"topic": topic, "part": "0", "from": str(offset), "wait_ms": "0"}
+        target = Target(self.address, "GET", f"/v1/log-read?{urlencode(query)}")
+        result = self.client.exchange(target, None, {}, timeout_s)
+        if result.is_err():
+            return Err(StoreUnavailableError(str(result.unwrap_err().error)))
+        answer = result.unwrap()
+        if answer.status == 404:
+            # A topic exists from its first record on.
+            return Ok(0)
+        if answer.status != 200 or len(answer.body) < READ_HEAD.size:
+            return Err(StoreUnavailableError(f"{topic}: status {answer.status}"))
+        return Ok(int(READ_HEAD.unpack_from(answer.body)[0]))
+
+    def append_at(
+        self, topic: str, end: int, record: bytes, timeout_s: float
+    ) -> Result[int, StoreUnavailableError]:
+        """Append a record if the log still ends at ``end``; return its offset.
+
+        An error leaves open whether the record was appended.
+        """
+        query = {"topic": topic, "part": "0", "at": str(end)}
+        target = Target(self.address, "POST", f"/v1/log-append?{urlencode(query)}")
+        result = self.client.exchange(
+            target, RECORD_LENGTH.pack(len(record)) + record, {}, timeout_s, fresh=True
+        )
+        if result.is_err():
+            return Err(StoreUnavailableError(str(result.unwrap_err().error)))
+        answer = result.unwrap()
+        offset = answer.json().get("offset")
+        if answer.status != 200 or type(offset) is not int:
+            return Err(StoreUnavailableError(f"{topic}: status {answer.status}"))
+        return Ok(offset)
+
     def _get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> Result[bytes, StoreUnavailableError]:
