Read the bodies of endpoints' answers to their end

Cause: urllib3 reports a short body only when asked for more after the last bytes, and the client asked once.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -386,7 +386,7 @@
             return Err(failure)
         try:
             response = connection.getresponse()
-            data = response.read(ANSWER_LIMIT_BYTES + 1, decode_content=False)
+            data = read_whole(response)
             if len(data) > ANSWER_LIMIT_BYTES:
                 connection.close()
                 message = f"{target.address} answered more than {ANSWER_LIMIT_BYTES} B"
@@ -445,6 +445,23 @@
         return None
 
 
+def read_whole(response: BaseHTTPResponse) -> bytes:
+    """Read a body to its end, or a little past the limit.
+
+    The library reports a body that ends early only when it is asked for more
+    after the last bytes that came. Raises HTTPError or OSError.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while size <= ANSWER_LIMIT_BYTES:
+        part = response.read(READ_BYTES, decode_content=False)
+        if not part:
+            break
+        parts.append(part)
+        size += len(part)
+    return b"".join(parts)
+
+
 def will_close(response: BaseHTTPResponse) -> bool:
     """Return whether the endpoint closes the connection after this answer."""
     return response.headers.get("Connection", "").lower() == "close"
--- /dev/null
+++ b/tests/lib/platform_standin.py
@@ -0,0 +1,358 @@
+"""Small stand-ins of the prepared platform's store and of its endpoints.
+
+They speak the platform's protocol over loopback HTTP, in threads of the test's
+process. Each endpoint can be told to misbehave with ``faults``.
+"""
+
+import base64
+import json
+import socket
+import struct
+import threading
+import time
+import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
+EVENT_PERIOD_S = 0.02
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Passes each request on to the stand-in that owns the server."""
+
+    protocol_version = "HTTP/1.1"
+    server: Any
+
+    def handle_any(self) -> None:
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length)
+        self.server.standin.serve(self, body)
+
+    do_GET = do_POST = do_DELETE = do_PUT = handle_any  # noqa: N815
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Keep the test's output clean."""
+
+    def answer(
+        self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> None:
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def answer_json(self, fields: object, status: int = 200) -> None:
+        self.answer(
+            status, json.dumps(fields).encode(), {"Content-Type": "application/json"}
+        )
+
+    def cut(self, data: bytes = b"") -> None:
+        """Write some bytes and close the connection at once."""
+        self.wfile.write(data)
+        self.wfile.flush()
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_RDWR)
+
+
+class StandIn:
+    """One listener on loopback."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.server.standin = self  # type: ignore[attr-defined]
+        self.address = "127.0.0.1:{}".format(self.server.server_address[1])
+        threading.Thread(
+            target=self.server.serve_forever, args=(0.02,), daemon=True
+        ).start()
+
+    def serve(self, request: Handler, body: bytes) -> None:
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class StoreStandIn(StandIn):
+    """Keyed topics and plain logs, with conditional appends.
+
+    ``mode`` is up, busy (503), reset or silent.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.logs: dict[str, list[bytes]] = {}
+        self.first: dict[str, int] = {}
+        self.newest: dict[str, dict[str, bytes]] = {}
+        self.mode = "up"
+        self.calls: list[str] = []
+
+    def put(self, topic: str, key: str, value: bytes | None) -> None:
+        """Write a keyed record as the operator or an endpoint does."""
+        record = bytes([len(key)]) + key.encode() + (value or b"")
+        with self.lock:
+            self.logs.setdefault(topic, []).append(record)
+            rows = self.newest.setdefault(topic, {})
+            if value is None:
+                rows.pop(key, None)
+            else:
+                rows[key] = value
+
+    def compact(self, topic: str) -> None:
+        """Delete all records of a topic; the newest of each key stay."""
+        with self.lock:
+            self.first[topic] = len(self.logs.get(topic, []))
+
+    def serve(self, request: Handler, body: bytes) -> None:
+        url = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        with self.lock:
+            self.calls.append(request.path)
+        if self.mode == "silent":
+            time.sleep(3.0)
+            request.close_connection = True
+            return
+        if self.mode == "reset":
+            request.cut()
+            return
+        if self.mode == "busy":
+            request.answer(503)
+            return
+        if url.path == "/v1/log-newest":
+            self.serve_newest(request, query["topic"])
+        elif url.path == "/v1/log-read":
+            self.serve_read(request, query)
+        elif url.path == "/v1/log-append":
+            self.serve_append(request, query, body)
+        else:
+            request.answer(404)
+
+    def serve_newest(self, request: Handler, topic: str) -> None:
+        with self.lock:
+            rows = dict(self.newest.get(topic, {}))
+            end = len(self.logs.get(topic, []))
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": 0}
+            for key, value in rows.items()
+        ]
+        request.answer_json({"items": items, "has_more": False, "end": end})
+
+    def serve_read(self, request: Handler, query: dict[str, str]) -> None:
+        topic, start = query["topic"], int(query["from"])
+        deadline = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
+        while True:
+            with self.lock:
+                log = list(self.logs.get(topic, []))
+                first = self.first.get(topic, 0)
+            if start < first:
+                request.answer_json({"first": first}, 410)
+                return
+            if len(log) > start or time.monotonic() >= deadline:
+                break
+            time.sleep(0.01)
+        data = struct.pack(">QQ", len(log), first)
+        for record in log[start:]:
+            data += struct.pack(">I", len(record)) + record
+        request.answer(200, data)
+
+    def serve_append(
+        self, request: Handler, query: dict[str, str], body: bytes
+    ) -> None:
+        with self.lock:
+            log = self.logs.setdefault(query["topic"], [])
+            if "at" in query and int(query["at"]) != len(log):
+                request.answer_json({"end": len(log)}, 412)
+                return
+            log.append(body[4:])
+            offset = len(log) - 1
+        request.answer_json({"offset": offset, "end": offset + 1})
+
+
+class EndpointStandIn(StandIn):
+    """One endpoint: a plain service, or an engine with leases and prefills.
+
+    ``faults`` holds any of: not_run, error, cut_head, cut_body, unframed,
+    foreign, silent, no_room, cut_stream, shed_stream.
+    """
+
+    def __init__(self, endpoint_id: str, stage: str | None = None) -> None:
+        super().__init__()
+        self.endpoint_id = endpoint_id
+        self.stage = stage
+        self.slots = 4
+        self.faults: set[str] = set()
+        self.events = 5
+        self.event_period_s = EVENT_PERIOD_S
+        self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.prefills: list[str] = []
+        self.leases: set[str] = set()
+        self.handles: set[str] = set()
+        self.orders: list[dict[str, Any]] = []
+        self.open_streams = 0
+        self.count = 0
+
+    def entry(self, service: str, domain: str = "lhr-a", **changes: Any) -> bytes:
+        """Return the entry that the endpoint writes to the store."""
+        fields = {
+            "service": service,
+            "address": self.address,
+            "zone": domain,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+            "born": 1788179296174,
+        }
+        if self.stage is not None:
+            fields["stage"] = self.stage
+        return json.dumps({**fields, **changes}).encode()
+
+    def serve(self, request: Handler, body: bytes) -> None:
+        with self.lock:
+            self.count += 1
+            number = self.count
+        headers = {name: value for name, value in request.headers.items()}
+        target = headers.get("Poplarfold-Target-Instance")
+        if target not in (None, self.endpoint_id):
+            request.answer(421, b"", {"Poplarfold-Instance-Id": self.endpoint_id})
+        elif request.path == "/v1/hold-take":
+            self.take_lease(request, number)
+        elif request.path.startswith("/v1/hold-drop/"):
+            self.leases.discard(request.path.rpartition("/")[2])
+            request.answer(200)
+        elif request.path.startswith("/v1/kv-handle/"):
+            self.handles.discard(request.path.rpartition("/")[2])
+            request.answer(200)
+        elif request.path == "/v1/report":
+            request.answer_json(
+                {"stage": self.stage, "busy": False, "seq": len(self.orders)}
+            )
+        elif request.path == "/v1/order":
+            self.orders.append(json.loads(body))
+            request.answer(202)
+        elif headers.get("Poplarfold-Stage") == "prefill":
+            self.prefill(request, headers, number)
+        elif self.stage == "decode":
+            self.stream(request, headers, body)
+        else:
+            self.run(request, headers, body)
+
+    def take_lease(self, request: Handler, number: int) -> None:
+        if "no_room" in self.faults:
+            request.answer(503)
+            return
+        self.leases.add(f"h{number}")
+        request.answer_json({"hold": f"h{number}"})
+
+    def prefill(self, request: Handler, headers: dict[str, str], number: int) -> None:
+        if "not_run" in self.faults:
+            request.answer(503, b"", {"Poplarfold-Not-Executed": "1"})
+            return
+        self.prefills.append(headers["Poplarfold-Request-Id"])
+        self.handles.add(f"k{number}")
+        request.answer_json({"handle": f"k{number}", "tokens": 100, "version": 1})
+
+    def proof(self, headers: dict[str, str]) -> dict[str, str]:
+        own = headers.get("Poplarfold-Request-Id", "")
+        return {
+            "Poplarfold-Request-Id": "0000" if "foreign" in self.faults else own,
+            "Poplarfold-Server-Stamp": STAMP,
+            "Poplarfold-Server-Load": "1,0,4",
+        }
+
+    def run(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
+        if "not_run" in self.faults:
+            request.answer(503, b"", {"Poplarfold-Not-Executed": "1"})
+            return
+        self.runs.append((request.command, request.path, headers, body))
+        if "silent" in self.faults:
+            time.sleep(2.0)
+            request.close_connection = True
+        elif "error" in self.faults:
+            request.answer(500, b"failed", self.proof(headers))
+        elif "cut_head" in self.faults:
+            own = headers["Poplarfold-Request-Id"]
+            head = f"HTTP/1.1 200 OK\r\nPoplarfold-Request-Id: {own}\r\n"
+            request.cut(f"{head}Poplarfold-Server-Stamp: {STAMP}\r\nConte".encode())
+        elif "cut_body" in self.faults:
+            own = headers["Poplarfold-Request-Id"]
+            head = f"HTTP/1.1 200 OK\r\nPoplarfold-Request-Id: {own}\r\n"
+            head += f"Poplarfold-Server-Stamp: {STAMP}\r\nContent-Length: 9\r\n\r\n"
+            request.cut(head.encode() + b"ha")
+        else:
+            request.answer(200, b"whole answer", self.proof(headers))
+
+    def stream(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
+        self.leases.discard(headers.get("Poplarfold-Kv-Hold", ""))
+        if "shed_stream" in self.faults:
+            request.answer(503, b"", {"Poplarfold-Not-Executed": "1"})
+            return
+        self.runs.append((request.command, request.path, headers, body))
+        request.send_response(200)
+        for name, value in self.proof(headers).items():
+            request.send_header(name, value)
+        request.send_header("Content-Type", "text/event-stream")
+        request.send_header("Transfer-Encoding", "chunked")
+        request.end_headers()
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        self.open_streams += 1
+        try:
+            for number in range(first, self.events + 1):
+                if "cut_stream" in self.faults and number > self.events // 2:
+                    self.faults.discard("cut_stream")
+                    request.cut(b"7\r\nid: 3\n")
+                    return
+                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
+                request.wfile.flush()
+                time.sleep(self.event_period_s)
+            request.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            request.close_connection = True
+        finally:
+            self.open_streams -= 1
+
+
+def configuration(version: int = 7, **changes: Any) -> bytes:
+    """Return a configuration with a model, a filing and a lookup route."""
+    routes = [
+        route("caption", "/caption/", "streaming", "llm", sticky=True, resumable=True),
+        route("filing", "/filing/", "non_idempotent", "registry", max_attempts=1),
+        route("lookup", "/lookup/", "idempotent", "registry"),
+    ]
+    fields = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {
+                "name": "llm",
+                "max_connections": 64,
+                "engine": {"slots": 4, "kv_tokens": 80000, "hold_ms": 2000.0},
+            },
+            {"name": "registry", "max_connections": 64},
+        ],
+        "limits": {"idle_timeout_ms": 15000},
+    }
+    return json.dumps({**fields, **changes}).encode()
+
+
+def route(name: str, prefix: str, kind: str, service: str, **changes: Any) -> dict:
+    """Return one route of a configuration."""
+    return {
+        "name": name,
+        "host": "entry.example",
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 1500,
+        "target_latency_ms": 900,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **changes,
+    }
