--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -65,7 +65,7 @@
         self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self.server.daemon_threads = True
         self.server.standin = self  # type: ignore[attr-defined]
-        self.address = "127.0.0.1:{}".format(self.server.server_address[1])
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
         threading.Thread(
             target=self.server.serve_forever, args=(0.02,), daemon=True
         ).start()
--- a/tests/unit/test_whole_answers.py
+++ b/tests/unit/test_whole_answers.py
@@ -1,9 +1,9 @@
 """Answers that end early must not look whole."""
 
 import pytest
+from tests.lib.platform_standin import EndpointStandIn
 
 from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
-from tests.lib.platform_standin import EndpointStandIn
 
 HEADERS = {"Poplarfold-Request-Id": "9c41d07be2a35f68"}
 
