Let decode engines read prompts when the prefill engines are busy or refuse

Ruled out: the decode slots (waits at the median under 0.02 s). Change: with more than 0.25 s of queue, or after a refusal, the decode engine reads the prompt; the planner of roles counts that. Loads told with leases and prefills are used.

--- a/src/poplarfold/_internal/core/fleet/choice.py
+++ b/src/poplarfold/_internal/core/fleet/choice.py
@@ -11,7 +11,7 @@
 from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
 from poplarfold._internal.core.state import Table
 
-__all__ = ["EndpointUse", "UseTable", "choose", "expected_s"]
+__all__ = ["EndpointUse", "UseTable", "choose", "expected_s", "queue_wait_s"]
 
 # One way and back, to another domain of the region and to another region.
 DOMAIN_PENALTY_S = 0.012
@@ -158,6 +158,11 @@
     return cost + distance_s(endpoint, domain, regions)
 
 
+def queue_wait_s(row: EndpointUse, service_s: float, now: float) -> float:
+    """Return how long a call waits for the calls before it, served one by one."""
+    return in_use(row, now) * service_s
+
+
 def choose(
     endpoints: Iterable[FleetEndpoint],
     uses: UseTable,
--- a/src/poplarfold/_internal/core/fleet/roles.py
+++ b/src/poplarfold/_internal/core/fleet/roles.py
@@ -2,8 +2,8 @@
 
 Answers a lasting mismatch of the two pools: a stream needs a prefill engine for
 the time of its prefill and a share of a decode engine's memory or slots for its
-whole length. The number of prefill engines is the one at which the weaker pool
-carries the most streams.
+whole length. The number of prefill engines is the one at which both pools
+together carry the most streams.
 """
 
 from collections import Counter
@@ -21,6 +21,8 @@
 ENGINES_MIN = 3
 # A prefill engine's queue grows long above this part of its rate.
 PREFILL_USE_MAX = 0.75
+# A decode engine reads a prompt at half the speed of a prefill engine.
+OWN_PREFILL_FACTOR = 2.0
 # The fastest prefills tell the engine's rate; the others have waited in its queue.
 FASTER_WEIGHT = 0.2
 SLOWER_WEIGHT = 0.002
@@ -76,11 +78,17 @@
 def streams_per_s(
     prefill: int, decode: int, service: Service, cost: StreamCost
 ) -> float:
-    """Return how many streams a second both pools carry together."""
+    """Return how many streams a second both pools carry together.
+
+    What the prefill engines cannot carry is read by the decode engines, whose
+    other streams stand still meanwhile.
+    """
     at_once = min(service.slots, service.memory_tokens / max(1.0, cost.tokens))
-    carried = decode * max(1.0, at_once) / max(0.001, cost.decode_s)
-    prefilled = prefill * PREFILL_USE_MAX / max(0.001, cost.prefill_s)
-    return min(carried, prefilled)
+    decode_share = max(0.001, cost.decode_s) / max(1.0, at_once)
+    prefill_s = max(0.001, cost.prefill_s)
+    prefilled = min(prefill * PREFILL_USE_MAX / prefill_s, decode / decode_share)
+    left = max(0.0, decode - prefilled * decode_share)
+    return prefilled + left / (decode_share + OWN_PREFILL_FACTOR * prefill_s)
 
 
 def plan_role_changes(
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -439,3 +439,10 @@
 
     code = "call_timeout"
     status = 504
+
+
+class StoppingError(PoplarfoldError):
+    """This node stops before the call could end. The call has not run."""
+
+    code = "stopping"
+    status = 503
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from poplarfold._internal.core.fleet.budget import RetryBudget
-from poplarfold._internal.core.fleet.choice import UseTable, choose
+from poplarfold._internal.core.fleet.choice import UseTable, choose, queue_wait_s
 from poplarfold._internal.core.fleet.directory import Directory, EndpointChange
 from poplarfold._internal.core.fleet.door import Door
 from poplarfold._internal.core.fleet.roles import StreamCost
@@ -55,6 +55,8 @@
         self.door = Door(settings.door)
         self.budgets: dict[str, RetryBudget] = {}
         self.cost = StreamCost()
+        # Set by a planned stop: the time from which streams are refused.
+        self.no_streams_after = float("inf")
         self.nodes = settings.expected_nodes
 
     def match(self, host: str, path: str) -> MatchedRoute:
@@ -95,6 +97,24 @@
                 self.uses.begin(endpoint)
             return endpoint
 
+    def pick_prefill(self, service: str) -> FleetEndpoint | None:
+        """Choose a prefill engine, unless all have too long a queue.
+
+        A call there is counted, as by ``pick``. Without one, the decode engine
+        reads the prompt itself, which takes twice as long.
+        """
+        with self.lock:
+            now = self.clock()
+            endpoint = self._choose(service, EndpointRole.PREFILL, ())
+            if endpoint is None:
+                return None
+            row = self.uses.get(endpoint)
+            wait_s = queue_wait_s(row, self.cost.prefill_s, now)
+            if row.avoid_until > now or wait_s > self.settings.prefill_wait_s:
+                return None
+            self.uses.begin(endpoint)
+            return endpoint
+
     def done(self, endpoint: FleetEndpoint) -> None:
         """Count a call at an endpoint as ended."""
         with self.lock:
@@ -114,6 +134,11 @@
             self.uses.note_load(endpoint, load, now)
             self.uses.note_answer(endpoint, now - started_at, ok, now)
 
+    def note_load(self, endpoint: FleetEndpoint, load: EndpointLoad | None) -> None:
+        """Take the load that came with an answer which tells nothing else."""
+        with self.lock:
+            self.uses.note_load(endpoint, load, self.clock())
+
     def note_silence(self, endpoint: FleetEndpoint) -> None:
         """Keep new calls away from an endpoint that gave no answer."""
         with self.lock:
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -8,6 +8,7 @@
     NotRunError,
     PoplarfoldError,
     RequestError,
+    StoppingError,
 )
 from poplarfold._internal.gateway.context import CallContext, Services
 from poplarfold._internal.gateway.plain_calls import PlainCall
@@ -20,6 +21,8 @@
 
 # A call that was refused for other reasons than a full fleet may come back soon.
 SHORT_RETRY_S = 0.5
+# The balancer sends the repeat to another node.
+OTHER_NODE_RETRY_S = 0.05
 
 
 class CallHandler:
@@ -87,6 +90,8 @@
         retry_after_s = self.services.fleet.settings.door.retry_after_s
         if isinstance(error, NotRunError):
             retry_after_s = SHORT_RETRY_S
+        elif isinstance(error, StoppingError):
+            retry_after_s = OTHER_NODE_RETRY_S
         send_failure(exchange, call.request_id, error, retry_after_s)
 
     def log_end(self, call: CallerCall, error: PoplarfoldError) -> None:
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -42,6 +42,7 @@
 SMALL_BODY_BYTES = 65_536
 # How often a planned stop looks whether the open calls have ended.
 STOP_LOOK_S = 0.05
+STOP_IDLE_LOOKS = 6
 READY_PATH = "/v1/readyz"
 METRICS_PATH = "/metrics"
 
@@ -143,17 +144,19 @@
         answers end these connections.
         """
         started_at = time.monotonic()
+        with self.fleet.lock:
+            self.fleet.no_streams_after = started_at + self.settings.stop_streams_s
         self.stopping.set()
         self.writer.write_event("PF2102", None, {"open_calls": self.handler.open_calls})
         limit_s = self.host.bounds.grace_s - self.settings.stop_margin_s
-        while True:
-            elapsed_s = time.monotonic() - started_at
-            if elapsed_s >= limit_s:
-                break
-            is_idle = self.handler.open_calls == 0
-            if is_idle and elapsed_s >= self.settings.stop_linger_s:
-                break
+        idle_looks = 0
+        while time.monotonic() - started_at < limit_s:
             time.sleep(STOP_LOOK_S)
+            # A request may have been read and not yet be counted as open.
+            idle_looks = 0 if self.handler.open_calls else idle_looks + 1
+            lingered = time.monotonic() - started_at >= self.settings.stop_linger_s
+            if lingered and idle_looks >= STOP_IDLE_LOOKS:
+                break
         self.writer.write_event("PF2103", None, {"open_calls": self.handler.open_calls})
 
     def reload(self) -> None:
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -17,8 +17,13 @@
     the time for a connection to an endpoint or the store. ``lease_call_s``
     bounds a call that reserves or releases something at an engine. A lease
     covers the prompt and ``lease_output_factor`` times the expected outputs.
+    ``prefill_s`` bounds a prefill. If prefill engines have a longer queue than
+    ``prefill_wait_s``, the decode engine reads the prompt.
     ``first_output_s`` is the longest wait for the first event of a stream that
-    may be repeated, ``silence_s`` that between two of its events.
+    may be repeated, ``silence_s`` that between two of its events. A planned
+    stop serves requests for ``stop_linger_s`` at least and ends
+    ``stop_margin_s`` before the platform's grace time. Streams that come later
+    than ``stop_streams_s`` are refused, as they would not end in time.
     """
 
     request_threads: int = 96
@@ -26,7 +31,8 @@
     connect_s: float = 0.4
     lease_call_s: float = 0.4
     lease_output_factor: float = 1.8
-    prefill_s: float = 1.5
+    prefill_s: float = 1.0
+    prefill_wait_s: float = 0.25
     first_output_s: float = 2.0
     silence_s: float = 2.0
     store_call_s: float = 1.0
@@ -35,6 +41,7 @@
     expected_nodes: int = 12
     stop_linger_s: float = 3.0
     stop_margin_s: float = 0.6
+    stop_streams_s: float = 1.5
     log_queue_lines: int = 2000
     door: DoorPolicy = DoorPolicy()
 
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -20,11 +20,11 @@
     CallTimeoutError,
     EndpointError,
     EndpointRefusedError,
-    EndpointStalledError,
     ForeignAnswerError,
     NoRoomError,
     NotRunError,
     PoplarfoldError,
+    StoppingError,
 )
 from poplarfold._internal.gateway.context import CallContext
 from poplarfold._internal.gateway.events import EventSplitter
@@ -129,6 +129,8 @@
         """Wait for a decode slot. Raises NoRoomError when none comes in time."""
         context = self.context
         fleet = self.fleet
+        if not self.began and time.monotonic() >= fleet.no_streams_after:
+            raise StoppingError("the node is stopping")
         is_late = context.deadline_at - context.arrived_at < (
             context.route.timeout_s * LATE_SHARE
         )
@@ -182,6 +184,7 @@
         )
         if result.is_ok():
             lease = result.unwrap()
+            self.fleet.note_load(endpoint, lease.load)
             context.log(
                 "PF1105",
                 endpoint=endpoint.endpoint_id,
@@ -208,11 +211,17 @@
     # The prefill.
 
     def prefill(self, reservation: Reservation) -> PreparedDecode:
-        """Have the prompt read; without prefill engines the decode engine does."""
+        """Have the prompt read by a prefill engine, or leave it to the decode engine.
+
+        A prefill that fails costs no slot: the decode engine then reads the
+        prompt itself.
+        """
         context = self.context
-        endpoint = self.pick_prefill(reservation)
+        unread = PreparedDecode(reservation, None, None, None)
+        endpoint = self.fleet.pick_prefill(context.service)
         if endpoint is None:
-            return PreparedDecode(reservation, None, None, None)
+            context.log("PF1110", endpoint=reservation.endpoint.endpoint_id)
+            return unread
         started_at = time.monotonic()
         try:
             result = self.services.engines.prefill(
@@ -227,32 +236,23 @@
         finally:
             self.fleet.done(endpoint)
         self.check_caller()
-        if result.is_ok():
-            self.fleet.note_answer(endpoint, started_at, ok=True)
-            self.fleet.note_prefill_time(
-                time.monotonic() - started_at, context.call.prompt_tokens
-            )
-            done = result.unwrap()
-            source = f"{endpoint.address}/{done.handle}"
-            context.log(
-                "PF1106",
-                endpoint=endpoint.endpoint_id,
-                tokens=done.tokens,
-                prefill_s=round(time.monotonic() - started_at, 4),
-            )
-            return PreparedDecode(reservation, source, endpoint.address, done.handle)
-        failure = result.unwrap_err()
-        if isinstance(failure.error, EndpointStalledError) or not failure.sent:
+        if result.is_err():
+            failure = result.unwrap_err()
             self.fleet.note_silence(endpoint)
-        else:
-            self.fleet.note_answer(endpoint, started_at, ok=False)
-        context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
-        self.attempts += 1
-        raise failure.error
-
-    def pick_prefill(self, reservation: Reservation) -> FleetEndpoint | None:
-        """Choose a prefill engine near the decode engine."""
-        return self.fleet.pick(self.context.service, EndpointRole.PREFILL)
+            context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
+            return unread
+        done = result.unwrap()
+        prefill_s = time.monotonic() - started_at
+        self.fleet.note_answer(endpoint, started_at, True, done.load)
+        self.fleet.note_prefill_time(prefill_s, context.call.prompt_tokens)
+        context.log(
+            "PF1106",
+            endpoint=endpoint.endpoint_id,
+            tokens=done.tokens,
+            prefill_s=round(prefill_s, 4),
+        )
+        source = f"{endpoint.address}/{done.handle}"
+        return PreparedDecode(reservation, source, endpoint.address, done.handle)
 
     # The stream.
 
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -356,6 +356,12 @@
         ("code", "status", "problem"),
         "a request ended without an endpoint's whole answer",
     ),
+    EventKind(
+        "PF1110",
+        "prefill_left_to_decode",
+        ("endpoint",),
+        "no prefill engine is free soon, so the decode engine reads the prompt",
+    ),
     EventKind(
         "PF2101",
         "gateway_started",
--- a/src/poplarfold/_internal/platform/engines.py
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -39,6 +39,7 @@
 
     handle: str
     tokens: int
+    load: EndpointLoad | None
 
 
 class OrderRequest(NamedTuple):
@@ -130,7 +131,8 @@
         is_own = proof.request_id in (None, call.request_id)
         if answer.status == 200 and isinstance(kv_handle, str) and is_own:
             tokens = found.get("tokens")
-            return Ok(PrefillResult(kv_handle, tokens if type(tokens) is int else 0))
+            count = tokens if type(tokens) is int else 0
+            return Ok(PrefillResult(kv_handle, count, proof.load))
         message = f"{address} answered a prefill with status {answer.status}"
         kind = EndpointRefusedError if proof.not_run else EndpointError
         return Err(Failure(kind(message), sent=not proof.not_run))
