--- a/src/poplarfold/_internal/core/fleet/choice.py
+++ b/src/poplarfold/_internal/core/fleet/choice.py
@@ -26,15 +26,18 @@
 # A load that an endpoint told counts less with its age, and not after this.
 LOAD_LIFE_S = 1.0
 USUAL_ANSWER_S = 0.08
-# A silent or unreachable endpoint gets no calls for this time.
-SILENCE_PENALTY_S = 1.5
+# A silent or unreachable endpoint gets no calls for this time, and for twice as
+# long after each further failure.
+AVOID_S = 1.0
+AVOID_MAX_S = 8.0
 
 
 class EndpointUse(NamedTuple):
     """What this node knows of one incarnation of an endpoint.
 
     ``open_calls`` are this node's own. ``others`` is the use by other nodes
-    as of ``others_at``. ``avoid_until`` keeps new calls away for a while.
+    as of ``others_at``. ``avoid_until`` keeps new calls away for a while;
+    ``silences`` counts the failures in a row that led to that.
     """
 
     born: int = 0
@@ -45,6 +48,7 @@
     failure_share: float = 0.0
     failure_at: float = 0.0
     avoid_until: float = 0.0
+    silences: int = 0
     full_until: float = 0.0
 
 
@@ -86,6 +90,16 @@
         others = max(0, load.running + load.waiting - row.open_calls)
         self.put(endpoint, row._replace(others=others, others_at=now))
 
+    def note_queue(
+        self, endpoint: FleetEndpoint, answer_s: float, alone_s: float, now: float
+    ) -> None:
+        """Take the use by others from how much longer a call took than alone."""
+        row = self.get(endpoint)
+        others = max(0, round(answer_s / max(0.001, alone_s)) - 1 - row.open_calls)
+        age_s = now - row.others_at
+        if others > row.others * max(0.0, 1.0 - age_s / LOAD_LIFE_S):
+            self.put(endpoint, row._replace(others=others, others_at=now))
+
     def note_answer(
         self, endpoint: FleetEndpoint, answer_s: float, ok: bool, now: float
     ) -> None:
@@ -98,6 +112,7 @@
             endpoint,
             row._replace(
                 answer_s=average_s if ok else row.answer_s,
+                silences=0 if ok else row.silences,
                 failure_share=share,
                 failure_at=now,
             ),
@@ -106,7 +121,14 @@
     def avoid(self, endpoint: FleetEndpoint, now: float) -> None:
         """Keep new calls away from an endpoint that gave no answer."""
         row = self.get(endpoint)
-        self.put(endpoint, row._replace(avoid_until=now + SILENCE_PENALTY_S))
+        if row.avoid_until > now:
+            # A call that was under way when the endpoint fell silent.
+            return
+        pause_s = min(AVOID_MAX_S, AVOID_S * 2**row.silences)
+        self.put(
+            endpoint,
+            row._replace(avoid_until=now + pause_s, silences=row.silences + 1),
+        )
 
     def mark_full(self, endpoint: FleetEndpoint, until: float) -> None:
         """Ask an engine that refused a lease again at ``until`` only."""
@@ -153,8 +175,6 @@
     spread = 0.1 * in_use(row, now) / max(1, endpoint.slots)
     cost = row.answer_s * (crowding + spread)
     cost += FAILURE_PENALTY_S * failure_share(row, now)
-    if row.avoid_until > now:
-        cost += SILENCE_PENALTY_S
     return cost + distance_s(endpoint, domain, regions)
 
 
@@ -174,14 +194,18 @@
     """Return the endpoint with the shortest expected time, or None.
 
     Endpoints that were marked full are left out until their time has come.
+    Those that were silent are used only if all are.
     """
-    best: FleetEndpoint | None = None
-    best_s = float("inf")
-    for endpoint in endpoints:
-        row = uses.get(endpoint)
-        if endpoint.endpoint_id in excluded or row.full_until > now:
-            continue
-        cost = expected_s(endpoint, row, domain, regions, now)
-        if cost < best_s:
-            best, best_s = endpoint, cost
-    return best
+    rows = [
+        (endpoint, uses.get(endpoint))
+        for endpoint in endpoints
+        if endpoint.endpoint_id not in excluded
+    ]
+    heard = [pair for pair in rows if pair[1].avoid_until <= now]
+    free = [pair for pair in heard or rows if pair[1].full_until <= now]
+    if not free:
+        return None
+    best = min(
+        free, key=lambda pair: expected_s(pair[0], pair[1], domain, regions, now)
+    )
+    return best[0]
--- a/src/poplarfold/_internal/core/fleet/door.py
+++ b/src/poplarfold/_internal/core/fleet/door.py
@@ -35,6 +35,7 @@
     arrived_at: float
     is_late: bool
     tokens: int
+    is_asking: bool = False
 
 
 class Door:
@@ -55,14 +56,22 @@
         """Forget a stream that was placed, refused or given up."""
         self.waiting.pop(ticket, None)
 
+    def set_asking(self, ticket: int, is_asking: bool) -> None:
+        """Note whether a stream asks an engine, which may take a while."""
+        row = self.waiting[ticket]
+        self.waiting.put(ticket, row._replace(is_asking=is_asking))
+
     def position(self, ticket: int) -> int:
-        """Return how many streams of the service go before this one."""
+        """Return how many streams of the service go before this one.
+
+        Those that ask an engine just now hold up nobody.
+        """
         row = self.waiting[ticket]
         rank = (row.is_late, row.ticket)
         return sum(
             (other.is_late, other.ticket) < rank
             for other in self.waiting.values()
-            if other.service == row.service
+            if other.service == row.service and not other.is_asking
         )
 
     def give_up_at(self, row: WaitRow) -> float:
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -9,7 +9,7 @@
 from poplarfold._internal.core.fleet.budget import RetryBudget
 from poplarfold._internal.core.fleet.choice import UseTable, choose, queue_wait_s
 from poplarfold._internal.core.fleet.directory import Directory, EndpointChange
-from poplarfold._internal.core.fleet.door import Door
+from poplarfold._internal.core.fleet.door import Door, WaitRow
 from poplarfold._internal.core.fleet.roles import StreamCost
 from poplarfold._internal.core.fleet.rows import (
     EndpointLoad,
@@ -97,6 +97,26 @@
                 self.uses.begin(endpoint)
             return endpoint
 
+    def pick_in_turn(self, row: WaitRow) -> FleetEndpoint | None:
+        """Choose a decode engine to ask, if it is the turn of a waiting stream.
+
+        Until ``end_turn``, the streams behind it are not held up.
+        """
+        with self.lock:
+            if self.door.position(row.ticket) > 0:
+                return None
+            endpoint = self._choose(row.service, EndpointRole.DECODE, ())
+            if endpoint is not None:
+                self.uses.begin(endpoint)
+                self.door.set_asking(row.ticket, True)
+                self.changed.notify_all()
+            return endpoint
+
+    def end_turn(self, row: WaitRow) -> None:
+        """Let a stream wait again after an engine has refused it."""
+        with self.lock:
+            self.door.set_asking(row.ticket, False)
+
     def pick_prefill(self, service: str) -> FleetEndpoint | None:
         """Choose a prefill engine, unless all have too long a queue.
 
@@ -146,9 +166,13 @@
             self.uses.note_answer(endpoint, 0.0, False, now)
             self.uses.avoid(endpoint, now)
 
-    def note_prefill_time(self, seconds: float, tokens: int) -> None:
+    def note_prefill_time(
+        self, endpoint: FleetEndpoint, seconds: float, tokens: int
+    ) -> None:
         """Take how long a prefill took."""
         with self.lock:
+            alone_s = tokens / self.cost.prefill_rate
+            self.uses.note_queue(endpoint, seconds, alone_s, self.clock())
             self.cost = self.cost.with_prefill(seconds, tokens)
 
     def note_stream_time(self, seconds: float, tokens: int) -> None:
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -28,7 +28,7 @@
 
     request_threads: int = 96
     metrics_port: int = 9464
-    connect_s: float = 0.4
+    connect_s: float = 0.3
     lease_call_s: float = 0.4
     lease_output_factor: float = 1.8
     prefill_s: float = 1.0
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -151,23 +151,18 @@
         give_up_at = min(fleet.door.give_up_at(row), self.context.deadline_at)
         while True:
             self.check_caller()
-            with fleet.lock:
-                is_turn = fleet.door.position(row.ticket) == 0
-            endpoint = (
-                fleet.pick(self.context.service, EndpointRole.DECODE)
-                if is_turn
-                else None
-            )
+            endpoint = fleet.pick_in_turn(row)
             if endpoint is not None:
                 reservation = self.take_lease(endpoint)
                 if reservation is not None:
                     return reservation
-                continue
+                fleet.end_turn(row)
             now = time.monotonic()
             if now >= give_up_at:
                 raise NoRoomError("all decode engines are full")
-            with fleet.lock:
-                fleet.changed.wait(min(LOOK_AGAIN_S, give_up_at - now))
+            if endpoint is None:
+                with fleet.lock:
+                    fleet.changed.wait(min(LOOK_AGAIN_S, give_up_at - now))
 
     def take_lease(self, endpoint: FleetEndpoint) -> Reservation | None:
         """Ask one engine for a slot; it counts as in use while it is held."""
@@ -198,7 +193,6 @@
             self.fleet.mark_full(endpoint)
         else:
             self.fleet.note_silence(endpoint)
-            self.fleet.mark_full(endpoint)
             context.log_failure(endpoint.endpoint_id, failure.error, sent=False)
         return None
 
@@ -244,7 +238,7 @@
         done = result.unwrap()
         prefill_s = time.monotonic() - started_at
         self.fleet.note_answer(endpoint, started_at, True, done.load)
-        self.fleet.note_prefill_time(prefill_s, context.call.prompt_tokens)
+        self.fleet.note_prefill_time(endpoint, prefill_s, context.call.prompt_tokens)
         context.log(
             "PF1106",
             endpoint=endpoint.endpoint_id,
