Leave only short prompts to decode engines, and never plan without prefill engines

Ruled out: waits for decode slots (0.03 s at the median), refusals. Conclusion: own prefills only below 5,000 tokens and 0.35 s apart.

--- a/src/poplarfold/_internal/core/fleet/choice.py
+++ b/src/poplarfold/_internal/core/fleet/choice.py
@@ -11,7 +11,14 @@
 from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
 from poplarfold._internal.core.state import Table
 
-__all__ = ["EndpointUse", "UseTable", "choose", "expected_s", "queue_wait_s"]
+__all__ = [
+    "EndpointUse",
+    "OwnPrefillPolicy",
+    "UseTable",
+    "choose",
+    "expected_s",
+    "queue_wait_s",
+]
 
 # One way and back, to another domain of the region and to another region.
 DOMAIN_PENALTY_S = 0.012
@@ -50,6 +57,33 @@
     avoid_until: float = 0.0
     silences: int = 0
     full_until: float = 0.0
+    own_prefill_at: float = float("-inf")
+
+
+class OwnPrefillPolicy(NamedTuple):
+    """When a decode engine reads a prompt itself.
+
+    Its other streams stand still while it reads, by about 40 ms for 1,000
+    tokens. One read of a usual prompt stays below the pause that streams may
+    have; two in a row do not.
+    """
+
+    wait_s: float
+    tokens: int
+    pause_s: float = 0.35
+
+    def is_better(
+        self, wait_s: float | None, tokens: int, row: EndpointUse, now: float
+    ) -> bool:
+        """Return whether to leave a prompt to the decode engine of ``row``.
+
+        ``wait_s`` is the queue of the best prefill engine, or None without one.
+        """
+        if wait_s is None:
+            return True
+        if wait_s <= self.wait_s or tokens > self.tokens:
+            return False
+        return now - row.own_prefill_at >= self.pause_s
 
 
 class UseTable:
@@ -130,6 +164,10 @@
             row._replace(avoid_until=now + pause_s, silences=row.silences + 1),
         )
 
+    def note_own_prefill(self, endpoint: FleetEndpoint, now: float) -> None:
+        """Note that a decode engine reads a prompt itself."""
+        self.put(endpoint, self.get(endpoint)._replace(own_prefill_at=now))
+
     def mark_full(self, endpoint: FleetEndpoint, until: float) -> None:
         """Ask an engine that refused a lease again at ``until`` only."""
         self.put(endpoint, self.get(endpoint)._replace(full_until=until))
--- a/src/poplarfold/_internal/core/fleet/roles.py
+++ b/src/poplarfold/_internal/core/fleet/roles.py
@@ -20,9 +20,10 @@
 # With fewer engines, losing one to a change would stop the service.
 ENGINES_MIN = 3
 # A prefill engine's queue grows long above this part of its rate.
-PREFILL_USE_MAX = 0.75
+PREFILL_USE_MAX = 0.9
 # A decode engine reads a prompt at half the speed of a prefill engine.
 OWN_PREFILL_FACTOR = 2.0
+OWN_PREFILL_WORTH = 0.5
 # The fastest prefills tell the engine's rate; the others have waited in its queue.
 FASTER_WEIGHT = 0.2
 SLOWER_WEIGHT = 0.002
@@ -80,15 +81,16 @@
 ) -> float:
     """Return how many streams a second both pools carry together.
 
-    What the prefill engines cannot carry is read by the decode engines, whose
-    other streams stand still meanwhile.
+    Without prefill engines, decode engines read the prompts. Their other
+    streams stand still meanwhile, and many are late by that.
     """
     at_once = min(service.slots, service.memory_tokens / max(1.0, cost.tokens))
     decode_share = max(0.001, cost.decode_s) / max(1.0, at_once)
     prefill_s = max(0.001, cost.prefill_s)
-    prefilled = min(prefill * PREFILL_USE_MAX / prefill_s, decode / decode_share)
-    left = max(0.0, decode - prefilled * decode_share)
-    return prefilled + left / (decode_share + OWN_PREFILL_FACTOR * prefill_s)
+    if prefill <= 0:
+        own_s = decode_share + OWN_PREFILL_FACTOR * prefill_s
+        return OWN_PREFILL_WORTH * decode / own_s
+    return min(prefill * PREFILL_USE_MAX / prefill_s, decode / decode_share)
 
 
 def plan_role_changes(
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -7,7 +7,12 @@
 from typing import NamedTuple
 
 from poplarfold._internal.core.fleet.budget import RetryBudget
-from poplarfold._internal.core.fleet.choice import UseTable, choose, queue_wait_s
+from poplarfold._internal.core.fleet.choice import (
+    OwnPrefillPolicy,
+    UseTable,
+    choose,
+    queue_wait_s,
+)
 from poplarfold._internal.core.fleet.directory import Directory, EndpointChange
 from poplarfold._internal.core.fleet.door import Door, WaitRow
 from poplarfold._internal.core.fleet.roles import StreamCost
@@ -52,6 +57,9 @@
         self.rng = random.Random(seed)
         self.directory = Directory()
         self.uses = UseTable()
+        self.own_prefill = OwnPrefillPolicy(
+            settings.prefill_wait_s, settings.own_prefill_tokens
+        )
         self.door = Door(settings.door)
         self.budgets: dict[str, RetryBudget] = {}
         self.cost = StreamCost()
@@ -117,22 +125,27 @@
         with self.lock:
             self.door.set_asking(row.ticket, False)
 
-    def pick_prefill(self, service: str) -> FleetEndpoint | None:
-        """Choose a prefill engine, unless all have too long a queue.
+    def pick_prefill(
+        self, service: str, decode: FleetEndpoint, prompt_tokens: int
+    ) -> FleetEndpoint | None:
+        """Choose a prefill engine, or none if the decode engine reads the prompt.
 
-        A call there is counted, as by ``pick``. Without one, the decode engine
-        reads the prompt itself, which takes twice as long.
+        A call at the chosen engine is counted, as by ``pick``.
         """
         with self.lock:
             now = self.clock()
             endpoint = self._choose(service, EndpointRole.PREFILL, ())
-            if endpoint is None:
-                return None
-            row = self.uses.get(endpoint)
-            wait_s = queue_wait_s(row, self.cost.prefill_s, now)
-            if row.avoid_until > now or wait_s > self.settings.prefill_wait_s:
+            wait_s = None
+            if endpoint is not None:
+                row = self.uses.get(endpoint)
+                if row.avoid_until <= now:
+                    wait_s = queue_wait_s(row, self.cost.prefill_s, now)
+            own = self.uses.get(decode)
+            if self.own_prefill.is_better(wait_s, prompt_tokens, own, now):
+                self.uses.note_own_prefill(decode, now)
                 return None
-            self.uses.begin(endpoint)
+            if endpoint is not None:
+                self.uses.begin(endpoint)
             return endpoint
 
     def done(self, endpoint: FleetEndpoint) -> None:
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -18,7 +18,8 @@
     bounds a call that reserves or releases something at an engine. A lease
     covers the prompt and ``lease_output_factor`` times the expected outputs.
     ``prefill_s`` bounds a prefill. If prefill engines have a longer queue than
-    ``prefill_wait_s``, the decode engine reads the prompt.
+    ``prefill_wait_s``, the decode engine reads prompts of up to
+    ``own_prefill_tokens``.
     ``first_output_s`` is the longest wait for the first event of a stream that
     may be repeated, ``silence_s`` that between two of its events. A planned
     stop serves requests for ``stop_linger_s`` at least and ends
@@ -32,7 +33,8 @@
     lease_call_s: float = 0.4
     lease_output_factor: float = 1.8
     prefill_s: float = 1.0
-    prefill_wait_s: float = 0.25
+    prefill_wait_s: float = 0.3
+    own_prefill_tokens: int = 5000
     first_output_s: float = 2.0
     silence_s: float = 2.0
     store_call_s: float = 1.0
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -212,7 +212,9 @@
         """
         context = self.context
         unread = PreparedDecode(reservation, None, None, None)
-        endpoint = self.fleet.pick_prefill(context.service)
+        endpoint = self.fleet.pick_prefill(
+            context.service, reservation.endpoint, context.call.prompt_tokens
+        )
         if endpoint is None:
             context.log("PF1110", endpoint=reservation.endpoint.endpoint_id)
             return unread
