--- a/src/poplarfold/_internal/core/fleet/roles.py
+++ b/src/poplarfold/_internal/core/fleet/roles.py
@@ -15,8 +15,10 @@
 
 __all__ = ["RoleChange", "StreamCost", "plan_role_changes", "streams_per_s"]
 
-# A change takes an engine out for seconds, so it has to gain this much.
+# A change takes an engine out for seconds, so it has to gain this much; more
+# while streams are served.
 GAIN_MIN = 1.08
+GAIN_MIN_UNDER_LOAD = 1.15
 # With fewer engines, losing one to a change would stop the service.
 ENGINES_MIN = 3
 # A prefill engine's queue grows long above this part of its rate.
@@ -24,9 +26,10 @@
 # A decode engine reads a prompt at half the speed of a prefill engine.
 OWN_PREFILL_FACTOR = 2.0
 OWN_PREFILL_WORTH = 0.5
-# The fastest prefills tell the engine's rate; the others have waited in its queue.
-FASTER_WEIGHT = 0.2
-SLOWER_WEIGHT = 0.002
+# The estimate of an engine's rate settles where one prefill in ten is faster:
+# most have waited in the queue, and a few found their prompt kept from before.
+RATE_UP = 1.03
+RATE_DOWN = 0.9967
 STREAM_WEIGHT = 0.02
 
 
@@ -52,11 +55,11 @@
     def with_prefill(self, seconds: float, tokens: int) -> "StreamCost":
         """Return the cost after another prefill."""
         rate = tokens / max(0.001, seconds)
-        weight = FASTER_WEIGHT if rate > self.prefill_rate else SLOWER_WEIGHT
+        factor = RATE_UP if rate > self.prefill_rate else RATE_DOWN
         return self._replace(
             prompt_tokens=self.prompt_tokens
             + STREAM_WEIGHT * (tokens - self.prompt_tokens),
-            prefill_rate=self.prefill_rate + weight * (rate - self.prefill_rate),
+            prefill_rate=self.prefill_rate * factor,
             is_learned=True,
         )
 
@@ -127,7 +130,8 @@
     more_decode = streams_per_s(len(prefill) - 1, len(decode) + 1, service, cost)
     more_prefill = streams_per_s(len(prefill) + 1, len(decode) - 1, service, cost)
     wanted = max(more_decode, more_prefill)
-    if wanted <= 0.0 or wanted < present * GAIN_MIN:
+    factor = GAIN_MIN_UNDER_LOAD if cost.is_learned else GAIN_MIN
+    if wanted <= 0.0 or wanted < present * factor:
         return None
     gain = wanted - present
     if more_decode >= more_prefill:
--- a/src/poplarfold/_internal/gateway/role_orders.py
+++ b/src/poplarfold/_internal/gateway/role_orders.py
@@ -16,10 +16,10 @@
 LOG_TOPIC = "poplarfold.orders"
 LOOK_PERIOD_S = 1.0
 # A mismatch has to last: endpoints that restart are back within seconds.
-NEED_LASTS_S = 1.5
+NEED_LASTS_S = 1.0
 # Nodes that see the same need ask at different times, so that one claim is
 # enough.
-JITTER_S = 2.0
+JITTER_S = 1.0
 # Others see the changed role in the endpoint's next heartbeat.
 QUIET_AFTER_LEASE_S = 6.0
 CLAIM_USE_S = 1.0
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -42,6 +42,9 @@
 # A call whose remaining time is below this share of the route's timeout has
 # come back after a refusal: it has missed its latency target already.
 LATE_SHARE = 0.97
+PREFILL_TRIES = 2
+# After a failure that took longer, there is no time for another engine's queue.
+PREFILL_RETRY_S = 0.1
 # Reservations outlive the prefill by this time.
 LEASE_MARGIN_S = 0.5
 
@@ -207,17 +210,30 @@
     def prefill(self, reservation: Reservation) -> PreparedDecode:
         """Have the prompt read by a prefill engine, or leave it to the decode engine.
 
-        A prefill that fails costs no slot: the decode engine then reads the
-        prompt itself.
+        A prefill that fails costs no slot: another engine is asked once, and
+        then the decode engine reads the prompt itself.
         """
         context = self.context
-        unread = PreparedDecode(reservation, None, None, None)
-        endpoint = self.fleet.pick_prefill(
-            context.service, reservation.endpoint, context.call.prompt_tokens
-        )
-        if endpoint is None:
-            context.log("PF1110", endpoint=reservation.endpoint.endpoint_id)
-            return unread
+        for _ in range(PREFILL_TRIES):
+            endpoint = self.fleet.pick_prefill(
+                context.service, reservation.endpoint, context.call.prompt_tokens
+            )
+            if endpoint is None:
+                break
+            started_at = time.monotonic()
+            prepared = self.ask_prefill(reservation, endpoint)
+            if prepared is not None:
+                return prepared
+            if time.monotonic() - started_at > PREFILL_RETRY_S:
+                break
+        context.log("PF1110", endpoint=reservation.endpoint.endpoint_id)
+        return PreparedDecode(reservation, None, None, None)
+
+    def ask_prefill(
+        self, reservation: Reservation, endpoint: FleetEndpoint
+    ) -> PreparedDecode | None:
+        """Have the prompt read by one engine; None if it failed."""
+        context = self.context
         started_at = time.monotonic()
         try:
             result = self.services.engines.prefill(
@@ -236,11 +252,15 @@
             failure = result.unwrap_err()
             self.fleet.note_silence(endpoint)
             context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
-            return unread
+            return None
         done = result.unwrap()
         prefill_s = time.monotonic() - started_at
         self.fleet.note_answer(endpoint, started_at, True, done.load)
-        self.fleet.note_prefill_time(endpoint, prefill_s, context.call.prompt_tokens)
+        if self.attempts == 0:
+            # The engines may have kept the prompt of an earlier attempt.
+            self.fleet.note_prefill_time(
+                endpoint, prefill_s, context.call.prompt_tokens
+            )
         context.log(
             "PF1106",
             endpoint=endpoint.endpoint_id,
