Match large pools in one batch, and read the store by the platform's bounds

The plan now looks for the best number of prefill engines; the waits are shares of the times in which a configuration has to be in force and a leaving endpoint must get no work.

--- a/src/poplarfold/_internal/core/fleet/roles.py
+++ b/src/poplarfold/_internal/core/fleet/roles.py
@@ -19,6 +19,8 @@
 # while streams are served.
 GAIN_MIN = 1.08
 GAIN_MIN_UNDER_LOAD = 1.15
+# Of so many engines, one may change at a time while streams are served.
+ENGINES_PER_CHANGE = 8
 # With fewer engines, losing one to a change would stop the service.
 ENGINES_MIN = 3
 # A prefill engine's queue grows long above this part of its rate.
@@ -99,44 +101,45 @@
 def plan_role_changes(
     engines: Sequence[FleetEndpoint], service: Service, cost: StreamCost
 ) -> list[RoleChange]:
-    """Return the changes of roles that are wanted now.
+    """Return the changes of roles that are wanted now, none if they gain too little.
 
-    While streams are served, one engine changes at a time, since it serves
-    nothing until it has changed.
+    While streams are served, few engines change at a time, since an engine
+    serves nothing until it has changed.
     """
-    changes: list[RoleChange] = []
-    rows = list(engines)
-    while True:
-        change = plan_one_change(rows, service, cost)
-        if change is None:
-            return changes
-        changes.append(change)
-        if cost.is_learned or len(changes) >= len(engines):
-            return changes
-        rows.remove(change.endpoint)
-        rows.append(change.endpoint._replace(role=change.role))
-
-
-def plan_one_change(
-    engines: Sequence[FleetEndpoint], service: Service, cost: StreamCost
-) -> RoleChange | None:
-    """Return the next change of one engine's role, or None if none gains enough."""
     prefill = [row for row in engines if row.role is EndpointRole.PREFILL]
     decode = [row for row in engines if row.role is EndpointRole.DECODE]
     total = len(prefill) + len(decode)
     if total < ENGINES_MIN:
-        return None
+        return []
+    rates = {
+        count: streams_per_s(count, total - count, service, cost)
+        for count in range(1, total)
+    }
+    wanted = max(rates, key=lambda count: rates[count])
     present = streams_per_s(len(prefill), len(decode), service, cost)
-    more_decode = streams_per_s(len(prefill) - 1, len(decode) + 1, service, cost)
-    more_prefill = streams_per_s(len(prefill) + 1, len(decode) - 1, service, cost)
-    wanted = max(more_decode, more_prefill)
     factor = GAIN_MIN_UNDER_LOAD if cost.is_learned else GAIN_MIN
-    if wanted <= 0.0 or wanted < present * factor:
-        return None
-    gain = wanted - present
-    if more_decode >= more_prefill:
-        return RoleChange(surplus_engine(prefill), EndpointRole.DECODE, gain)
-    return RoleChange(surplus_engine(decode), EndpointRole.PREFILL, gain)
+    if rates[wanted] < present * factor:
+        return []
+    count = abs(wanted - len(prefill))
+    if cost.is_learned:
+        count = min(count, max(1, total // ENGINES_PER_CHANGE))
+    gain = (rates[wanted] - present) / max(1, count)
+    if wanted < len(prefill):
+        return changes_of(prefill, EndpointRole.DECODE, count, gain)
+    return changes_of(decode, EndpointRole.PREFILL, count, gain)
+
+
+def changes_of(
+    pool: Sequence[FleetEndpoint], role: EndpointRole, count: int, gain: float
+) -> list[RoleChange]:
+    """Return changes of ``count`` engines of a pool to another role."""
+    left = list(pool)
+    changes = []
+    for _ in range(count):
+        endpoint = surplus_engine(left)
+        left.remove(endpoint)
+        changes.append(RoleChange(endpoint, role, gain))
+    return changes
 
 
 def surplus_engine(pool: Sequence[FleetEndpoint]) -> FleetEndpoint:
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -134,7 +134,10 @@
         """
         with self.lock:
             now = self.clock()
-            endpoint = self._choose(service, EndpointRole.PREFILL, ())
+            # The result moves to the decode engine, at a price between domains.
+            endpoint = self._choose(
+                service, EndpointRole.PREFILL, (), decode.failure_domain
+            )
             wait_s = None
             if endpoint is not None:
                 row = self.uses.get(endpoint)
@@ -221,12 +224,16 @@
         self.changed.notify_all()
 
     def _choose(
-        self, service: str, role: EndpointRole, excluded: Collection[str]
+        self,
+        service: str,
+        role: EndpointRole,
+        excluded: Collection[str],
+        domain: str | None = None,
     ) -> FleetEndpoint | None:
         return choose(
             self.directory.usable(service, role),
             self.uses,
-            self.host.failure_domain,
+            domain or self.host.failure_domain,
             self.host.regions,
             self.clock(),
             excluded,
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -20,6 +20,9 @@
     ``prefill_s`` bounds a prefill. If prefill engines have a longer queue than
     ``prefill_wait_s``, the decode engine reads prompts of up to
     ``own_prefill_tokens``.
+    A read of the configuration waits for ``route_wait_share`` of the time in
+    which it has to be in force, and the endpoints are read again after
+    ``endpoint_poll_share`` of the time in which a leaving one must get no work.
     ``first_output_s`` is the longest wait for the first event of a stream that
     may be repeated, ``silence_s`` that between two of its events. A planned
     stop serves requests for ``stop_linger_s`` at least and ends
@@ -38,8 +41,8 @@
     first_output_s: float = 2.0
     silence_s: float = 2.0
     store_call_s: float = 1.0
-    route_wait_s: float = 1.5
-    endpoint_poll_s: float = 1.0
+    route_wait_share: float = 0.6
+    endpoint_poll_share: float = 0.4
     expected_nodes: int = 12
     stop_linger_s: float = 3.0
     stop_margin_s: float = 0.6
--- a/src/poplarfold/_internal/gateway/store_reader.py
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -55,12 +55,19 @@
         self.call_s = fleet.settings.store_call_s
         self.stopping = threading.Event()
         settings = fleet.settings
+        bounds = fleet.host.bounds
         self.topics = (
             FollowedTopic(
-                StoreTopic.ROUTES, settings.route_wait_s, 0.0, self.apply_routes
+                StoreTopic.ROUTES,
+                settings.route_wait_share * bounds.apply_s,
+                0.0,
+                self.apply_routes,
             ),
             FollowedTopic(
-                StoreTopic.ENDPOINTS, 0.0, settings.endpoint_poll_s, self.apply_entries
+                StoreTopic.ENDPOINTS,
+                0.0,
+                settings.endpoint_poll_share * bounds.leaving_s,
+                self.apply_entries,
             ),
         )
 
