--- a/src/poplarfold/_internal/core/fleet/choice.py
+++ b/src/poplarfold/_internal/core/fleet/choice.py
@@ -37,6 +37,8 @@
 # long after each further failure.
 AVOID_S = 1.0
 AVOID_MAX_S = 8.0
+# One failure may be a lost connection; this many in a row are not.
+SILENCES_IN_A_ROW = 2
 
 
 class EndpointUse(NamedTuple):
@@ -164,6 +166,11 @@
             row._replace(avoid_until=now + pause_s, silences=row.silences + 1),
         )
 
+    def is_silent(self, endpoint: FleetEndpoint, now: float) -> bool:
+        """Return whether an endpoint has failed several times in a row."""
+        row = self.get(endpoint)
+        return row.avoid_until > now and row.silences >= SILENCES_IN_A_ROW
+
     def note_own_prefill(self, endpoint: FleetEndpoint, now: float) -> None:
         """Note that a decode engine reads a prompt itself."""
         self.put(endpoint, self.get(endpoint)._replace(own_prefill_at=now))
--- a/src/poplarfold/_internal/gateway/role_orders.py
+++ b/src/poplarfold/_internal/gateway/role_orders.py
@@ -87,11 +87,17 @@
             ]
 
     def plan_service(self, service: Service) -> list[RoleChange]:
-        """Return changes among one service's engines. The lock must be held."""
+        """Return changes among one service's engines. The lock must be held.
+
+        The entry of a crashed engine lapses seconds later, so that engines that
+        do not answer are left out before.
+        """
+        now = self.fleet.clock()
         engines = [
             row
             for role in (EndpointRole.PREFILL, EndpointRole.DECODE)
             for row in self.fleet.directory.usable(service.name, role)
+            if not self.fleet.uses.is_silent(row, now)
         ]
         return plan_role_changes(engines, service, self.fleet.cost)
 
--- a/tests/unit/test_fleet_decisions.py
+++ b/tests/unit/test_fleet_decisions.py
@@ -171,6 +171,22 @@
     assert choose([dark, full], uses, "lhr-a", REGIONS, 3.2) is dark
 
 
+def test_crashed_engine_is_left_out_of_the_plan():
+    """Guards against a pool that waits for a crashed prefill engine's entry.
+
+    Seen in incident inc-66e3 of Glasscairn: the only prefill engine crashed,
+    and another was ordered 6 s later, after the entry had lapsed.
+    """
+    engine = endpoint("p", role=EndpointRole.PREFILL)
+    uses = UseTable()
+    uses.avoid(engine, 0.0)
+    assert not uses.is_silent(engine, 0.5)
+    uses.avoid(engine, 1.1)
+    assert uses.is_silent(engine, 1.2)
+    uses.note_answer(engine, 0.1, True, 3.5)
+    assert not uses.is_silent(engine, 3.6)
+
+
 def test_silent_endpoint_is_used_if_there_is_no_other():
     """Guards against refusing all calls after one lost connection."""
     dark = endpoint("dark")
