Refuse prompts that can never meet their target with 422

Cause: a caption with a prompt of 750 kB was refused with 429, as if it could come back; even an idle engine prefills it for longer than its class's target.

--- a/src/poplarfold/_internal/core/systems/model_plans.py
+++ b/src/poplarfold/_internal/core/systems/model_plans.py
@@ -29,6 +29,7 @@
     NoEndpointError,
     OverloadedError,
     PromptTooLargeError,
+    TargetUnattainableError,
 )
 
 __all__ = [
@@ -194,6 +195,13 @@
     plan = forecast(part, now, request, pool, prefills, decodes)
     decode, start_at, first_at = plan.decode, plan.start_at, plan.first_at
     if first_at > row.first_by or first_at > row.deadline:
+        alone_s = plan.first_at - plan.start_at
+        target_s = row.entry.targets.first_output_s
+        if alone_s > target_s:
+            # Coming back would not help: an idle engine is too slow as well.
+            detail = f"the first output takes {alone_s:.3f} s on an idle engine"
+            refuse(state, now, key, TargetUnattainableError.code, detail)
+            return None
         late_s = first_at - min(row.first_by, row.deadline)
         detail = f"the first output would be {late_s:.3f} s late"
         if request.may_wait or all(option[1] <= now for option in plan.options):
--- a/src/poplarfold/_internal/core/systems/placement.py
+++ b/src/poplarfold/_internal/core/systems/placement.py
@@ -61,6 +61,7 @@
     OverloadedError,
     PoplarfoldError,
     PromptTooLargeError,
+    TargetUnattainableError,
 )
 
 __all__ = ["PlacementState", "next_wakeup", "on_event", "on_tick"]
@@ -209,7 +210,12 @@
     del state.part(PlacementState).asks[call_id]
     types: dict[str, type[PoplarfoldError]] = {
         kind.code: kind
-        for kind in (EntryNotFoundError, LinkBudgetError, PromptTooLargeError)
+        for kind in (
+            EntryNotFoundError,
+            LinkBudgetError,
+            PromptTooLargeError,
+            TargetUnattainableError,
+        )
     }
     types[OverloadedError.code] = types["busy"] = OverloadedError
     error = types.get(ask.last_code, NoEndpointError)
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -202,6 +202,13 @@
 # Refusals for lack of capacity, time or knowledge.
 
 
+class TargetUnattainableError(PoplarfoldError):
+    """No engine can answer the prompt within its class's target, even if idle."""
+
+    code = "target_unattainable"
+    status = 422
+
+
 class NodeNotReadyError(PoplarfoldError):
     """The node knows no catalogue yet, or is stopping."""
 
