--- a/src/poplarfold/_internal/gateway/role_orders.py
+++ b/src/poplarfold/_internal/gateway/role_orders.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable
 
 from poplarfold._internal.core.fleet.order_lease import FIRST_FENCE, OrderLease
-from poplarfold._internal.core.fleet.roles import RoleChange, plan_role_changes
+from poplarfold._internal.core.fleet.roles import (
+    RoleChange,
+    engines_to_plan,
+    plan_role_changes,
+)
 from poplarfold._internal.core.fleet.rows import Service
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.gateway.fleet import Fleet
@@ -89,17 +93,19 @@
     def plan_service(self, service: Service) -> list[RoleChange]:
         """Return changes among one service's engines. The lock must be held.
 
-        The entry of a crashed engine lapses seconds later, so that engines that
-        do not answer are left out before.
+        The entry of a crashed engine lapses only seconds later.
         """
         now = self.fleet.clock()
         engines = [
             row
             for role in (EndpointRole.PREFILL, EndpointRole.DECODE)
             for row in self.fleet.directory.usable(service.name, role)
-            if not self.fleet.uses.is_silent(row, now)
         ]
-        return plan_role_changes(engines, service, self.fleet.cost)
+        silent = [
+            row.endpoint_id for row in engines if self.fleet.uses.is_silent(row, now)
+        ]
+        counted = engines_to_plan(engines, silent)
+        return plan_role_changes(counted, service, self.fleet.cost)
 
     def read_end(self) -> bool:
         """Read the log of orders on; return whether the store answered."""
--- a/tests/unit/test_fleet_decisions.py
+++ b/tests/unit/test_fleet_decisions.py
@@ -15,6 +15,7 @@
 from poplarfold._internal.core.fleet.outputs import OutputForecast
 from poplarfold._internal.core.fleet.roles import (
     StreamCost,
+    engines_to_plan,
     plan_role_changes,
     streams_per_s,
 )
@@ -185,6 +186,20 @@
     assert uses.is_silent(engine, 1.2)
     uses.note_answer(engine, 0.1, True, 3.5)
     assert not uses.is_silent(engine, 3.6)
+    engines = pool(1, 5)
+    assert engines_to_plan(engines, ["p0"]) == engines[1:]
+
+
+def test_short_crash_of_one_engine_changes_no_role():
+    """Guards against orders that take a sound engine out for a short crash.
+
+    Seen in incident inc-d5b8 of the Association: one of two prefill engines was
+    away for 4 s, and an engine was ordered to prefill and back again (worth
+    0.498 to 0.356).
+    """
+    engines = pool(2, 7)
+    assert engines_to_plan(engines, ["p0"]) == engines
+    assert engines_to_plan(engines, ["d0", "d1"]) == engines
 
 
 def test_silent_endpoint_is_used_if_there_is_no_other():
