Divide the retry budget's slack by the number of nodes that the store knows

Cause: each node spent a twelfth of the slack; on a site of 82 nodes that is almost seven times the whole. Rejected prefills were not counted at all, though they are arrivals beyond the first. Change: each node keeps one record in a keyed topic of the router's own and counts the others' (a write and a read in 30 s); until then it assumes 400. Rejected prefills spend the budget, and a second prefill engine is asked only within it.

--- a/src/poplarfold/_internal/core/fleet/budget.py
+++ b/src/poplarfold/_internal/core/fleet/budget.py
@@ -43,6 +43,10 @@
         self.repeats.append(now)
         return True
 
+    def spend(self, now: float) -> None:
+        """Count an arrival that was made already, such as a rejected prefill."""
+        self.repeats.append(now)
+
     def _expire(self, now: float) -> None:
         for times in (self.requests, self.repeats):
             while times and times[0] <= now - self.window_s:
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/announcer.py
@@ -0,0 +1,71 @@
+"""A thread that announces this node in the store and counts the others."""
+
+import json
+import threading
+from collections.abc import Callable
+
+from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.platform import StoreClient, StoreTopic
+
+__all__ = ["Announcer"]
+
+# Nodes that start together have announced themselves by then.
+FIRST_COUNT_S = 4.0
+ANNOUNCE_PERIOD_S = 30.0
+RETRY_S = 3.0
+
+WriteLog = Callable[[str, str | None, dict[str, object]], None]
+
+
+class Announcer:
+    """Writes one record in a while, and reads those of all nodes."""
+
+    def __init__(self, fleet: Fleet, store: StoreClient, write_log: WriteLog) -> None:
+        self.fleet = fleet
+        self.store = store
+        self.write_log = write_log
+        self.stopping = threading.Event()
+
+    def start(self) -> None:
+        """Start the thread."""
+        threading.Thread(target=self.run, name="announcer", daemon=True).start()
+
+    def run(self) -> None:
+        """Announce and count until the process ends."""
+        while not self.announce():
+            if self.stopping.wait(RETRY_S):
+                return
+        self.stopping.wait(FIRST_COUNT_S)
+        self.count()
+        while not self.stopping.wait(ANNOUNCE_PERIOD_S * self.jitter()):
+            self.announce()
+            self.count()
+
+    def jitter(self) -> float:
+        """Return a factor that keeps nodes from calling at the same time."""
+        return 0.75 + 0.5 * self.fleet.rng.random()
+
+    def announce(self) -> bool:
+        """Write this node's record; return whether the store took it."""
+        host = self.fleet.host
+        value = json.dumps({"failure_domain": host.failure_domain}).encode()
+        limit_s = self.fleet.settings.store_call_s
+        result = self.store.put_keyed(StoreTopic.NODES, host.host, value, limit_s)
+        if result.is_err():
+            self.write_log("PF6302", None, {"problem": str(result.unwrap_err())})
+        return result.is_ok()
+
+    def count(self) -> None:
+        """Count the nodes that have announced themselves."""
+        limit_s = self.fleet.settings.store_call_s
+        result = self.store.read_newest(StoreTopic.NODES, limit_s)
+        if result.is_err():
+            self.write_log("PF6302", None, {"problem": str(result.unwrap_err())})
+            return
+        offsets = {record.key: record.offset for record in result.unwrap().records}
+        with self.fleet.lock:
+            now = self.fleet.clock()
+            has_changed = self.fleet.presence.note_records(offsets, now)
+            nodes = self.fleet.presence.count()
+        if has_changed:
+            self.write_log("PF6301", None, {"nodes": nodes})
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -16,6 +16,7 @@
 from poplarfold._internal.core.fleet.directory import Directory, EndpointChange
 from poplarfold._internal.core.fleet.door import Door, WaitRow
 from poplarfold._internal.core.fleet.outputs import OutputForecast
+from poplarfold._internal.core.fleet.presence import Presence
 from poplarfold._internal.core.fleet.roles import StreamCost
 from poplarfold._internal.core.fleet.rows import (
     EndpointLoad,
@@ -62,12 +63,12 @@
             settings.prefill_wait_s, settings.own_prefill_tokens
         )
         self.door = Door(settings.door)
+        self.presence = Presence(settings.unknown_nodes)
         self.budgets: dict[str, RetryBudget] = {}
         self.cost = StreamCost()
         self.outputs = OutputForecast()
         # Set by a planned stop: the time from which streams are refused.
         self.no_streams_after = float("inf")
-        self.nodes = settings.expected_nodes
 
     def match(self, host: str, path: str) -> MatchedRoute:
         """Return the route of a call. Raises NoRouteTableError, RouteNotFoundError."""
@@ -95,7 +96,12 @@
     def may_repeat(self, service: str) -> bool:
         """Spend one repeat of a service's retry budget if this node has one."""
         with self.lock:
-            return self._budget(service).take(self.nodes, self.clock())
+            return self._budget(service).take(self.presence.count(), self.clock())
+
+    def note_rejected(self, service: str) -> None:
+        """Count a call that an endpoint has rejected towards the retry budget."""
+        with self.lock:
+            self._budget(service).spend(self.clock())
 
     def pick(
         self, service: str, role: EndpointRole, excluded: Collection[str] = ()
@@ -218,11 +224,6 @@
         with self.lock:
             return self.directory.is_usable(endpoint)
 
-    def has_role(self, service: str, role: EndpointRole) -> bool:
-        """Return whether any endpoint of a service has a role."""
-        with self.lock:
-            return bool(self.directory.usable(service, role))
-
     def drop_gone(self, changes: list[EndpointChange]) -> None:
         """Forget the use of endpoints that are gone. The lock must be held."""
         self.uses.forget(
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -12,6 +12,7 @@
 from poplarfold._internal.daemon.endpoint_client import EndpointClient
 from poplarfold._internal.daemon.socket_watcher import SocketWatcher
 from poplarfold._internal.exceptions import PlatformFormatError, SettingsError
+from poplarfold._internal.gateway.announcer import Announcer
 from poplarfold._internal.gateway.context import Services
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.handler import CallHandler
@@ -81,6 +82,7 @@
         self.orders = RoleOrders(
             self.fleet, store, services.engines, writer.write_event
         )
+        self.announcer = Announcer(self.fleet, store, writer.write_event)
         self.servers = [
             self.make_server(host.caller_listen, self.handler, False),
             self.make_server(host.ready_listen, self.answer_ready, True),
@@ -112,6 +114,7 @@
         self.watcher.start()
         self.reader.start()
         self.orders.start()
+        self.announcer.start()
         for server in self.servers:
             server.prepare()
             threading.Thread(target=server.serve, name="listen", daemon=True).start()
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -26,7 +26,9 @@
     may be repeated, ``silence_s`` that between two of its events. A planned
     stop serves requests for ``stop_linger_s`` at least and ends
     ``stop_margin_s`` before the platform's grace time. Streams that come later
-    than ``stop_streams_s`` are refused, as they would not end in time.
+    than ``stop_streams_s`` are refused, as they might not end in time. The
+    slack of the retry budget is divided among ``unknown_nodes`` until the store
+    has told how many there are.
     """
 
     request_threads: int = 96
@@ -41,10 +43,10 @@
     store_call_s: float = 1.0
     route_wait_share: float = 1.4
     endpoint_poll_share: float = 0.55
-    expected_nodes: int = 12
+    unknown_nodes: int = 400
     stop_linger_s: float = 3.0
-    stop_margin_s: float = 0.6
-    stop_streams_s: float = 1.5
+    stop_margin_s: float = 0.3
+    stop_streams_s: float = 0.3
     log_queue_lines: int = 2000
     door: DoorPolicy = DoorPolicy()
 
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -20,6 +20,7 @@
     CallTimeoutError,
     EndpointError,
     EndpointRefusedError,
+    EndpointUnreachableError,
     ForeignAnswerError,
     NoRoomError,
     NotRunError,
@@ -230,7 +231,8 @@
             prepared = self.ask_prefill(reservation, endpoint)
             if prepared is not None:
                 return prepared
-            if time.monotonic() - started_at > PREFILL_RETRY_S:
+            took_s = time.monotonic() - started_at
+            if took_s > PREFILL_RETRY_S or not self.fleet.may_repeat(context.service):
                 break
         context.log("PF1110", endpoint=reservation.endpoint.endpoint_id)
         return PreparedDecode(reservation)
@@ -257,6 +259,8 @@
         if result.is_err():
             failure = result.unwrap_err()
             self.fleet.note_silence(endpoint)
+            if not isinstance(failure.error, EndpointUnreachableError):
+                self.fleet.note_rejected(context.service)
             context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
             return None
         done = result.unwrap()
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -398,6 +398,18 @@
         ("problem",),
         "a change of a role is wanted, but this node may not order it now",
     ),
+    EventKind(
+        "PF6301",
+        "nodes_counted",
+        ("nodes",),
+        "the number of nodes among which the retry budget is divided has changed",
+    ),
+    EventKind(
+        "PF6302",
+        "announcement_failed",
+        ("problem",),
+        "the store did not take or tell who is there; the last count stays",
+    ),
     EventKind(
         "PF7101",
         "store_gap",
--- a/src/poplarfold/_internal/platform/boot.py
+++ b/src/poplarfold/_internal/platform/boot.py
@@ -51,8 +51,6 @@
     caller_listen: Address
     ready_listen: Address
     store_address: str
-    memory_mb: int
-    peer_ports: tuple[int, int]
     ip: str
     bounds: Bounds
 
@@ -76,7 +74,6 @@
 def decode_boot(fields: dict[str, Any]) -> HostSettings:
     """Decode the fields of the platform's settings file."""
     listen = fields["listen"]
-    ports = fields.get("port_range") or [0, 0]
     return HostSettings(
         host=str(fields["node_name"]),
         failure_domain=str(fields["zone"]),
@@ -85,8 +82,6 @@
         caller_listen=decode_address(listen["front"]),
         ready_listen=decode_address(listen["ready"]),
         store_address=str(fields["platform"]["address"]),
-        memory_mb=int(fields["limits"]["memory_mb"]),
-        peer_ports=(int(ports[0]), int(ports[1])),
         ip=str(fields["ip"]),
         bounds=decode_bounds(fields.get("bounds") or {}),
     )
--- a/src/poplarfold/_internal/platform/store.py
+++ b/src/poplarfold/_internal/platform/store.py
@@ -22,20 +22,27 @@
 READ_HEAD = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 READ_LIMIT_KB = 4096
+KEY_LIMIT_BYTES = 255
 
 
 class StoreTopic(StrEnum):
-    """The keyed topics that the router reads."""
+    """The keyed topics that the router uses."""
 
     ROUTES = "keyed.op"
     ENDPOINTS = "keyed.servers"
+    # The router's own.
+    NODES = "keyed.poplarfold.nodes"
 
 
 class Record(NamedTuple):
-    """One record. ``value`` is None if the key was dropped."""
+    """One record. ``value`` is None if the key was dropped.
+
+    ``offset`` is its place in the topic, where the call tells it.
+    """
 
     key: str
     value: bytes | None
+    offset: int = -1
 
 
 class NewestRecords(NamedTuple):
@@ -73,7 +80,11 @@
             try:
                 page = json.loads(answered.unwrap())
                 rows = [
-                    Record(str(row["key"]), base64.b64decode(row["value"]))
+                    Record(
+                        str(row["key"]),
+                        base64.b64decode(row["value"]),
+                        int(row.get("offset", -1)),
+                    )
                     for row in page["items"]
                 ]
                 end = int(page["end"])
@@ -133,6 +144,20 @@
         An error leaves open whether the record was appended.
         """
         query = {"topic": topic, "part": "0", "at": str(end)}
+        return self._append(query, record, timeout_s)
+
+    def put_keyed(
+        self, topic: StoreTopic, key: str, value: bytes, timeout_s: float
+    ) -> Result[int, StoreUnavailableError]:
+        """Write the newest record of a key; return its offset."""
+        name = key.encode()[:KEY_LIMIT_BYTES]
+        query = {"topic": topic.value, "part": "0"}
+        return self._append(query, bytes([len(name)]) + name + value, timeout_s)
+
+    def _append(
+        self, query: dict[str, str], record: bytes, timeout_s: float
+    ) -> Result[int, StoreUnavailableError]:
+        topic = query["topic"]
         target = Target(self.address, "POST", f"/v1/log-append?{urlencode(query)}")
         result = self.client.exchange(
             target, RECORD_LENGTH.pack(len(record)) + record, {}, timeout_s, fresh=True
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -82,6 +82,10 @@
         wait_until(lambda: self.ready_status() == 200, READY_LIMIT_S)
         return self
 
+    def wait_counted(self):
+        """Wait until the process knows that it may spend the slack alone."""
+        wait_until(lambda: b"nodes_counted" in self.log.read_bytes(), READY_LIMIT_S)
+
     def ready_status(self):
         try:
             return self.get("ready", "/v1/readyz").status
@@ -188,6 +192,7 @@
     Seen on scale-2 of Glasscairn: handles lapsed at once at some engines, and
     37 prefilled prompts were never used.
     """
+    fleet.wait_counted()
     fleet.decode.faults.add("lost_handle")
     assert fleet.caption().status == 200
     assert len(fleet.prefill.prefills) == 1
@@ -196,6 +201,7 @@
 
 def test_stream_that_breaks_off_is_resumed(fleet):
     """Guards against a piece that is missing, doubled or cut in its middle."""
+    fleet.wait_counted()
     second = EndpointStandIn("i-decode-2", "decode")
     fleet.announce(second, "llm")
     fleet.decode.faults.add("cut_stream")
@@ -228,6 +234,7 @@
 
 def test_lookup_is_repeated_at_another_endpoint(fleet):
     """Guards against an error of one endpoint that reaches the caller."""
+    fleet.wait_counted()
     fleet.plain[0].faults.add("error")
     for _ in range(4):
         assert fleet.call("GET", "/lookup/1").status == 200
@@ -364,7 +371,7 @@
     headers = {"Poplarfold-Token-Count": "1000,200"}
     fleet.open("POST", "/caption/1", headers, b"prompt").getresponse()
     fleet.process.send_signal(signal.SIGTERM)
-    time.sleep(1.8)
+    time.sleep(0.6)
     answer = fleet.caption()
     assert answer.status == 503
     assert float(answer.getheader("Retry-After")) < 0.5
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -168,8 +168,13 @@
             if "at" in query and int(query["at"]) != len(log):
                 request.answer_json({"end": len(log)}, 412)
                 return
-            log.append(body[4:])
+            record = body[4:]
+            log.append(record)
             offset = len(log) - 1
+            if query["topic"].startswith("keyed."):
+                key = record[1 : 1 + record[0]].decode()
+                rows = self.newest.setdefault(query["topic"], {})
+                rows[key] = record[1 + record[0] :]
         request.answer_json({"offset": offset, "end": offset + 1})
 
 
--- a/tests/unit/test_fleet_decisions.py
+++ b/tests/unit/test_fleet_decisions.py
@@ -3,6 +3,8 @@
 import math
 import random
 
+import pytest
+
 from poplarfold._internal.core.fleet.budget import RetryBudget
 from poplarfold._internal.core.fleet.choice import (
     OwnPrefillPolicy,
@@ -13,6 +15,7 @@
 from poplarfold._internal.core.fleet.door import Door, DoorPolicy
 from poplarfold._internal.core.fleet.order_lease import OrderLease
 from poplarfold._internal.core.fleet.outputs import OutputForecast
+from poplarfold._internal.core.fleet.presence import Presence
 from poplarfold._internal.core.fleet.roles import (
     StreamCost,
     engines_to_plan,
@@ -210,23 +213,51 @@
     assert choose([dark], uses, "lhr-a", REGIONS, 0.1) is dark
 
 
-def test_budget_of_all_nodes_holds_in_every_window():
-    """Guards against nodes that together repeat more than the fleet may."""
-    nodes, ratio, slack, window_s = 6, 0.2, 52.0, 10.0
+@pytest.mark.parametrize("nodes", [6, 82, 400])
+def test_budget_of_all_nodes_holds_in_every_window(nodes):
+    """Guards against nodes that together repeat more than the fleet may.
+
+    Each call fails here.
+    """
+    ratio, slack, window_s = 0.2, 52.0, 10.0
     budgets = [RetryBudget(ratio, slack, window_s) for _ in range(nodes)]
-    repeats = []
-    requests = 0
+    repeats, requests = [], []
     for tick in range(400):
         now = tick * 0.05
-        for budget in budgets:
-            if tick % 4 == 0:
+        for number, budget in enumerate(budgets):
+            if (tick + number) % 14 == 0:
                 budget.note_request(now)
-                requests += now >= 10.0
-            if budget.take(nodes, now):
-                repeats.append(now)
-    for start in range(20):
+                requests.append(now)
+                if budget.take(nodes, now):
+                    repeats.append(now)
+    for start in range(11):
         inside = sum(start <= at < start + window_s for at in repeats)
-        assert inside <= ratio * requests + slack
+        asked = sum(start <= at < start + window_s for at in requests)
+        assert inside <= ratio * asked + slack
+    assert repeats
+
+
+def test_nodes_are_counted_from_their_records():
+    """Guards against a slack that each of many nodes spends whole."""
+    presence = Presence(unknown=400)
+    assert presence.count() == 400
+    presence.note_records({"a": 1, "b": 2, "c": 3}, 0.0)
+    assert presence.count() == 3
+    presence.note_records({"a": 4, "b": 5, "c": 3}, 60.0)
+    assert presence.count() == 3
+    presence.note_records({"a": 6, "b": 7, "c": 3}, 110.0)
+    assert presence.count() == 2
+
+
+def test_rejected_calls_spend_the_budget():
+    """Guards against refused prefills that nobody counts."""
+    budget = RetryBudget(0.2, 400.0, 10.0)
+    for _ in range(100):
+        budget.note_request(0.0)
+    for _ in range(16):
+        budget.spend(0.0)
+    assert not budget.take(400, 0.0)
+    assert budget.take(400, 11.0)
 
 
 def test_fresh_streams_go_before_late_ones():
