Avoid engines that refuse streams in spite of leases, and plan from entries only

The order came because the only prefill engine had been silent for 4.5 s and was back when it was given, so that looking at silent engines gains nothing: a change takes 6 s, a crash 2 to 5 s. Change: two refusals in a row avoid an engine; a change under load has to be wanted for 3 s, from the entries of the store alone.

--- a/src/poplarfold/_internal/core/fleet/choice.py
+++ b/src/poplarfold/_internal/core/fleet/choice.py
@@ -37,8 +37,7 @@
 # long after each further failure.
 AVOID_S = 1.0
 AVOID_MAX_S = 8.0
-# One failure may be a lost connection; this many in a row are not.
-SILENCES_IN_A_ROW = 2
+REFUSALS_IN_A_ROW = 2
 
 
 class EndpointUse(NamedTuple):
@@ -46,7 +45,8 @@
 
     ``open_calls`` are this node's own. ``others`` is the use by other nodes
     as of ``others_at``. ``avoid_until`` keeps new calls away for a while;
-    ``silences`` counts the failures in a row that led to that.
+    ``silences`` counts the failures in a row that led to that, ``refusals`` the
+    streams in a row that were refused in spite of a lease.
     """
 
     born: int = 0
@@ -58,6 +58,7 @@
     failure_at: float = 0.0
     avoid_until: float = 0.0
     silences: int = 0
+    refusals: int = 0
     full_until: float = 0.0
     own_prefill_at: float = float("-inf")
 
@@ -166,10 +167,22 @@
             row._replace(avoid_until=now + pause_s, silences=row.silences + 1),
         )
 
-    def is_silent(self, endpoint: FleetEndpoint, now: float) -> bool:
-        """Return whether an endpoint has failed several times in a row."""
+    def note_refusal(self, endpoint: FleetEndpoint, now: float) -> None:
+        """Note an engine's part in a stream that was refused in spite of its lease.
+
+        A decode engine that changes its role or leaves refuses all streams, and
+        a prefill engine whose results lapse has all of its own refused. After
+        the second one in a row the engine is avoided.
+        """
+        row = self.get(endpoint)
+        self.put(endpoint, row._replace(refusals=row.refusals + 1))
+        if row.refusals + 1 >= REFUSALS_IN_A_ROW:
+            self.avoid(endpoint, now)
+
+    def note_used(self, endpoint: FleetEndpoint) -> None:
+        """Note an engine's part in a stream that has begun."""
         row = self.get(endpoint)
-        return row.avoid_until > now and row.silences >= SILENCES_IN_A_ROW
+        self.put(endpoint, row._replace(refusals=0, silences=0))
 
     def note_own_prefill(self, endpoint: FleetEndpoint, now: float) -> None:
         """Note that a decode engine reads a prompt itself."""
--- a/src/poplarfold/_internal/core/fleet/roles.py
+++ b/src/poplarfold/_internal/core/fleet/roles.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from poplarfold._internal.core.fleet.rows import FleetEndpoint, Service
@@ -16,7 +16,6 @@
 __all__ = [
     "RoleChange",
     "StreamCost",
-    "engines_to_plan",
     "plan_role_changes",
     "streams_per_s",
 ]
@@ -135,20 +134,6 @@
     return changes_of(decode, EndpointRole.PREFILL, count, gain)
 
 
-def engines_to_plan(
-    engines: Sequence[FleetEndpoint], silent: Collection[str]
-) -> list[FleetEndpoint]:
-    """Return the engines that a plan counts on; ``silent`` holds ids.
-
-    An engine that does not answer is usually back before another could take
-    its role, so it counts, unless no prefill engine answers at all.
-    """
-    heard = [row for row in engines if row.endpoint_id not in silent]
-    if any(row.role is EndpointRole.PREFILL for row in heard):
-        return list(engines)
-    return heard
-
-
 def changes_of(
     pool: Sequence[FleetEndpoint], role: EndpointRole, count: int, gain: float
 ) -> list[RoleChange]:
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -213,6 +213,18 @@
             self.cost = self.cost.with_stream(seconds, tokens)
             self.outputs = self.outputs.with_outputs(outputs, hint, limit)
 
+    def note_refusal(self, *engines: FleetEndpoint) -> None:
+        """Note the engines of a stream that was refused in spite of its lease."""
+        with self.lock:
+            for engine in engines:
+                self.uses.note_refusal(engine, self.clock())
+
+    def note_used(self, *engines: FleetEndpoint) -> None:
+        """Note the engines of a stream that has begun."""
+        with self.lock:
+            for engine in engines:
+                self.uses.note_used(engine)
+
     def mark_full(self, endpoint: FleetEndpoint) -> None:
         """Leave out an engine that refused a lease for a moment."""
         with self.lock:
--- a/src/poplarfold/_internal/gateway/role_orders.py
+++ b/src/poplarfold/_internal/gateway/role_orders.py
@@ -5,11 +5,7 @@
 from collections.abc import Callable
 
 from poplarfold._internal.core.fleet.order_lease import FIRST_FENCE, OrderLease
-from poplarfold._internal.core.fleet.roles import (
-    RoleChange,
-    engines_to_plan,
-    plan_role_changes,
-)
+from poplarfold._internal.core.fleet.roles import RoleChange, plan_role_changes
 from poplarfold._internal.core.fleet.rows import Service
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.gateway.fleet import Fleet
@@ -19,8 +15,10 @@
 
 LOG_TOPIC = "poplarfold.orders"
 LOOK_PERIOD_S = 1.0
-# A mismatch has to last: endpoints that restart are back within seconds.
+# A mismatch has to last: endpoints that restart are back within seconds, and an
+# engine that changes its role serves nothing for seconds.
 NEED_LASTS_S = 1.0
+NEED_LASTS_UNDER_LOAD_S = 3.0
 # Nodes that see the same need ask at different times, so that one claim is
 # enough.
 JITTER_S = 1.0
@@ -69,7 +67,9 @@
             return
         if self.needed_since is None:
             self.needed_since = now
-            self.pause_s = NEED_LASTS_S + JITTER_S * self.fleet.rng.random()
+            is_loaded = self.fleet.cost.is_learned
+            lasts_s = NEED_LASTS_UNDER_LOAD_S if is_loaded else NEED_LASTS_S
+            self.pause_s = lasts_s + JITTER_S * self.fleet.rng.random()
         if now - self.needed_since < self.pause_s or not self.read_end():
             return
         if not self.lease.may_claim(self.fleet.clock()):
@@ -91,21 +91,13 @@
             ]
 
     def plan_service(self, service: Service) -> list[RoleChange]:
-        """Return changes among one service's engines. The lock must be held.
-
-        The entry of a crashed engine lapses only seconds later.
-        """
-        now = self.fleet.clock()
+        """Return changes among one service's engines. The lock must be held."""
         engines = [
             row
             for role in (EndpointRole.PREFILL, EndpointRole.DECODE)
             for row in self.fleet.directory.usable(service.name, role)
         ]
-        silent = [
-            row.endpoint_id for row in engines if self.fleet.uses.is_silent(row, now)
-        ]
-        counted = engines_to_plan(engines, silent)
-        return plan_role_changes(counted, service, self.fleet.cost)
+        return plan_role_changes(engines, service, self.fleet.cost)
 
     def read_end(self) -> bool:
         """Read the log of orders on; return whether the store answered."""
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -352,7 +352,7 @@
         if stream.status != 200:
             self.release(prepared)
             if proof.not_run:
-                self.note_refusal(prepared, started_at)
+                self.note_refusal(prepared)
                 raise EndpointRefusedError(f"{endpoint.address} refused the stream")
             return self.relay_failure(stream, endpoint, started_at)
         while not stream.ended:
@@ -370,7 +370,7 @@
                 piece += self.splitter.rest
                 self.splitter.restart()
             if piece:
-                self.send_piece(stream, piece, endpoint, started_at)
+                self.send_piece(stream, piece, prepared, started_at)
             if not stream.ended:
                 stream.silence_s = self.read_limit_s(self.settings.silence_s)
         if stream.is_cut:
@@ -412,7 +412,7 @@
         self,
         stream: EndpointStream,
         piece: bytes,
-        endpoint: FleetEndpoint,
+        prepared: PreparedDecode,
         started_at: float,
     ) -> None:
         """Send whole events; the first ones go out with the answer's head."""
@@ -423,14 +423,18 @@
         self.began = True
         headers = caller_answer_headers(stream.headers.items())
         context.exchange.begin_stream(stream.status, headers, piece)
+        endpoint = prepared.reservation.endpoint
         self.fleet.note_answer(endpoint, started_at, ok=True)
+        self.fleet.note_used(endpoint)
+        if prepared.prefill is not None:
+            self.fleet.note_used(prepared.prefill)
         self.services.metrics.count_answer(
             context.route.kind.value,
             stream.status,
             time.monotonic() - context.arrived_at,
         )
 
-    def note_refusal(self, prepared: PreparedDecode, started_at: float) -> None:
+    def note_refusal(self, prepared: PreparedDecode) -> None:
         """Learn from a stream that was refused in spite of its lease.
 
         Either the prefilled prompt is gone, or the decode engine is leaving or
@@ -440,8 +444,7 @@
             self.fleet.note_silence(prepared.reservation.endpoint)
             return
         self.may_prefill = False
-        self.fleet.note_answer(prepared.prefill, started_at, ok=False)
-        self.fleet.note_answer(prepared.reservation.endpoint, started_at, ok=False)
+        self.fleet.note_refusal(prepared.prefill, prepared.reservation.endpoint)
 
     def relay_failure(
         self, stream: EndpointStream, endpoint: FleetEndpoint, started_at: float
