Refuse calls at the end of a planned stop, and bound reads of the store again

Change: calls in the last 2 s are refused as not run; a read waits 0.6 of the time in which a configuration has to be in force, and is repeated at once after the first failure. Both have a functional test; the first failed before on the same commands.

--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -67,8 +67,10 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.cost = StreamCost()
         self.outputs = OutputForecast()
-        # Set by a planned stop: the time from which streams are refused.
+        # Set by a planned stop: the times from which streams, and all calls, are
+        # refused.
         self.no_streams_after = float("inf")
+        self.no_calls_after = float("inf")
 
     def match(self, host: str, path: str) -> MatchedRoute:
         """Return the route of a call. Raises NoRouteTableError, RouteNotFoundError."""
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -60,6 +60,8 @@
         except ValueError as error:
             raise RequestError(str(error)) from None
         context = CallContext(self.services, exchange, call, matched, body)
+        if context.arrived_at >= fleet.no_calls_after:
+            raise StoppingError("the node is about to end")
         fleet.note_request(context.service)
         context.log(
             "PF1101",
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -147,11 +147,13 @@
         answers end these connections.
         """
         started_at = time.monotonic()
+        limit_s = self.host.bounds.grace_s - self.settings.stop_margin_s
         with self.fleet.lock:
             self.fleet.no_streams_after = started_at + self.settings.stop_streams_s
+            last_s = max(0.0, limit_s - self.settings.stop_calls_s)
+            self.fleet.no_calls_after = started_at + last_s
         self.stopping.set()
         self.writer.write_event("PF2102", None, {"open_calls": self.handler.open_calls})
-        limit_s = self.host.bounds.grace_s - self.settings.stop_margin_s
         idle_looks = 0
         while time.monotonic() - started_at < limit_s:
             time.sleep(STOP_LOOK_S)
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -26,7 +26,8 @@
     may be repeated, ``silence_s`` that between two of its events. A planned
     stop serves requests for ``stop_linger_s`` at least and ends
     ``stop_margin_s`` before the platform's grace time. Streams that come later
-    than ``stop_streams_s`` are refused, as they might not end in time. The
+    than ``stop_streams_s`` are refused, as they might not end in time, and so
+    are all calls in the last ``stop_calls_s``. The
     slack of the retry budget is divided among ``unknown_nodes`` until the store
     has told how many there are.
     """
@@ -40,13 +41,14 @@
     own_prefill_tokens: int = 5000
     first_output_s: float = 2.0
     silence_s: float = 2.0
-    store_call_s: float = 1.0
-    route_wait_share: float = 1.4
+    store_call_s: float = 0.8
+    route_wait_share: float = 0.6
     endpoint_poll_share: float = 0.55
     unknown_nodes: int = 400
     stop_linger_s: float = 3.0
     stop_margin_s: float = 0.3
     stop_streams_s: float = 0.3
+    stop_calls_s: float = 2.0
     log_queue_lines: int = 2000
     door: DoorPolicy = DoorPolicy()
 
--- a/src/poplarfold/_internal/gateway/store_reader.py
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -82,6 +82,7 @@
     def follow(self, topic: FollowedTopic) -> None:
         """Read a topic until the process ends."""
         offset: int | None = None
+        failures = 0
         while not self.stopping.is_set():
             result = self.read(topic, offset)
             if result.is_ok():
@@ -89,6 +90,7 @@
                 topic.apply(read.records, offset is None)
                 offset = read.end
                 self.note_store(topic, None)
+                failures = 0
                 self.stopping.wait(topic.pause_s)
                 continue
             error = result.unwrap_err()
@@ -97,7 +99,9 @@
                 offset = None
                 continue
             self.note_store(topic, error)
-            self.stopping.wait(RETRY_S)
+            # A silent connection is replaced at once; an outage costs few calls.
+            failures += 1
+            self.stopping.wait(RETRY_S if failures > 1 else 0.0)
 
     def read(
         self, topic: FollowedTopic, offset: int | None
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -377,6 +377,41 @@
     assert float(answer.getheader("Retry-After")) < 0.5
 
 
+def test_calls_at_the_end_of_a_stop_are_refused(fleet):
+    """Guards against a call that is taken and cut off by the end of the process.
+
+    Seen in a hunt of the Association (trouble-2, seed 97055071765): LOST, a
+    filing was passed on 17 ms before the process ended.
+    """
+    fleet.decode.event_period_s = 0.3
+    fleet.decode.events = 18
+    headers = {"Poplarfold-Token-Count": "1000,200"}
+    kept = fleet.open("GET", "/lookup/1")
+    kept.getresponse().read()
+    stream = fleet.open("POST", "/caption/1", headers, b"prompt").getresponse()
+    fleet.process.send_signal(signal.SIGTERM)
+    time.sleep(4.2)
+    before = sum(len(endpoint.runs) for endpoint in fleet.plain)
+    kept.request("POST", "/filing/1", b"x", {"Host": "entry.example"})
+    answer = kept.getresponse()
+    assert (answer.status, answer.getheader("Connection")) == (503, "close")
+    assert sum(len(endpoint.runs) for endpoint in fleet.plain) == before
+    assert stream.read().count(b"id: ") == 18
+
+
+def test_lost_answers_of_the_store_delay_no_configuration(fleet):
+    """Guards against a read that waits on a silent connection for too long.
+
+    Seen in a hunt of the grown Glasscairn site (hunt-3281-3): CONFIG, a read of
+    the configuration waited for 6.6 s.
+    """
+    routes = json.loads(configuration())["routes"][:1]
+    fleet.store.silent_reads = 1
+    wait_until(lambda: fleet.store.silent_reads == 0, 3.0)
+    fleet.store.put("keyed.op", "config", configuration(11, routes=routes))
+    wait_until(lambda: fleet.call("GET", "/lookup/1").status == 404, 2.5)
+
+
 def test_reload_cuts_nothing(fleet):
     """Guards against SIGHUP that ends the process or a stream."""
     fleet.decode.event_period_s = 0.1
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -90,6 +90,8 @@
         self.first: dict[str, int] = {}
         self.newest: dict[str, dict[str, bytes]] = {}
         self.mode = "up"
+        # So many reads of the configuration get no answer on their connection.
+        self.silent_reads = 0
         self.calls: list[str] = []
 
     def put(self, topic: str, key: str, value: bytes | None) -> None:
@@ -144,6 +146,10 @@
 
     def serve_read(self, request: Handler, query: dict[str, str]) -> None:
         topic, start = query["topic"], int(query["from"])
+        if self.silent_reads and topic == "keyed.op":
+            self.silent_reads -= 1
+            time.sleep(10.0)
+            return
         deadline = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
         while True:
             with self.lock:
