--- a/src/poplarfold/_internal/cli/status_codes.py
+++ b/src/poplarfold/_internal/cli/status_codes.py
@@ -1,4 +1,4 @@
-"""The exit codes of the command-line tool, documented in docs/operations.md."""
+"""The exit codes of the command-line tool, documented in docs/OPERATIONS.md."""
 
 from enum import IntEnum
 
--- a/tools/update_docs.py
+++ b/tools/update_docs.py
@@ -107,7 +107,7 @@
     "settings": ("docs/settings.md", settings_table),
     "events": ("docs/events.md", events_table),
     "errors": ("docs/callers.md", errors_table),
-    "exit codes": ("docs/operations.md", exit_codes_table),
+    "exit codes": ("docs/OPERATIONS.md", exit_codes_table),
 }
 
 
