Release what is reserved when the time is up, and tell no engine that is away

Cause (read-through): a deadline between the prefill and the stream left a lease and a prefilled prompt to lapse by themselves, and after a lost connection the next attempt waited up to 0.7 s for the dead engine to release its lease.

--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -83,16 +83,15 @@
         used = False
         try:
             prepared = self.steps.prefill(reservation, is_first=self.attempts == 0)
+            remaining_s = self.context.remaining_s()
             used = True
-            return self.decode(prepared)
+            return self.decode(prepared, remaining_s)
         finally:
             self.fleet.done(reservation.endpoint)
             if not used:
                 self.steps.release(prepared)
 
-    # The stream.
-
-    def decode(self, prepared: PreparedDecode) -> bool:
+    def decode(self, prepared: PreparedDecode, remaining_s: float) -> bool:
         """Open the stream and pass it on; return whether it came to its end."""
         context = self.context
         endpoint = prepared.reservation.endpoint
@@ -105,7 +104,7 @@
         abort = context.abort
         target = CallTarget(
             endpoint.endpoint_id,
-            context.remaining_s(),
+            remaining_s,
             EndpointRole.DECODE,
             prepared.kv_source,
             prepared.reservation.lease_id,
@@ -121,7 +120,7 @@
         if result.is_err():
             failure = result.unwrap_err()
             self.is_unrun = self.is_unrun and not failure.sent
-            self.steps.release(prepared)
+            self.steps.release(prepared, is_reachable=context.caller_gone.is_set())
             self.context.check_caller()
             self.fleet.note_silence(endpoint)
             context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
--- a/src/poplarfold/_internal/gateway/stream_steps.py
+++ b/src/poplarfold/_internal/gateway/stream_steps.py
@@ -197,17 +197,20 @@
         )
         return PreparedDecode(reservation, endpoint, done.handle)
 
-    def release(self, prepared: PreparedDecode) -> None:
-        """Release a slot and a prefilled prompt that are not used."""
+    def release(self, prepared: PreparedDecode, is_reachable: bool = True) -> None:
+        """Release a slot and a prefilled prompt that are not used.
+
+        A decode engine that is not ``is_reachable`` is not told: its lease
+        lapses by itself, and the next attempt must not wait for it.
+        """
         engines = self.services.engines
         limit_s = self.settings.lease_call_s
-        reservation = prepared.reservation
-        if not engines.drop_lease(
-            reservation.endpoint.address, reservation.lease_id, limit_s
-        ):
-            self.context.log(
-                "PF1108", endpoint=reservation.endpoint.endpoint_id, kind="lease"
-            )
+        endpoint, lease_id = prepared.reservation
+        is_dropped = is_reachable and engines.drop_lease(
+            endpoint.address, lease_id, limit_s
+        )
+        if not is_dropped:
+            self.context.log("PF1108", endpoint=endpoint.endpoint_id, kind="lease")
         if prepared.handle is not None and prepared.prefill is not None:
             engine = prepared.prefill
             if not engines.drop_prefill(engine.address, prepared.handle, limit_s):
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -292,6 +292,19 @@
     assert not fleet.decode.runs
 
 
+def test_caller_that_leaves_before_the_first_event_frees_the_engine(fleet):
+    """Guards against a stream that runs on for a caller who never saw it."""
+    fleet.decode.event_period_s = 0.1
+    fleet.decode.first_event_s = 0.5
+    headers = {"Poplarfold-Token-Count": "1000,200"}
+    connection = fleet.open("POST", "/caption/1", headers, b"prompt")
+    wait_until(lambda: fleet.decode.runs, 2.0)
+    connection.sock.shutdown(socket.SHUT_RDWR)
+    connection.close()
+    wait_until(lambda: fleet.decode.open_streams == 0, 1.2)
+    assert not fleet.decode.leases
+
+
 def test_leaving_endpoint_gets_no_new_work(fleet):
     """Guards against calls to an endpoint that is about to end."""
     fleet.announce(fleet.plain[0], "registry", state="draining")
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -209,6 +209,7 @@
         self.faults: set[str] = set()
         self.events = 5
         self.event_period_s = EVENT_PERIOD_S
+        self.first_event_s = 0.0
         self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
         self.prefills: list[str] = []
         self.leases: set[str] = set()
@@ -324,6 +325,7 @@
         request.end_headers()
         first = int(headers.get("Last-Event-Id", "0")) + 1
         self.open_streams += 1
+        time.sleep(self.first_event_s)
         try:
             for number in range(first, self.events + 1):
                 if "cut_stream" in self.faults and number > self.events // 2:
