--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -120,7 +120,9 @@
         if result.is_err():
             failure = result.unwrap_err()
             self.is_unrun = self.is_unrun and not failure.sent
-            self.steps.release(prepared, is_reachable=context.caller_gone.is_set())
+            # An engine whose caller has left is well; any other has just failed.
+            is_reachable = context.caller_gone.is_set()
+            self.steps.release(prepared, is_reachable)
             self.context.check_caller()
             self.fleet.note_silence(endpoint)
             context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
