Read a request's body before any answer to it

Cause (read-through): a request without a route, or one that came before the first configuration, was answered with its body unread. What was left on the kept connection was served as the caller's next request, so that a request could be smuggled inside another. tests/functional/test_gateway.py::test_refused_request_leaves_nothing_on_its_connection failed before: the inner request ran.

--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -54,11 +54,14 @@
     def serve(self, exchange: CallerExchange, call: CallerCall) -> None:
         """Serve one call. Raises PoplarfoldError or OSError."""
         fleet = self.services.fleet
-        matched = fleet.match(call.host, call.path.partition("?")[0])
         try:
+            # Read before any answer: what is left of it would be taken for the
+            # next request on the connection.
             body = exchange.read_body()
         except ValueError as error:
+            exchange.break_off()
             raise RequestError(str(error)) from None
+        matched = fleet.match(call.host, call.path.partition("?")[0])
         context = CallContext(self.services, exchange, call, matched, body)
         if context.arrived_at >= fleet.no_calls_after:
             raise StoppingError("the node is about to end")
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -161,6 +161,22 @@
     assert b"poplarfold_answers_total" in metrics.data
 
 
+def test_refused_request_leaves_nothing_on_its_connection(fleet):
+    """Guards against a body that is read as the next request.
+
+    Found in a read-through: a request without a route was answered before its
+    body was read.
+    """
+    inner = b"GET /lookup/9 HTTP/1.1\r\nHost: entry.example\r\n\r\n"
+    kept = fleet.open("POST", "/nothing/", body=inner)
+    answer = kept.getresponse()
+    assert (answer.status, answer.read() is not None) == (404, True)
+    kept.request("GET", "/lookup/1", headers={"Host": "entry.example"})
+    assert kept.getresponse().status in (200, 502)
+    runs = [run[1] for endpoint in fleet.plain for run in endpoint.runs]
+    assert "/lookup/9" not in runs
+
+
 def test_stream_holds_a_slot_before_its_prefill(fleet):
     """Guards against prompts that are read without room for their stream."""
     answer = fleet.caption(**{"Poplarfold-Kv-Hold": "forged"})
