--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -9,6 +9,7 @@
 
 from poplarfold._internal.cli.commands import COMMANDS
 from poplarfold._internal.daemon.metrics import DaemonMetrics
+from poplarfold._internal.gateway.metrics import GatewayMetrics
 from poplarfold._internal.logs.catalogue import EVENTS
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -75,9 +76,10 @@
 def test_the_metrics_page_lists_exactly_the_metrics():
     """Guards against an alert on a metric that does not exist."""
     text = (ROOT / "docs/metrics.md").read_text("utf-8")
-    documented = set(re.findall(r"^\| `(poplarfold_\w+)`", text, re.M))
-    registry = DaemonMetrics().registry
-    assert documented == set(registry.collectors)
+    daemon, _, gateway = text.partition("\n## On the prepared platform\n")
+    for part, metrics in ((daemon, DaemonMetrics()), (gateway, GatewayMetrics())):
+        documented = set(re.findall(r"^\| `(poplarfold_\w+)`", part, re.M))
+        assert documented == set(metrics.registry.collectors)
 
 
 def test_links_between_pages_lead_somewhere():
