Count a repeat after a reset kept connection towards the retry budget

Cause: the endpoint client sent an idempotent request once more on a new connection when a kept one had been reset. That arrival was neither an attempt of the route nor counted towards the budget, and carried the first deadline.

Change: PlainCall asks for no resend; the failure costs an attempt, the repeat goes out on a new connection and is counted, and an endpoint is not blamed for closing an idle connection.

Ruled out: using new connections only, which are priced.

--- a/src/poplarfold/_internal/bench/local_fleet.py
+++ b/src/poplarfold/_internal/bench/local_fleet.py
@@ -26,8 +26,8 @@
     LatencyTargets,
 )
 from poplarfold._internal.daemon.main import Daemon
-from poplarfold._internal.daemon.runtime import LogWriter
 from poplarfold._internal.exceptions import FleetError
+from poplarfold._internal.logs.writer import LogWriter
 from poplarfold._internal.settings import DomainSettings, NodeSettings
 from poplarfold._internal.settings_file import (
     DaemonSettings,
--- a/src/poplarfold/_internal/core/fleet/rows.py
+++ b/src/poplarfold/_internal/core/fleet/rows.py
@@ -46,7 +46,6 @@
     services: tuple[ServiceShare, ...]
     timeout_s: float
     target_s: float
-    priority: int
     max_attempts: int
     resumable: bool
     uses_engine: bool
@@ -65,7 +64,6 @@
     """
 
     name: str
-    max_connections: int
     slots: int = 0
     memory_tokens: int = 0
     hold_s: float = 0.0
@@ -86,10 +84,6 @@
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
-    header_limit_bytes: int
-    body_limit_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
 
 
 class FleetEndpoint(NamedTuple):
--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -76,12 +76,13 @@
     """A request without a whole answer.
 
     ``sent`` is true if any byte may have reached the endpoint, ``refused`` if
-    no process listens at the address.
+    no process listens at the address, ``on_kept`` if a kept connection broke.
     """
 
     error: EndpointError
     sent: bool
     refused: bool = False
+    on_kept: bool = False
 
 
 class AbortHandle:
@@ -253,6 +254,7 @@
         fresh: bool = False,
         handle: AbortHandle | None = None,
         is_own: OwnAnswerCheck | None = None,
+        resend: bool = True,
     ) -> Result[Answer, Failure]:
         """Make one request and read its whole answer.
 
@@ -261,7 +263,8 @@
 
         A request on a kept connection that the endpoint has closed meanwhile is
         repeated once on a new one, so requests without ``fresh`` must be safe
-        to repeat. ``timeout_s`` bounds each wait for bytes.
+        to repeat. Without ``resend`` it fails instead, and the caller decides.
+        ``timeout_s`` bounds each wait for bytes.
         """
         if not fresh:
             connection = self.take_idle(target.address)
@@ -274,6 +277,8 @@
                 )
                 if result.is_ok() or stalled or is_aborted(handle):
                     return result
+                if not resend:
+                    return Err(result.unwrap_err()._replace(on_kept=True))
         connection = self._new_connection(target.address)
         return self._try(
             connection, target, body, headers, timeout_s, handle, fresh, is_own
--- a/src/poplarfold/_internal/daemon/main.py
+++ b/src/poplarfold/_internal/daemon/main.py
@@ -13,9 +13,9 @@
 from poplarfold._internal.daemon.frontend import FrontEnd
 from poplarfold._internal.daemon.metrics import DaemonMetrics
 from poplarfold._internal.daemon.peer_link import PeerLink
-from poplarfold._internal.daemon.runtime import LogWriter, Runtime
+from poplarfold._internal.daemon.runtime import Runtime
 from poplarfold._internal.daemon.tls import PeerTls
-from poplarfold._internal.logs.writer import open_writer
+from poplarfold._internal.logs.writer import LogWriter, open_writer
 from poplarfold._internal.settings_file import DaemonSettings, read_settings
 
 __all__ = ["Daemon", "main"]
--- a/src/poplarfold/_internal/daemon/peer_link.py
+++ b/src/poplarfold/_internal/daemon/peer_link.py
@@ -30,6 +30,7 @@
 from poplarfold._internal.core.peer_codec import MESSAGE_MAX_BYTES, decode, encode
 from poplarfold._internal.daemon.tls import PeerTls, certificate_error
 from poplarfold._internal.exceptions import PeerProtocolError
+from poplarfold._internal.logs.writer import LogWriter
 
 __all__ = ["PeerLink"]
 
@@ -50,8 +51,6 @@
 RATE_BURST_MESSAGES = 10_000.0
 TLS_RELOAD_S = 5.0
 
-LogWriter = Callable[[str, str | None, dict[str, object]], None]
-
 
 class Peer:
     """The queue toward one peer and the task that empties it."""
--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -51,9 +51,10 @@
     OutcomeUnknownError,
     PoplarfoldError,
 )
+from poplarfold._internal.logs.writer import LogWriter
 from poplarfold._internal.settings_file import DaemonSettings
 
-__all__ = ["LogWriter", "Mailbox", "PeerSender", "Runtime"]
+__all__ = ["Mailbox", "PeerSender", "Runtime"]
 
 CANCEL_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 2.0
@@ -65,9 +66,6 @@
 Mailbox = queue.SimpleQueue
 """The commands for one waiting thread, in order."""
 
-LogWriter = Callable[[str, str | None, dict[str, object]], None]
-"""Writes a numbered event: number, call id, fields."""
-
 
 class PeerSender(Protocol):
     """What the runtime needs from the peer link."""
--- a/src/poplarfold/_internal/gateway/announcer.py
+++ b/src/poplarfold/_internal/gateway/announcer.py
@@ -2,9 +2,9 @@
 
 import json
 import threading
-from collections.abc import Callable
 
 from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.logs.writer import LogWriter
 from poplarfold._internal.platform import StoreClient, StoreTopic
 
 __all__ = ["Announcer"]
@@ -14,13 +14,11 @@
 ANNOUNCE_PERIOD_S = 30.0
 RETRY_S = 3.0
 
-WriteLog = Callable[[str, str | None, dict[str, object]], None]
-
 
 class Announcer:
     """Writes one record in a while, and reads those of all nodes."""
 
-    def __init__(self, fleet: Fleet, store: StoreClient, write_log: WriteLog) -> None:
+    def __init__(self, fleet: Fleet, store: StoreClient, write_log: LogWriter) -> None:
         self.fleet = fleet
         self.store = store
         self.write_log = write_log
--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -2,7 +2,6 @@
 
 import threading
 import time
-from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from poplarfold._internal.daemon.endpoint_client import AbortHandle, EndpointClient
@@ -15,12 +14,11 @@
 from poplarfold._internal.gateway.fleet import Fleet, MatchedRoute
 from poplarfold._internal.gateway.metrics import GatewayMetrics
 from poplarfold._internal.gateway.server import CallerExchange
+from poplarfold._internal.logs.writer import LogWriter
 from poplarfold._internal.platform import CallerCall, EngineCalls
 
 __all__ = ["CallContext", "Services"]
 
-WriteLog = Callable[[str, str | None, dict[str, object]], None]
-
 
 class Services(NamedTuple):
     """What all calls of one process share."""
@@ -30,7 +28,7 @@
     engines: EngineCalls
     watcher: SocketWatcher
     metrics: GatewayMetrics
-    write_log: WriteLog
+    write_log: LogWriter
 
 
 class CallContext:
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -13,7 +13,6 @@
     CallTimeoutError,
     EndpointError,
     EndpointStalledError,
-    ForeignAnswerError,
     NotRunError,
     PoplarfoldError,
 )
@@ -51,7 +50,7 @@
         failed: Answer | None = None
         error: PoplarfoldError = NotRunError("no endpoint can take the call")
         while True:
-            if not self.may_try(failed is not None):
+            if not self.may_try():
                 break
             endpoint = self.fleet.pick(
                 self.context.service, EndpointRole.SERVICE, self.tried
@@ -73,7 +72,7 @@
             return
         raise error if self.is_unrun is False else as_unrun(error)
 
-    def may_try(self, has_answer: bool) -> bool:
+    def may_try(self) -> bool:
         """Return whether another attempt is allowed; it may spend the budget."""
         context = self.context
         if context.caller_gone.is_set():
@@ -142,11 +141,13 @@
             context.body or None,
             endpoint_headers(call, target),
             max(0.001, remaining_s),
-            # A kept connection may be closed by then, and such a call would be
-            # sent a second time.
-            fresh=not context.route.repeatable,
+            # The endpoint may have closed a kept connection, which costs an
+            # attempt.
+            fresh=not context.route.repeatable or self.sent_attempts > 0,
             handle=context.abort,
             is_own=is_own,
+            # A repeat is an attempt of the route and costs retry budget.
+            resend=False,
         )
 
     def note_failure(
@@ -156,16 +157,15 @@
         is_silent = isinstance(failure.error, EndpointStalledError)
         if is_silent or not failure.sent:
             self.fleet.note_silence(endpoint)
-        else:
+        elif not failure.on_kept:
+            # An endpoint may close an idle connection at any time.
             self.fleet.note_answer(endpoint, started_at, ok=False)
 
     def error_of(self, failure: Failure) -> PoplarfoldError:
         """Return the failure that the caller gets if no attempt follows."""
         if time.monotonic() >= self.context.deadline_at:
             return CallTimeoutError("the endpoint has not answered in time")
-        if isinstance(failure.error, ForeignAnswerError | EndpointError):
-            return failure.error
-        return EndpointError(str(failure.error))
+        return failure.error
 
     def pass_on(self, answer: Answer) -> None:
         """Send the endpoint's answer to the caller as it is."""
--- a/src/poplarfold/_internal/gateway/role_orders.py
+++ b/src/poplarfold/_internal/gateway/role_orders.py
@@ -2,13 +2,13 @@
 
 import json
 import threading
-from collections.abc import Callable
 
 from poplarfold._internal.core.fleet.order_lease import FIRST_FENCE, OrderLease
 from poplarfold._internal.core.fleet.roles import RoleChange, plan_role_changes
 from poplarfold._internal.core.fleet.rows import Service
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.logs.writer import LogWriter
 from poplarfold._internal.platform import EngineCalls, OrderRequest, StoreClient
 
 __all__ = ["RoleOrders"]
@@ -27,8 +27,6 @@
 CLAIM_USE_S = 1.0
 ORDER_TIMEOUT_S = 0.8
 
-WriteLog = Callable[[str, str | None, dict[str, object]], None]
-
 
 class RoleOrders:
     """Plans and gives orders for one node; the store decides which node may order."""
@@ -38,7 +36,7 @@
         fleet: Fleet,
         store: StoreClient,
         engines: EngineCalls,
-        write_log: WriteLog,
+        write_log: LogWriter,
     ) -> None:
         self.fleet = fleet
         self.store = store
--- a/src/poplarfold/_internal/gateway/store_reader.py
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -14,6 +14,7 @@
     StoreGapError,
 )
 from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.logs.writer import LogWriter
 from poplarfold._internal.platform import (
     NewestRecords,
     Record,
@@ -29,8 +30,6 @@
 RETRY_S = 0.4
 ROUTES_KEY = "config"
 
-WriteLog = Callable[[str, str | None, dict[str, object]], None]
-
 
 class FollowedTopic(NamedTuple):
     """How a topic is followed: how long a read waits and the pause after it."""
@@ -48,7 +47,7 @@
     deleted, the newest record of each key is read anew.
     """
 
-    def __init__(self, fleet: Fleet, store: StoreClient, write_log: WriteLog) -> None:
+    def __init__(self, fleet: Fleet, store: StoreClient, write_log: LogWriter) -> None:
         self.fleet = fleet
         self.store = store
         self.write_log = write_log
--- a/src/poplarfold/_internal/logs/writer.py
+++ b/src/poplarfold/_internal/logs/writer.py
@@ -21,7 +21,10 @@
 
 from poplarfold._internal.logs.catalogue import EVENTS
 
-__all__ = ["EventWriter", "open_writer"]
+__all__ = ["EventWriter", "LogWriter", "open_writer"]
+
+LogWriter = Callable[[str, str | None, dict[str, object]], None]
+"""Writes a numbered event: number, call id, fields."""
 
 # A reader of the time line holds one line in memory; callers choose some of
 # the text in it.
--- a/src/poplarfold/_internal/platform/engines.py
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -15,6 +15,7 @@
 )
 from poplarfold._internal.exceptions import EndpointError, EndpointRefusedError
 from poplarfold._internal.platform.calls import (
+    TARGET_INSTANCE,
     CallerCall,
     CallTarget,
     endpoint_headers,
@@ -24,7 +25,6 @@
 __all__ = ["EngineCalls", "Lease", "OrderRequest", "PrefillResult"]
 
 JSON_HEADERS = {"Content-Type": "application/json"}
-TARGET_INSTANCE = "Poplarfold-Target-Instance"
 
 
 class Lease(NamedTuple):
--- a/src/poplarfold/_internal/platform/records.py
+++ b/src/poplarfold/_internal/platform/records.py
@@ -42,15 +42,10 @@
         services = {
             row["name"]: decode_service(row) for row in fields.get("services") or []
         }
-        limits = fields.get("limits") or {}
         return RouteTable(
             version=int(fields["version"]),
             routes=tuple(decode_route(row) for row in fields["routes"]),
             services=services,
-            header_limit_bytes=int(limits.get("max_header_bytes", 16384)),
-            body_limit_bytes=int(limits.get("max_body_bytes", 4194304)),
-            header_timeout_s=float(limits.get("header_timeout_ms", 3000)) / 1000,
-            idle_timeout_s=float(limits.get("idle_timeout_ms", 15000)) / 1000,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise PlatformFormatError(f"configuration: {error!r}") from error
@@ -61,7 +56,6 @@
     engine = row.get("engine") or {}
     return Service(
         name=str(row["name"]),
-        max_connections=int(row.get("max_connections", 64)),
         slots=int(engine.get("slots", 0)),
         memory_tokens=int(engine.get("kv_tokens", 0)),
         hold_s=float(engine.get("hold_ms", 0.0)) / 1000,
@@ -87,7 +81,6 @@
         services=services,
         timeout_s=timeout_s,
         target_s=float(row.get("target_latency_ms", timeout_s * 1000)) / 1000,
-        priority=int(row.get("priority", 0)),
         max_attempts=max(1, int(row.get("max_attempts", 1))),
         resumable=row.get("resumable") is True,
         # Routes whose requests carry a prompt are marked as sticky.
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -266,6 +266,27 @@
     assert answer.getheader("Poplarfold-Server-Stamp") is None
 
 
+def test_request_on_a_reset_connection_is_sent_again_from_the_budget(fleet):
+    """Guards against a repeat on a new connection that nothing counts."""
+    fleet.wait_counted()
+    for endpoint in fleet.plain:
+        endpoint.faults.add("reset_kept")
+    arrivals_before = sum(endpoint.count for endpoint in fleet.plain)
+    calls = 8
+    statuses = [
+        fleet.call("GET", f"/lookup/{number}").status for number in range(calls)
+    ]
+    arrivals = sum(endpoint.count for endpoint in fleet.plain) - arrivals_before
+    repeats = sum(
+        float(line.rpartition(" ")[2])
+        for line in fleet.get("metrics", "/metrics").data.decode().splitlines()
+        if line.startswith("poplarfold_repeats_total{")
+    )
+    assert statuses == [200] * calls
+    assert arrivals > calls
+    assert repeats == arrivals - calls
+
+
 def test_timeout_of_the_route_is_kept(fleet):
     """Guards against a caller that waits for a silent endpoint for good."""
     for endpoint in fleet.plain:
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -24,6 +24,8 @@
 
     protocol_version = "HTTP/1.1"
     server: Any
+    # Whether the connection has carried a request before.
+    was_used = False
 
     def handle_any(self) -> None:
         length = int(self.headers.get("Content-Length") or 0)
@@ -198,7 +200,8 @@
     """One endpoint: a plain service, or an engine with leases and prefills.
 
     ``faults`` holds any of: not_run, error, cut_head, cut_body, unframed,
-    foreign, silent, no_room, cut_stream, lost_handle.
+    foreign, silent, no_room, cut_stream, lost_handle, reset_kept (requests on a
+    connection that was used before are reset).
     """
 
     def __init__(self, endpoint_id: str, stage: str | None = None) -> None:
@@ -241,7 +244,10 @@
             number = self.count
         headers = {name: value for name, value in request.headers.items()}
         target = headers.get("Poplarfold-Target-Instance")
-        if target not in (None, self.endpoint_id):
+        was_used, request.was_used = request.was_used, True
+        if was_used and "reset_kept" in self.faults:
+            request.cut()
+        elif target not in (None, self.endpoint_id):
             request.answer(421, b"", {"Poplarfold-Instance-Id": self.endpoint_id})
         elif request.path == "/v1/hold-take":
             self.take_lease(request, number)
--- a/tests/unit/test_fleet_decisions.py
+++ b/tests/unit/test_fleet_decisions.py
@@ -33,7 +33,7 @@
 from poplarfold._internal.core.model import EndpointRole
 
 REGIONS = {"lhr-a": "lahore", "lhr-b": "lahore", "khi-a": "karachi"}
-ENGINES = Service("llm", 150, slots=12, memory_tokens=85_406, hold_s=2.0)
+ENGINES = Service("llm", slots=12, memory_tokens=85_406, hold_s=2.0)
 
 
 def endpoint(name, domain="lhr-a", role=EndpointRole.SERVICE, slots=4, born=1):
@@ -45,9 +45,9 @@
 def table(version, prefix="/a/"):
     route = Route(
         "r", "h", prefix, CallKind.IDEMPOTENT, (ServiceShare("llm", 1.0),),
-        1.5, 0.3, 1, 2, False, False,
+        1.5, 0.3, 2, False, False,
     )  # fmt: skip
-    return RouteTable(version, (route,), {}, 16384, 4194304, 3.0, 15.0)
+    return RouteTable(version, (route,), {})
 
 
 def test_older_configuration_is_never_put_in_force():
