--- /dev/null
+++ b/tests/functional/gateway_soak/__main__.py
@@ -0,0 +1,174 @@
+"""Runs router processes under random faults and checks the promises.
+
+    python -m tests.functional.gateway_soak --seed 1 --seconds 40
+
+Prints one JSON object and exits with 1 if a promise was broken. The logs of the
+processes stay in ``--folder``.
+"""
+
+import argparse
+import json
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from tests.functional.gateway_soak.backends import SoakEndpoint, SoakStore
+from tests.functional.gateway_soak.callers import Caller, ConfigWatcher
+from tests.functional.gateway_soak.checks import CHECKS
+from tests.functional.gateway_soak.faults import FaultMaker
+from tests.functional.gateway_soak.nodes import Node
+from tests.functional.gateway_soak.records import Records
+
+__all__ = ["build_parser", "run"]
+
+# The nodes have counted each other by then, so that retries are divided.
+COUNTED_S = 6.0
+SETTLE_S = 2.0
+HEARTBEAT_S = 0.5
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the command line of the soak."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--plant", default="", help="a fault of planted.py")
+    parser.add_argument("--only", nargs="*", default=[], help="kinds of trouble")
+    parser.add_argument("--folder", type=Path, help="keeps the logs there")
+    return parser
+
+
+def make_endpoints(records: Records, nodes: int) -> list[SoakEndpoint]:
+    """Return plain endpoints and engines, more of them for many nodes."""
+    scale = 1 + nodes // 20
+    plain = [
+        SoakEndpoint(f"i-plain-{number}", "registry", records, None)
+        for number in range(4 * scale)
+    ]
+    engines = [
+        SoakEndpoint(f"i-{role}-{number}", "llm", records, role)
+        for role in ("prefill", "decode")
+        for number in range(2 * scale)
+    ]
+    return plain + engines
+
+
+class Heartbeats(threading.Thread):
+    """Has the processes checked and their logs read while the soak runs."""
+
+    def __init__(self, nodes: list[Node]) -> None:
+        super().__init__(daemon=True)
+        self.nodes = nodes
+        self.stopping = threading.Event()
+
+    def run(self) -> None:
+        """Check until told to stop."""
+        while not self.stopping.wait(HEARTBEAT_S):
+            for node in self.nodes:
+                node.check_running()
+
+
+def check_logs(nodes: list[Node], records: Records) -> None:
+    """Each line of the logs is one JSON object, and none tells of a crash."""
+    for node in nodes:
+        for line in node.log.read_text(errors="replace").splitlines():
+            try:
+                is_event = "message_type" in json.loads(line)
+            except ValueError:
+                is_event = False
+            if not is_event:
+                records.violate("logs", f"{node.name} wrote {line[:200]!r}")
+                break
+
+
+def run(options: argparse.Namespace) -> dict[str, Any]:
+    """Run one seed and return its report."""
+    records = Records()
+    with tempfile.TemporaryDirectory() as made:
+        folder = options.folder or Path(made)
+        folder.mkdir(parents=True, exist_ok=True)
+        store = SoakStore()
+        endpoints = make_endpoints(records, options.nodes)
+        nodes = [
+            Node(number, store.address, folder, records, options.plant)
+            for number in range(options.nodes)
+        ]
+        try:
+            steps = play(options, store, endpoints, nodes, records)
+        finally:
+            for node in nodes:
+                node.end()
+        for check in CHECKS:
+            check(records)
+        check_logs(nodes, records)
+        for endpoint in endpoints:
+            endpoint.link.stop()
+            endpoint.stop()
+        store.stop()
+    outcomes = Counter(
+        f"{row.kind}:{'left' if row.left_at else row.status}"
+        for row in records.attempts
+    )
+    return {
+        "seed": options.seed,
+        "steps": dict(Counter(steps)),
+        "outcomes": dict(sorted(outcomes.items(), key=str)),
+        "arrivals": len(records.arrivals),
+        "violations": records.violations[:20],
+        "violation_count": len(records.violations),
+    }
+
+
+def play(
+    options: argparse.Namespace,
+    store: SoakStore,
+    endpoints: list[SoakEndpoint],
+    nodes: list[Node],
+    records: Records,
+) -> list[str]:
+    """Start everything, make faults, and return the names of the steps."""
+    watchers = [ConfigWatcher(node, records) for node in nodes[:4]]
+    faults = FaultMaker(
+        options.seed, store, endpoints, nodes, watchers, records, options.only
+    )
+    faults.put_configuration(0)
+    for endpoint in endpoints:
+        endpoint.announce(store)
+    for node in nodes:
+        node.start()
+    for node in nodes:
+        if not node.wait_ready(30.0):
+            records.violate("start", f"{node.name} did not become ready")
+    time.sleep(COUNTED_S)
+    callers = [
+        Caller(options.seed * 1000 + number, nodes, records)
+        for number in range(options.callers)
+    ]
+    heartbeats = Heartbeats(nodes)
+    threads = [*callers, *watchers, heartbeats]
+    for thread in threads:
+        thread.start()
+    faults.run(options.seconds)
+    time.sleep(SETTLE_S)
+    for thread in threads:
+        thread.stopping.set()
+    for thread in threads:
+        thread.join(10.0)
+    return faults.steps
+
+
+def main() -> int:
+    """Run one seed and print its report."""
+    report = run(build_parser().parse_args())
+    print(json.dumps(report, indent=1))
+    return 1 if report["violation_count"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/functional/gateway_soak/backends.py
@@ -0,0 +1,148 @@
+"""The stand-ins of the platform, with what the soak adds to them."""
+
+import time
+from typing import Any
+
+from tests.functional.gateway_soak.proxy import Link, LinkMode
+from tests.functional.gateway_soak.records import Arrival, Records, total_events
+from tests.lib.platform_standin import EndpointStandIn, Handler, StoreStandIn
+
+__all__ = ["SoakEndpoint", "SoakStore"]
+
+EVENT_PERIOD_S = 0.03
+HEARTBEAT_S = 0.5
+
+
+class SoakStore(StoreStandIn):
+    """A store that may also lose answers and show old newest records."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.losing = False
+        self.stale: dict[str, dict[str, bytes]] | None = None
+
+    def serve_newest(self, request: Handler, topic: str) -> None:
+        newest, stale = self.newest, self.stale
+        if stale is None:
+            super().serve_newest(request, topic)
+            return
+        with self.lock:
+            self.newest = {**newest, **stale}
+        try:
+            super().serve_newest(request, topic)
+        finally:
+            self.newest = newest
+
+    def serve_append(
+        self, request: Handler, query: dict[str, str], body: bytes
+    ) -> None:
+        if self.losing:
+            request.answer = lambda *given: request.cut()  # type: ignore[method-assign]
+        super().serve_append(request, query, body)
+
+
+class SoakEndpoint(EndpointStandIn):
+    """An endpoint behind a link, which records each arrival."""
+
+    def __init__(
+        self, endpoint_id: str, service: str, records: Records, stage: str | None
+    ) -> None:
+        super().__init__(endpoint_id, stage)
+        self.service = service
+        self.records = records
+        self.link = Link(self.address)
+        self.address = self.link.address
+        self.slots = 16
+        self.born = 1788179296174
+        self.state = "ready"
+        self.work_s = 0.01
+
+    def announce(self, store: StoreStandIn) -> None:
+        """Write the endpoint's entry to the store."""
+        entry = self.entry(self.service, born=self.born, state=self.state)
+        store.put("keyed.servers", self.endpoint_id, entry)
+
+    def crash(self) -> None:
+        """Reset all connections and refuse new ones."""
+        self.link.mode = LinkMode.REFUSE
+        self.link.reset_all()
+
+    def restart(self) -> None:
+        """Come back under the same id as another incarnation."""
+        self.born += 1000
+        self.leases.clear()
+        self.handles.clear()
+        self.link.mode = LinkMode.PASS
+
+    def note(self, headers: dict[str, str], ran: bool, is_prefill: bool) -> str:
+        """Record an arrival and return the request's id."""
+        request_id = headers.get("Poplarfold-Request-Id", "")
+        now = time.monotonic()
+        row = Arrival(request_id, self.service, self.endpoint_id, now, ran, is_prefill)
+        self.records.add(row)
+        return request_id
+
+    def prefill(self, request: Handler, headers: dict[str, str], number: int) -> None:
+        self.note(headers, ran=False, is_prefill=True)
+        super().prefill(request, headers, number)
+
+    def run(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
+        runs = "not_run" not in self.faults
+        request_id = self.note(headers, runs, is_prefill=False)
+        if not runs:
+            request.answer(503, b"", {"Poplarfold-Not-Executed": "1"})
+            return
+        time.sleep(self.work_s)
+        answered_id = "0000" if "foreign" in self.faults else request_id
+        whole = f"answer for {answered_id}".encode()
+        request.answer = self.answer_with(request, whole)  # type: ignore[method-assign]
+        super().run(request, headers, body)
+        del request.answer
+
+    def answer_with(self, request: Handler, whole: bytes) -> Any:
+        """Return an answer() that puts the request's id into a success."""
+
+        def answer(
+            status: int, body: bytes = b"", headers: dict[str, str] | None = None
+        ) -> None:
+            Handler.answer(request, status, whole if status == 200 else body, headers)
+
+        return answer
+
+    def stream(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
+        if "not_run" in self.faults or "Poplarfold-Kv-Hold" not in headers:
+            self.note(headers, ran=False, is_prefill=False)
+            request.answer(503, b"", {"Poplarfold-Not-Executed": "1"})
+            return
+        request_id = self.note(headers, ran=True, is_prefill=False)
+        self.events = total_events(request_id)
+        try:
+            self.send_events(request, headers, request_id)
+        except OSError:
+            request.close_connection = True
+        finally:
+            with self.records.lock:
+                self.records.run_ends[request_id] = time.monotonic()
+
+    def send_events(
+        self, request: Handler, headers: dict[str, str], request_id: str
+    ) -> None:
+        """Send a stream; it may break off after half of its events."""
+        self.leases.discard(headers["Poplarfold-Kv-Hold"])
+        request.send_response(200)
+        for name, value in self.proof(headers).items():
+            request.send_header(name, value)
+        request.send_header("Content-Type", "text/event-stream")
+        request.send_header("Transfer-Encoding", "chunked")
+        request.end_headers()
+        last = total_events(request_id)
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, last + 1):
+            if "cut_stream" in self.faults and number == last // 2 and first == 1:
+                request.cut(b"9\r\nid: 3\nda")
+                return
+            event = f"id: {number}\ndata: {request_id}\n\n".encode()
+            request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
+            request.wfile.flush()
+            time.sleep(EVENT_PERIOD_S)
+        request.wfile.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/functional/gateway_soak/callers.py
@@ -0,0 +1,169 @@
+"""Callers that keep connections, leave early and record what they got."""
+
+import http.client
+import random
+import threading
+import time
+
+from tests.functional.gateway_soak.nodes import Node
+from tests.functional.gateway_soak.records import Attempt, Records, total_events
+
+__all__ = ["Caller", "ConfigWatcher", "CONFIG_MARKER", "WATCHER_ID"]
+
+READ_LIMIT_S = 8.0
+CONFIG_MARKER = "/marker-"
+KINDS = ("filing", "lookup", "caption")
+KIND_WEIGHTS = (4, 3, 4)
+LEAVE_SHARE = 0.1
+HEADERS = {"Host": "entry.example"}
+# Requests of the watchers are not counted towards the retry budget.
+WATCHER_ID = "00000000000000aa"
+
+
+class Caller(threading.Thread):
+    """One caller with one kept connection at a time."""
+
+    def __init__(self, seed: int, nodes: list[Node], records: Records) -> None:
+        super().__init__(daemon=True)
+        self.rng = random.Random(seed)
+        self.nodes = nodes
+        self.records = records
+        self.stopping = threading.Event()
+        self.connection: http.client.HTTPConnection | None = None
+        self.node = nodes[0]
+
+    def run(self) -> None:
+        """Make requests until told to stop."""
+        while not self.stopping.wait(self.rng.uniform(0.02, 0.15)):
+            if self.connection is None:
+                self.connect()
+            if self.connection is not None:
+                self.request()
+        self.drop()
+
+    def connect(self) -> None:
+        """Connect to a random node that is not known to be down."""
+        self.node = self.rng.choice(self.nodes)
+        if self.node.is_stopped:
+            return
+        self.connection = http.client.HTTPConnection(
+            "127.0.0.1", self.node.ports["front"], timeout=READ_LIMIT_S
+        )
+        try:
+            self.connection.connect()
+        except OSError:
+            self.drop()
+
+    def drop(self) -> None:
+        """Close the connection."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    def request(self) -> None:
+        """Make one request and record it."""
+        (kind,) = self.rng.choices(KINDS, KIND_WEIGHTS)
+        request_id = f"{self.rng.getrandbits(64):016x}"
+        path = f"/{kind}/{request_id[:4]}"
+        sent_at = time.monotonic()
+        status, body, is_whole, left_at = None, b"", False, None
+        try:
+            self.send(kind, path, request_id)
+            assert self.connection is not None
+            answer = self.connection.getresponse()
+            status = answer.status
+            leave_after = self.leave_after(kind, request_id)
+            while leave_after is None or body.count(b"\n\n") < leave_after:
+                piece = answer.read1(65_536)
+                body += piece
+                if not piece:
+                    length = answer.headers.get("Content-Length")
+                    is_whole = length is None or len(body) == int(length)
+                    break
+            else:
+                left_at = time.monotonic()
+                self.drop()
+            answer.close()
+            if answer.will_close or not is_whole:
+                self.drop()
+        except (OSError, http.client.HTTPException, AssertionError):
+            self.drop()
+        self.records.add(
+            Attempt(
+                request_id, kind, self.node.name, path, sent_at, time.monotonic(),
+                status, is_whole, body, left_at,
+            )
+        )  # fmt: skip
+
+    def leave_after(self, kind: str, request_id: str) -> int | None:
+        """Return after how many events to leave, or None to stay."""
+        if kind != "caption" or self.rng.random() >= LEAVE_SHARE:
+            return None
+        return self.rng.randint(1, max(1, total_events(request_id) // 3))
+
+    def send(self, kind: str, path: str, request_id: str) -> None:
+        """Send one request on the kept connection."""
+        assert self.connection is not None
+        method = "GET" if kind == "lookup" else "POST"
+        headers = {**HEADERS, "Poplarfold-Request-Id": request_id}
+        if kind == "caption":
+            headers["Poplarfold-Token-Count"] = "1000,200"
+        body = None if method == "GET" else b"x" * self.rng.randint(1, 3000)
+        self.connection.request(method, path, body, headers)
+
+
+class ConfigWatcher(threading.Thread):
+    """Asks one node which configuration is in force, over new connections."""
+
+    def __init__(self, node: Node, records: Records) -> None:
+        super().__init__(daemon=True)
+        self.node = node
+        self.records = records
+        self.stopping = threading.Event()
+        # The newest version that the operator has published, and when.
+        self.published: list[tuple[int, float]] = []
+        self.seen: dict[int, int] = {}
+
+    def run(self) -> None:
+        """Look until told to stop."""
+        while not self.stopping.wait(0.1):
+            if not self.node.is_stopped and self.published:
+                self.look()
+
+    def look(self) -> None:
+        """Ask for the newest route and the one that the process has shown."""
+        life = self.node.life
+        seen = self.seen.get(life, 0)
+        for version, _ in self.published:
+            asked_at = time.monotonic()
+            status = self.ask(version)
+            if self.node.life != life:
+                return
+            # A 503 may mean that there is no configuration at all yet.
+            if status in (None, 404, 503):
+                continue
+            if version < seen:
+                self.records.violate(
+                    "configuration never back",
+                    f"{self.node.name} served version {version} after {seen}"
+                    f" at {asked_at:.2f}",
+                )
+            self.seen[life] = seen = max(seen, version)
+
+    def ask(self, version: int) -> int | None:
+        """Return the status of the route that only this version has."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.node.ports["front"], timeout=2.0
+        )
+        try:
+            headers = {**HEADERS, "Poplarfold-Request-Id": WATCHER_ID}
+            connection.request("GET", f"{CONFIG_MARKER}{version}/", headers=headers)
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return None
+        finally:
+            connection.close()
+
+    def is_late(self, version: int) -> bool:
+        """Return whether the present process has not shown a version yet."""
+        return self.seen.get(self.node.life, 0) < version
--- /dev/null
+++ b/tests/functional/gateway_soak/faults.py
@@ -0,0 +1,335 @@
+"""Draws faults and planned work from a seed and applies them."""
+
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable, Collection, Iterator
+from contextlib import contextmanager
+
+from tests.functional.gateway_soak.backends import SoakEndpoint, SoakStore
+from tests.functional.gateway_soak.callers import CONFIG_MARKER, ConfigWatcher
+from tests.functional.gateway_soak.checks import STABLE_S
+from tests.functional.gateway_soak.nodes import BOUNDS, Node
+from tests.functional.gateway_soak.proxy import Link, LinkMode
+from tests.functional.gateway_soak.records import Records, Span
+from tests.lib.platform_standin import STREAMED, configuration, route
+
+__all__ = ["FaultMaker"]
+
+APPLY_S = BOUNDS["config_apply_ms"] / 1000
+ENDPOINT_FAULTS = ("not_run", "error", "cut_head", "cut_body", "foreign", "no_room")
+SERVICE_FAULTS = ("not_run", "error", "cut_body", "foreign")
+STREAM_FAULTS = ("cut_stream", "lost_handle")
+LINK_MODES = tuple(mode for mode in LinkMode if mode is not LinkMode.PASS)
+GARBLED = (b"", b"{", b'{"service": 7}', b"\xff\xfe", b'{"state": "lost"}')
+
+
+class FaultMaker:
+    """Makes one step after another, alternating calm spans and troubled ones.
+
+    In a calm span there is planned work only (restarts, reloads, changes of the
+    configuration, leaving endpoints), so that its promises are checked without
+    an excuse.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        store: SoakStore,
+        endpoints: list[SoakEndpoint],
+        nodes: list[Node],
+        watchers: list[ConfigWatcher],
+        records: Records,
+        only: Collection[str] = (),
+    ) -> None:
+        self.only = only
+        self.rng = random.Random(seed)
+        self.store = store
+        self.endpoints = endpoints
+        self.nodes = nodes
+        self.watchers = watchers
+        self.records = records
+        self.version = 0
+        # The newest configuration and the one before it.
+        self.newest = self.older = b""
+        self.steps: list[str] = []
+        self.threads: list[threading.Thread] = []
+        self.stopping = threading.Event()
+
+    def run(self, seconds: float, calm_s: float = 6.0, trouble_s: float = 8.0) -> None:
+        """Make faults for a while, and heal everything at the end."""
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            self.play(self.planned_steps(), min(calm_s, ends_at - time.monotonic()))
+            left_s = ends_at - time.monotonic()
+            if left_s > trouble_s:
+                self.play(self.trouble_steps(), trouble_s)
+                time.sleep(STABLE_S)
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+
+    def play(self, steps: list[Callable[[], None]], seconds: float) -> None:
+        """Start random steps, which may overlap, for a while."""
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            step = self.rng.choice(steps)
+            self.steps.append(step.__name__)
+            thread = threading.Thread(target=step, daemon=True)
+            thread.start()
+            self.threads.append(thread)
+            time.sleep(self.rng.uniform(0.3, 1.5))
+
+    def planned_steps(self) -> list[Callable[[], None]]:
+        """Return the kinds of planned work."""
+        return [
+            self.restart, self.reload, self.publish, self.publish_series, self.leave,
+        ]  # fmt: skip
+
+    def trouble_steps(self) -> list[Callable[[], None]]:
+        """Return the kinds of unplanned trouble, and changes that overlap them."""
+        steps = [
+            self.kill, self.pause, self.break_link, self.break_endpoint,
+            self.break_service, self.break_store, self.break_store_link,
+            self.crash_endpoint, self.compact, self.garble, self.publish, self.reload,
+        ]  # fmt: skip
+        return [step for step in steps if step.__name__ in self.only] or steps
+
+    @contextmanager
+    def span(
+        self, kind: str, where: str = "", is_planned: bool = False
+    ) -> Iterator[None]:
+        """Record the time that a fault takes."""
+        start = time.monotonic()
+        # Seen by checks even while the fault lasts.
+        try:
+            yield
+        finally:
+            self.records.add(Span(kind, start, time.monotonic(), where, is_planned))
+
+    def wait(self, low_s: float, high_s: float) -> None:
+        """Wait for a random time."""
+        time.sleep(self.rng.uniform(low_s, high_s))
+
+    def pick_node(self) -> Node | None:
+        """Return a running node, but never the last one."""
+        running = [node for node in self.nodes if not node.is_stopped]
+        return self.rng.choice(running) if len(running) > 1 else None
+
+    def restart(self) -> None:
+        """Stop one node as planned and start it again."""
+        node = self.pick_node()
+        if node is None:
+            return
+        with self.span("stop", node.name, is_planned=True):
+            node.stop_gracefully()
+        node.start()
+        node.wait_ready()
+
+    def reload(self) -> None:
+        """Send SIGHUP to one node."""
+        node = self.pick_node()
+        if node is None:
+            return
+        with self.span("reload", node.name, is_planned=True):
+            node.signal(signal.SIGHUP)
+            time.sleep(1.0)
+
+    def kill(self) -> None:
+        """Kill one node and start it again."""
+        node = self.pick_node()
+        if node is None:
+            return
+        with self.span("kill", node.name):
+            node.kill()
+            self.wait(0.0, 1.0)
+            node.start()
+            node.wait_ready()
+
+    def pause(self) -> None:
+        """Stop one process for a while."""
+        node = self.pick_node()
+        if node is None:
+            return
+        with self.span("pause", node.name):
+            node.signal(signal.SIGSTOP)
+            self.wait(0.3, 2.0)
+            node.signal(signal.SIGCONT)
+
+    def publish(self) -> None:
+        """Publish a configuration and check that it comes into force."""
+        with self.records.lock:
+            self.version += self.rng.randint(1, 3)
+            version = self.version
+        self.put_configuration(version)
+        published_at = time.monotonic()
+        with self.records.lock:
+            lives = {watcher: watcher.node.life for watcher in self.watchers}
+            for watcher in self.watchers:
+                watcher.published = [*watcher.published[-3:], (version, published_at)]
+        time.sleep(APPLY_S + 0.2)
+        if self.version != version:
+            return
+        for watcher in self.watchers:
+            if watcher.node.is_stopped or watcher.node.life != lives[watcher]:
+                continue
+            status = watcher.ask(version)
+            now = time.monotonic()
+            name = watcher.node.name
+            if self.version != version:
+                # Another one is in force by now.
+                return
+            if status == 404 and not self.is_troubled(published_at, now, name):
+                self.records.violate(
+                    "configuration in time", f"{name} lacks version {version}"
+                )
+
+    def is_troubled(self, start: float, end: float, name: str) -> bool:
+        """Return whether a fault touched a node, or still does."""
+        return self.records.is_disturbed(start - STABLE_S, end, name)
+
+    def put_configuration(self, version: int) -> None:
+        """Write a configuration with a route that only this version has."""
+        marker = f"{CONFIG_MARKER}{version}/"
+        routes = [
+            route("caption", "/caption/", "streaming", "llm", **STREAMED),
+            route("filing", "/filing/", "non_idempotent", "registry"),
+            route("lookup", "/lookup/", "idempotent", "registry"),
+            route("marker", marker, "idempotent", "registry", max_attempts=1),
+        ]
+        routes[0]["timeout_ms"] = 6000
+        self.older, self.newest = self.newest, configuration(version, routes=routes)
+        self.store.put("keyed.op", "config", self.newest)
+
+    def publish_series(self) -> None:
+        """Publish some configurations in quick succession."""
+        for _ in range(self.rng.randint(2, 5)):
+            with self.records.lock:
+                self.version += 1
+                version = self.version
+            self.put_configuration(version)
+            self.wait(0.02, 0.3)
+        self.publish()
+
+    def leave(self) -> None:
+        """Announce that one plain endpoint leaves, and bring it back under a new id."""
+        with self.records.lock:
+            staying = [
+                row
+                for row in self.endpoints
+                if row.stage is None and row.state == "ready"
+            ]
+            if len(staying) < 3:
+                return
+            endpoint = self.rng.choice(staying)
+            endpoint.state = "draining"
+        endpoint.announce(self.store)
+        left_at = time.monotonic()
+        self.records.leaving[endpoint.endpoint_id] = left_at
+        time.sleep(APPLY_S + 2.0)
+        endpoint.endpoint_id += "n"
+        endpoint.born += 1000
+        endpoint.state = "ready"
+        endpoint.announce(self.store)
+
+    def break_endpoint(self) -> None:
+        """Have two endpoints answer badly for a while, each in its own way."""
+        chosen = self.rng.sample(self.endpoints, 2)
+        for endpoint in chosen:
+            kinds = STREAM_FAULTS if endpoint.stage == "decode" else ENDPOINT_FAULTS
+            endpoint.faults.add(self.rng.choice(kinds))
+        self.heal_later(chosen)
+
+    def break_service(self) -> None:
+        """Have all plain endpoints answer badly, as after a faulty release."""
+        fault = self.rng.choice(SERVICE_FAULTS)
+        chosen = [row for row in self.endpoints if row.stage is None]
+        for endpoint in chosen:
+            endpoint.faults.add(fault)
+        self.heal_later(chosen)
+
+    def heal_later(self, endpoints: list[SoakEndpoint]) -> None:
+        """Let endpoints answer badly for a while."""
+        with self.span("bad answers"):
+            self.wait(1.0, 3.0)
+            for endpoint in endpoints:
+                endpoint.faults.clear()
+
+    def break_link(self) -> None:
+        """Delay, hold back, refuse or reset what reaches one endpoint."""
+        endpoint = self.rng.choice(self.endpoints)
+        self.harm(endpoint.link, "")
+
+    def break_store_link(self) -> None:
+        """Harm the link between one node and the store."""
+        node = self.rng.choice(self.nodes)
+        self.harm(node.store_link, node.name)
+
+    def harm(self, link: Link, where: str) -> None:
+        """Harm one link for a while."""
+        mode = self.rng.choice(LINK_MODES)
+        with self.span(f"link {mode}", where):
+            link.delay_s = self.rng.uniform(0.05, 0.4)
+            link.mode = mode
+            if self.rng.random() < 0.5:
+                link.reset_all()
+            self.wait(0.5, 2.0)
+            link.mode = LinkMode.PASS
+            if self.rng.random() < 0.5:
+                link.reset_all()
+
+    def crash_endpoint(self) -> None:
+        """Crash one endpoint; it starts anew under the same id."""
+        endpoint = self.rng.choice(self.endpoints)
+        with self.span("crash"):
+            endpoint.crash()
+            self.wait(0.3, 2.0)
+            endpoint.restart()
+            endpoint.announce(self.store)
+
+    def break_store(self) -> None:
+        """Have the store misbehave towards all nodes."""
+        kind = self.rng.choice(("busy", "reset", "silent", "losing"))
+        with self.span(f"store {kind}"):
+            if kind == "losing":
+                self.store.losing = True
+            else:
+                self.store.mode = kind
+            self.wait(0.5, 2.5)
+            self.store.losing = False
+            self.store.mode = "up"
+
+    def compact(self) -> None:
+        """Delete the store's history, with old newest records for a moment."""
+        with self.span("store compact"):
+            stale = {"keyed.op": {"config": self.older}}
+            self.store.mode = "reset"
+            self.publish_quietly()
+            self.store.compact("keyed.op")
+            self.store.compact("keyed.servers")
+            self.wait(0.5, 1.0)
+            self.store.stale = stale
+            self.store.mode = "up"
+            self.wait(0.2, 1.0)
+            self.store.stale = None
+
+    def publish_quietly(self) -> None:
+        """Publish a configuration that is not checked for its time."""
+        with self.records.lock:
+            self.version += 1
+            version = self.version
+        self.put_configuration(version)
+        with self.records.lock:
+            for watcher in self.watchers:
+                row = (version, time.monotonic())
+                watcher.published = [*watcher.published[-3:], row]
+
+    def garble(self) -> None:
+        """Write spoilt entries, of unknown endpoints and in place of a known one."""
+        with self.span("garbled entries"):
+            endpoint = self.rng.choice(self.endpoints)
+            self.store.put("keyed.servers", "i-odd", self.rng.choice(GARBLED))
+            self.store.put("keyed.servers", endpoint.endpoint_id, b"[]")
+            self.wait(0.1, 0.5)
+            endpoint.announce(self.store)
--- /dev/null
+++ b/tests/functional/gateway_soak/find_planted.py
@@ -0,0 +1,50 @@
+"""Checks that the soak finds each planted fault.
+
+    python -m tests.functional.gateway_soak.find_planted
+
+Prints one line for each fault and exits with 1 if one was not found.
+"""
+
+import sys
+
+from tests.functional.gateway_soak.__main__ import build_parser, run
+
+__all__ = ["EXPECTED", "find_planted"]
+
+# The trouble that shows each fault soon, and the promise that it breaks.
+EXPECTED = {
+    "repeated_filings": ("break_service", "at most once"),
+    "false_refusals": ("break_service", "true refusals"),
+    "foreign_answers": ("break_service", "own answers"),
+    "short_answers": ("break_service", "own answers"),
+    "lost_events": ("break_endpoint", "order"),
+    "leaving_endpoints": ("publish", "leaving"),
+    "unseen_leavers": ("publish", "gone"),
+    "older_configurations": ("compact", "configuration never back"),
+    "late_configurations": ("publish", "configuration in time"),
+    "hasty_stops": ("publish", "planned stop"),
+    "fatal_reloads": ("reload", "own end"),
+    "unlimited_retries": ("break_service", "budget"),
+}
+
+
+def find_planted(name: str, seconds: float = 30.0) -> bool:
+    """Return whether a run with a planted fault finds the promise broken."""
+    only, promise = EXPECTED[name]
+    options = build_parser().parse_args(
+        ["--seconds", str(seconds), "--plant", name, "--only", only]
+    )
+    violations = run(options)["violations"]
+    return any(row.startswith(promise) for row in violations)
+
+
+def main() -> int:
+    """Look for all planted faults, or for those that are named."""
+    found = {name: find_planted(name) for name in sys.argv[1:] or EXPECTED}
+    for name, is_found in found.items():
+        print(f"{name}: {'found' if is_found else 'NOT FOUND'}")
+    return 0 if all(found.values()) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/functional/gateway_soak/planted.py
@@ -0,0 +1,165 @@
+"""Router processes with one deliberate fault each, which the soak has to find.
+
+python -m tests.functional.gateway_soak --plant repeated_filings --seed 1
+"""
+
+import os
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+# Handles signals from the start, as the program does.
+import poplarfold_gateway  # noqa: F401
+
+from poplarfold._internal.core.fleet import rows
+from poplarfold._internal.core.fleet.budget import RetryBudget
+from poplarfold._internal.core.fleet.directory import Directory
+from poplarfold._internal.daemon import endpoint_client
+from poplarfold._internal.daemon.socket_watcher import SocketWatcher
+from poplarfold._internal.exceptions import NotRunError
+from poplarfold._internal.gateway import main as gateway_main
+from poplarfold._internal.gateway.events import EventSplitter
+from poplarfold._internal.gateway.main import Gateway
+from poplarfold._internal.gateway.plain_calls import PlainCall
+from poplarfold._internal.gateway.store_reader import StoreReader
+from poplarfold._internal.platform.calls import AnswerProof
+
+__all__ = ["PLANTS"]
+
+
+def patch(owner: Any, name: str, value: Any) -> None:
+    """Replace an attribute of a class or module."""
+    setattr(owner, name, value)
+
+
+def repeated_filings() -> None:
+    """Repeats what must not be repeated."""
+    patch(rows.Route, "repeatable", property(lambda self: True))
+
+
+def false_refusals() -> None:
+    """Says that a call has not run whatever happened to it."""
+    patch(PlainCall, "error_of", lambda self, failure: NotRunError("planted"))
+
+
+def foreign_answers() -> None:
+    """Passes on answers without a look at whose they are."""
+    patch(AnswerProof, "belongs_to", lambda self, call: True)
+
+
+def short_answers() -> None:
+    """Takes a body that ends early for a whole one."""
+    whole = endpoint_client.read_whole
+
+    def read_whole(response: Any) -> bytes:
+        try:
+            return whole(response)
+        except endpoint_client.NETWORK_ERRORS:
+            return b"ha"
+
+    patch(endpoint_client, "read_whole", read_whole)
+
+
+def lost_events() -> None:
+    """Goes on with a stream from one event too late."""
+    feed = EventSplitter.feed
+
+    def feed_ahead(self: EventSplitter, data: bytes) -> bytes:
+        whole = feed(self, data)
+        if self.last_id is not None:
+            self.last_id = str(int(self.last_id) + 1)
+        return whole
+
+    patch(EventSplitter, "feed", feed_ahead)
+
+
+def leaving_endpoints() -> None:
+    """Sends work to endpoints that leave."""
+
+    def usable(self: Directory, service: str, role: Any) -> list[rows.FleetEndpoint]:
+        return [
+            row
+            for row in self.endpoints.values()
+            if row.service == service and row.role is role
+        ]
+
+    patch(Directory, "usable", usable)
+
+
+def unseen_leavers() -> None:
+    """Works on for callers that have left."""
+    patch(SocketWatcher, "watch", lambda self, sock, action: -1)
+    patch(SocketWatcher, "forget", lambda self, descriptor: None)
+    send = gateway_main.CallerExchange.send_piece
+
+    def send_piece(self: Any, piece: bytes) -> None:
+        try:
+            send(self, piece)
+        except OSError:
+            time.sleep(0)
+
+    patch(gateway_main.CallerExchange, "send_piece", send_piece)
+
+
+def older_configurations() -> None:
+    """Takes any configuration that it reads."""
+
+    def apply_routes(self: Directory, table: rows.RouteTable) -> bool:
+        self.table = table
+        return True
+
+    patch(Directory, "apply_routes", apply_routes)
+
+
+def late_configurations() -> None:
+    """Puts configurations in force some seconds late."""
+    apply_routes = StoreReader.apply_routes
+
+    def apply_late(self: StoreReader, records: Any, is_whole: bool) -> None:
+        if not is_whole and records:
+            time.sleep(5.0)
+        apply_routes(self, records, is_whole)
+
+    patch(StoreReader, "apply_routes", apply_late)
+
+
+def hasty_stops() -> None:
+    """Ends at once when a planned stop begins."""
+    patch(Gateway, "stop_gracefully", lambda self: None)
+
+
+def fatal_reloads() -> None:
+    """Ends when the settings should be read again."""
+
+    def reload(self: Gateway) -> None:
+        os._exit(1)
+
+    patch(Gateway, "reload", reload)
+
+
+def unlimited_retries() -> None:
+    """Repeats calls without a look at the budget and the route."""
+    patch(RetryBudget, "take", lambda self, nodes, now: True)
+
+    def may_try(self: PlainCall) -> bool:
+        self.context.check_caller()
+        self.tried.clear()
+        return self.is_unrun or self.context.route.repeatable
+
+    patch(PlainCall, "may_try", may_try)
+
+
+PLANTS: dict[str, Callable[[], None]] = {
+    plant.__name__: plant
+    for plant in (
+        repeated_filings, false_refusals, foreign_answers, short_answers,
+        lost_events, leaving_endpoints, unseen_leavers, older_configurations,
+        late_configurations, hasty_stops, fatal_reloads, unlimited_retries,
+    )
+}  # fmt: skip
+
+
+if __name__ == "__main__":
+    PLANTS[sys.argv.pop(1)]()
+    sys.exit(gateway_main.main())
--- /dev/null
+++ b/tests/functional/gateway_soak/proxy.py
@@ -0,0 +1,115 @@
+"""A loopback TCP proxy that delays, holds back, refuses and resets connections."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from enum import StrEnum
+
+__all__ = ["Link", "LinkMode"]
+
+PIECE_BYTES = 65_536
+LOOK_S = 0.02
+# Makes close() send a reset instead of an orderly end.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class LinkMode(StrEnum):
+    """What a link does with the bytes of its connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    ONE_WAY_OUT = "one_way_out"
+    ONE_WAY_BACK = "one_way_back"
+    REFUSE = "refuse"
+
+
+HELD_OUT = {LinkMode.SILENT, LinkMode.ONE_WAY_OUT}
+HELD_BACK = {LinkMode.SILENT, LinkMode.ONE_WAY_BACK}
+
+
+class Link:
+    """Forwards connections to ``target``; callers connect to ``address``."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self.target = (host, int(port))
+        self.mode = LinkMode.PASS
+        self.delay_s = 0.0
+        self.lock = threading.Lock()
+        self.open: set[socket.socket] = set()
+        self.stopping = threading.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        """Take connections until the link is stopped."""
+        while not self.stopping.is_set():
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.connect, args=(near,), daemon=True).start()
+
+    def connect(self, near: socket.socket) -> None:
+        """Connect one caller to the target and forward both ways."""
+        if self.mode is LinkMode.REFUSE:
+            reset(near)
+            return
+        try:
+            far = socket.create_connection(self.target, timeout=5.0)
+        except OSError:
+            reset(near)
+            return
+        far.settimeout(None)
+        with self.lock:
+            self.open |= {near, far}
+        for source, sink, held in ((near, far, HELD_OUT), (far, near, HELD_BACK)):
+            threading.Thread(
+                target=self.forward, args=(source, sink, held), daemon=True
+            ).start()
+
+    def forward(
+        self, source: socket.socket, sink: socket.socket, held: set[LinkMode]
+    ) -> None:
+        """Forward one direction until it ends."""
+        try:
+            while data := source.recv(PIECE_BYTES):
+                if self.mode is LinkMode.DELAY:
+                    time.sleep(self.delay_s)
+                while self.mode in held and not self.stopping.is_set():
+                    time.sleep(LOOK_S)
+                sink.sendall(data)
+            while self.mode in held and not self.stopping.is_set():
+                time.sleep(LOOK_S)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            reset(source)
+            reset(sink)
+        with self.lock:
+            self.open -= {source}
+
+    def reset_all(self) -> None:
+        """Reset all open connections."""
+        with self.lock:
+            found, self.open = self.open, set()
+        for sock in found:
+            reset(sock)
+
+    def stop(self) -> None:
+        """End the link and its connections."""
+        self.stopping.set()
+        self.listener.close()
+        self.reset_all()
+
+
+def reset(sock: socket.socket) -> None:
+    """Reset one connection."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        sock.shutdown(socket.SHUT_RDWR)
+    with contextlib.suppress(OSError):
+        sock.close()
--- /dev/null
+++ b/tests/functional/gateway_soak/records.py
@@ -0,0 +1,92 @@
+"""What callers and endpoints have seen, for the checks. Times are monotonic."""
+
+import threading
+from typing import NamedTuple
+
+__all__ = ["Arrival", "Attempt", "Records", "Span", "total_events"]
+
+
+class Attempt(NamedTuple):
+    """One request of a caller.
+
+    ``status`` is None without a whole answer head. ``is_whole`` tells whether
+    the answer came to its proper end; ``left_at`` is set if the caller closed
+    the connection before that.
+    """
+
+    request_id: str
+    kind: str
+    node: str
+    path: str
+    sent_at: float
+    ended_at: float
+    status: int | None
+    is_whole: bool
+    body: bytes
+    left_at: float | None = None
+
+
+class Arrival(NamedTuple):
+    """One request at an endpoint; ``ran`` is false for prefills and refusals."""
+
+    request_id: str
+    service: str
+    endpoint: str
+    at: float
+    ran: bool
+    is_prefill: bool
+
+
+class Span(NamedTuple):
+    """A time in which a fault was at work. ``where`` names a node or is empty."""
+
+    kind: str
+    start: float
+    end: float
+    where: str
+    is_planned: bool
+
+
+def total_events(request_id: str) -> int:
+    """Return how many events a whole stream for a request has."""
+    return 8 + int(request_id[-1], 16)
+
+
+class Records:
+    """All records of one run; many threads append."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.attempts: list[Attempt] = []
+        self.arrivals: list[Arrival] = []
+        # When the work for a request ended at an endpoint.
+        self.run_ends: dict[str, float] = {}
+        self.spans: list[Span] = []
+        # When an endpoint was announced as leaving.
+        self.leaving: dict[str, float] = {}
+        self.violations: list[str] = []
+
+    def add(self, row: Attempt | Arrival | Span) -> None:
+        """Append a row to its list."""
+        with self.lock:
+            if isinstance(row, Attempt):
+                self.attempts.append(row)
+            elif isinstance(row, Arrival):
+                self.arrivals.append(row)
+            else:
+                self.spans.append(row)
+
+    def violate(self, promise: str, detail: str) -> None:
+        """Note a broken promise."""
+        with self.lock:
+            self.violations.append(f"{promise}: {detail}")
+
+    def is_disturbed(self, start: float, end: float, node: str) -> bool:
+        """Return whether an unplanned fault touched a node between two times."""
+        return any(
+            not span.is_planned
+            and span.where in ("", node)
+            and span.start <= end
+            and span.end >= start
+            for span in self.spans
+        )
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -504,3 +505,46 @@
     assert done.returncode == 2
     for key in ("metric_port", "connect_s", "door.fresh"):
         assert key in done.stderr
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signal_during_start_does_not_kill_the_process(tmp_path, number):
+    """Guards against a host that restarts in a series of signals and is counted
+    as crashed."""
+    program = subprocess.Popen(
+        [sys.executable, "-X", "importtime", str(ROOT / "poplarfold_gateway.py")],
+        env={**os.environ, "POPLARFOLD_BOOT": str(tmp_path / "missing.json")},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    for line in program.stderr:
+        if "poplarfold._internal" in line or "urllib3" in line:
+            break
+    program.send_signal(number)
+    program.stderr.read()
+    # The settings are missing, which is found after the imports.
+    assert program.wait(10) == (2 if number == signal.SIGHUP else 0)
+
+
+def test_request_threads_grow_with_the_requests(fleet):
+    """Guards against a thread for each possible request in an idle process:
+    300 processes on one machine exceeded its limit of threads."""
+    tasks = Path(f"/proc/{fleet.process.pid}/task")
+    assert len(list(tasks.iterdir())) < 40
+    for endpoint in fleet.plain:
+        endpoint.faults.add("silent")
+    statuses = []
+
+    def ask(number):
+        headers = {"Poplarfold-Request-Id": f"{number:016x}"}
+        statuses.append(fleet.call("POST", "/filing/1", headers, b"x").status)
+
+    threads = [threading.Thread(target=ask, args=(number,)) for number in range(40)]
+    began = time.monotonic()
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert statuses == [504] * 40
+    # On the first threads alone, five rounds of the route's timeout would pass.
+    assert time.monotonic() - began < 4.0
