Tell slot waits, leases, pauses and store calls in metrics; keep threads alive

A background thread that met an unexpected exception ended without an event, and the node went on with what it knew. A node that wanted a role change read the log of orders each second while another node's claim held.

Ruled out: ending the process at such an exception; its open streams are well.

Measured: the three new tests fail before and pass after (11 reads in 11 s before, 1 after).

--- a/src/poplarfold/_internal/gateway/announcer.py
+++ b/src/poplarfold/_internal/gateway/announcer.py
@@ -4,6 +4,7 @@
 import threading
 
 from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.threads import start_thread
 from poplarfold._internal.logs.writer import LogWriter
 from poplarfold._internal.platform import StoreClient, StoreTopic
 
@@ -26,7 +27,7 @@
 
     def start(self) -> None:
         """Start the thread."""
-        threading.Thread(target=self.run, name="announcer", daemon=True).start()
+        start_thread("announcer", self.run, self.write_log)
 
     def run(self) -> None:
         """Announce and count until the process ends."""
--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -86,6 +86,7 @@
         """Spend a repeat of the retry budget if this node has one left."""
         if not self.services.fleet.may_repeat(self.service):
             self.log("PF1104", service=self.service)
+            self.services.metrics.count_refused_repeat(self.service)
             return False
         self.services.metrics.count_repeat(self.service)
         return True
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -27,6 +27,7 @@
 )
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.exceptions import NoRouteTableError, RouteNotFoundError
+from poplarfold._internal.gateway.metrics import GatewayGauges
 from poplarfold._internal.gateway.settings import GatewaySettings
 from poplarfold._internal.platform import HostSettings
 
@@ -66,6 +67,8 @@
         self.door = Door(settings.door)
         self.presence = Presence(settings.unknown_nodes)
         self.budgets: dict[str, RetryBudget] = {}
+        # When each topic of the store was last read.
+        self.read_at: dict[str, float] = {}
         self.cost = StreamCost()
         self.outputs = OutputForecast()
         # Set by a planned stop: the times from which streams, and all calls, are
@@ -73,6 +76,18 @@
         self.no_streams_after = float("inf")
         self.no_calls_after = float("inf")
 
+    def gauges(self) -> GatewayGauges:
+        """Return what the node believes at this moment, for the metrics."""
+        with self.lock:
+            table = self.directory.table
+            now = self.clock()
+            return GatewayGauges(
+                0 if table is None else table.version,
+                self.presence.count(),
+                len(self.directory.endpoints),
+                {topic: now - at for topic, at in self.read_at.items()},
+            )
+
     def match(self, host: str, path: str) -> MatchedRoute:
         """Return the route of a call. Raises NoRouteTableError, RouteNotFoundError."""
         with self.lock:
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -77,7 +77,7 @@
             writer.write_event,
         )
         self.handler = CallHandler(services)
-        store = StoreClient(client, host.store_address)
+        store = StoreClient(client, host.store_address, self.metrics.count_store_call)
         self.reader = StoreReader(self.fleet, store, writer.write_event)
         self.orders = RoleOrders(
             self.fleet, store, services.engines, writer.write_event
@@ -138,7 +138,7 @@
             exchange.send_whole(404, [], b"")
             return
         headers = [("Content-Type", "text/plain; version=0.0.4; charset=utf-8")]
-        exchange.send_whole(200, headers, self.metrics.render())
+        exchange.send_whole(200, headers, self.metrics.render(self.fleet.gauges()))
 
     def stop_gracefully(self) -> None:
         """Say that the node is not ready, and end when the open calls have ended.
--- a/src/poplarfold/_internal/gateway/role_orders.py
+++ b/src/poplarfold/_internal/gateway/role_orders.py
@@ -8,6 +8,7 @@
 from poplarfold._internal.core.fleet.rows import Service
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.threads import start_thread
 from poplarfold._internal.logs.writer import LogWriter
 from poplarfold._internal.platform import EngineCalls, OrderRequest, StoreClient
 
@@ -50,7 +51,7 @@
 
     def start(self) -> None:
         """Start the thread."""
-        threading.Thread(target=self.run, name="role-orders", daemon=True).start()
+        start_thread("role-orders", self.run, self.write_log)
 
     def run(self) -> None:
         """Look for a mismatch until the process ends."""
@@ -68,7 +69,10 @@
             is_loaded = self.fleet.cost.is_learned
             lasts_s = NEED_LASTS_UNDER_LOAD_S if is_loaded else NEED_LASTS_S
             self.pause_s = lasts_s + JITTER_S * self.fleet.rng.random()
-        if now - self.needed_since < self.pause_s or not self.read_end():
+        # While another claim holds, a read of the log would tell nothing new.
+        if now - self.needed_since < self.pause_s or not self.lease.may_claim(now):
+            return
+        if not self.read_end():
             return
         if not self.lease.may_claim(self.fleet.clock()):
             return
--- a/src/poplarfold/_internal/gateway/store_reader.py
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -14,6 +15,7 @@
     StoreGapError,
 )
 from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.threads import start_thread
 from poplarfold._internal.logs.writer import LogWriter
 from poplarfold._internal.platform import (
     NewestRecords,
@@ -74,9 +76,7 @@
         """Start the threads."""
         for topic in self.topics:
             name = f"follow-{topic.topic.name.lower()}"
-            threading.Thread(
-                target=self.follow, args=(topic,), name=name, daemon=True
-            ).start()
+            start_thread(name, partial(self.follow, topic), self.write_log)
 
     def follow(self, topic: FollowedTopic) -> None:
         """Read a topic until the process ends."""
@@ -114,6 +114,10 @@
 
     def note_store(self, topic: FollowedTopic, error: PoplarfoldError | None) -> None:
         """Note whether the store answered, and log each change of that."""
+        if error is None:
+            with self.fleet.lock:
+                name = topic.topic.name.lower()
+                self.fleet.read_at[name] = self.fleet.clock()
         if topic.topic is not StoreTopic.ENDPOINTS:
             return
         with self.fleet.lock:
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -43,6 +43,9 @@
         self.attempts = 0
         self.is_unrun = True
         self.began = False
+        # When the last piece was sent, and the longest pause so far.
+        self.piece_at = 0.0
+        self.pause_s = 0.0
 
     def run(self) -> None:
         """Serve the stream. Raises PoplarfoldError or OSError."""
@@ -195,11 +198,13 @@
         if not self.began:
             raise EndpointError("the stream had no event")
         context.exchange.end_stream()
+        self.services.metrics.observe_pause(self.pause_s)
         self.note_end(time.monotonic() - started_at)
         context.log(
             "PF1107",
             endpoint=endpoint.endpoint_id,
             events=self.splitter.events,
+            pause_s=round(self.pause_s, 3),
             expected_outputs=context.call.expected_outputs,
             max_outputs=context.call.max_outputs,
             stream_s=round(time.monotonic() - started_at, 3),
@@ -229,10 +234,14 @@
     ) -> None:
         """Send whole events; the first ones go out with the answer's head."""
         context = self.context
+        now = time.monotonic()
         if self.began:
+            self.pause_s = max(self.pause_s, now - self.piece_at)
+            self.piece_at = now
             context.exchange.send_piece(piece)
             return
         self.began = True
+        self.piece_at = now
         headers = caller_answer_headers(stream.headers.items())
         context.exchange.begin_stream(stream.status, headers, piece)
         endpoint = prepared.reservation.endpoint
--- a/src/poplarfold/_internal/gateway/stream_steps.py
+++ b/src/poplarfold/_internal/gateway/stream_steps.py
@@ -74,9 +74,14 @@
             row = fleet.door.enter(
                 context.service, is_late, context.route.target_s, fleet.clock()
             )
+        outcome = "refused"
         try:
-            return self.wait_for_slot(row)
+            reservation = self.wait_for_slot(row)
+            outcome = "placed"
+            return reservation
         finally:
+            wait_s = time.monotonic() - row.arrived_at
+            self.services.metrics.observe_wait(outcome, wait_s)
             with fleet.lock:
                 fleet.door.leave(row.ticket)
                 fleet.changed.notify_all()
@@ -115,6 +120,7 @@
         )
         if result.is_ok():
             lease = result.unwrap()
+            self.services.metrics.count_lease("granted")
             self.fleet.note_load(endpoint, lease.load)
             context.log(
                 "PF1105",
@@ -125,7 +131,9 @@
             return Reservation(endpoint, lease.lease_id)
         self.fleet.done(endpoint)
         failure = result.unwrap_err()
-        if isinstance(failure.error, EndpointRefusedError):
+        is_refused = isinstance(failure.error, EndpointRefusedError)
+        self.services.metrics.count_lease("refused" if is_refused else "failed")
+        if is_refused:
             self.fleet.mark_full(endpoint)
         else:
             self.fleet.note_silence(endpoint)
@@ -174,6 +182,8 @@
         finally:
             self.fleet.done(endpoint)
         self.context.check_caller()
+        outcome = "ok" if result.is_ok() else "failed"
+        self.services.metrics.count_prefill(outcome)
         if result.is_err():
             failure = result.unwrap_err()
             self.fleet.note_silence(endpoint)
@@ -212,6 +222,7 @@
         if not is_dropped:
             self.context.log("PF1108", endpoint=endpoint.endpoint_id, kind="lease")
         if prepared.handle is not None and prepared.prefill is not None:
+            self.services.metrics.count_wasted(self.context.call.prompt_tokens)
             engine = prepared.prefill
             if not engines.drop_prefill(engine.address, prepared.handle, limit_s):
                 self.context.log("PF1108", endpoint=engine.endpoint_id, kind="prefill")
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -341,7 +341,14 @@
     EventKind(
         "PF1107",
         "stream_completed",
-        ("endpoint", "events", "expected_outputs", "max_outputs", "stream_s"),
+        (
+            "endpoint",
+            "events",
+            "expected_outputs",
+            "max_outputs",
+            "stream_s",
+            "pause_s",
+        ),
         "a stream was passed on to its end",
     ),
     EventKind(
--- a/src/poplarfold/_internal/platform/store.py
+++ b/src/poplarfold/_internal/platform/store.py
@@ -3,13 +3,19 @@
 import base64
 import json
 import struct
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
 
-from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
+from poplarfold._internal.daemon.endpoint_client import (
+    Answer,
+    EndpointClient,
+    Failure,
+    Target,
+)
 from poplarfold._internal.exceptions import (
     PlatformFormatError,
     StoreGapError,
@@ -23,6 +29,8 @@
 RECORD_LENGTH = struct.Struct(">I")
 READ_LIMIT_KB = 4096
 KEY_LIMIT_BYTES = 255
+NEWEST_PATH = "/v1/log-newest"
+SERVER_ERROR = 500
 
 
 class StoreTopic(StrEnum):
@@ -53,11 +61,21 @@
 
 
 class StoreClient:
-    """Reads the store over one client. Safe for many threads."""
+    """Reads and writes the store over one client. Safe for many threads.
+
+    ``note_call`` takes the kind of each call (newest, read, append) and whether
+    the store answered it.
+    """
 
-    def __init__(self, client: EndpointClient, address: str) -> None:
+    def __init__(
+        self,
+        client: EndpointClient,
+        address: str,
+        note_call: Callable[[str, bool], None] = lambda call, is_ok: None,
+    ) -> None:
         self.client = client
         self.address = address
+        self.note_call = note_call
 
     def read_newest(
         self, topic: StoreTopic, timeout_s: float
@@ -74,7 +92,7 @@
             query = {"topic": topic.value, "part": "0"}
             if after is not None:
                 query["after"] = after
-            answered = self._get("/v1/log-newest", query, timeout_s)
+            answered = self._get(NEWEST_PATH, query, timeout_s)
             if answered.is_err():
                 return Err(answered.unwrap_err())
             try:
@@ -125,7 +143,7 @@
         """Return the end of a topic's log, read from an offset."""
         query = {"topic": topic, "part": "0", "from": str(offset), "wait_ms": "0"}
         target = Target(self.address, "GET", f"/v1/log-read?{urlencode(query)}")
-        result = self.client.exchange(target, None, {}, timeout_s)
+        result = self._exchange("read", target, timeout_s)
         if result.is_err():
             return Err(StoreUnavailableError(str(result.unwrap_err().error)))
         answer = result.unwrap()
@@ -159,9 +177,8 @@
     ) -> Result[int, StoreUnavailableError]:
         topic = query["topic"]
         target = Target(self.address, "POST", f"/v1/log-append?{urlencode(query)}")
-        result = self.client.exchange(
-            target, RECORD_LENGTH.pack(len(record)) + record, {}, timeout_s, fresh=True
-        )
+        body = RECORD_LENGTH.pack(len(record)) + record
+        result = self._exchange("append", target, timeout_s, body)
         if result.is_err():
             return Err(StoreUnavailableError(str(result.unwrap_err().error)))
         answer = result.unwrap()
@@ -170,11 +187,22 @@
             return Err(StoreUnavailableError(f"{topic}: status {answer.status}"))
         return Ok(offset)
 
+    def _exchange(
+        self, call: str, target: Target, timeout_s: float, body: bytes | None = None
+    ) -> Result[Answer, Failure]:
+        """Make one call and count it; a write goes out on a new connection."""
+        fresh = body is not None
+        result = self.client.exchange(target, body, {}, timeout_s, fresh=fresh)
+        is_ok = result.is_ok() and result.unwrap().status < SERVER_ERROR
+        self.note_call(call, is_ok)
+        return result
+
     def _get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> Result[bytes, StoreUnavailableError]:
         target = Target(self.address, "GET", f"{path}?{urlencode(query)}")
-        result = self.client.exchange(target, None, {}, timeout_s)
+        call = "newest" if path == NEWEST_PATH else "read"
+        result = self._exchange(call, target, timeout_s)
         if result.is_err():
             return Err(StoreUnavailableError(str(result.unwrap_err().error)))
         answer = result.unwrap()
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -548,3 +548,26 @@
     assert statuses == [504] * 40
     # On the first threads alone, five rounds of the route's timeout would pass.
     assert time.monotonic() - began < 4.0
+
+
+def test_metrics_tell_what_streams_met(fleet):
+    """Guards against complaints that logs alone have to explain."""
+    fleet.store.put("keyed.op", "config", configuration(9))
+    wait_until(lambda: b'"version":9' in fleet.log.read_bytes(), ENTRY_LIMIT_S)
+    assert fleet.caption().status == 200
+    fleet.decode.faults.add("no_room")
+    assert fleet.caption().status == 503
+    text = fleet.get("metrics", "/metrics").data.decode()
+    samples = dict(
+        line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#")
+    )
+    assert float(samples["poplarfold_routes_version"]) == 9
+    assert float(samples['poplarfold_leases_total{outcome="granted"}']) == 1
+    assert float(samples['poplarfold_leases_total{outcome="refused"}']) >= 1
+    assert float(samples['poplarfold_prefills_total{outcome="ok"}']) == 1
+    assert float(samples['poplarfold_slot_wait_seconds_count{outcome="placed"}']) == 1
+    assert float(samples['poplarfold_slot_wait_seconds_count{outcome="refused"}']) == 1
+    assert float(samples["poplarfold_stream_pause_seconds_count"]) == 1
+    assert float(samples['poplarfold_store_calls_total{call="read",outcome="ok"}']) > 0
+    assert float(samples["poplarfold_endpoints"]) == 4
+    assert float(samples['poplarfold_store_read_age_seconds{topic="endpoints"}']) < 4
--- /dev/null
+++ b/tests/unit/test_background_threads.py
@@ -0,0 +1,56 @@
+"""Background threads of a gateway."""
+
+import random
+from types import SimpleNamespace
+
+from result import Ok
+
+from poplarfold._internal.core.fleet.roles import StreamCost
+from poplarfold._internal.gateway import threads
+from poplarfold._internal.gateway.role_orders import RoleOrders
+
+
+def test_thread_runs_again_after_an_unexpected_exception(monkeypatch):
+    """Guards against a node that goes on with old routes, and says nothing,
+    after its reader of the store has ended."""
+    monkeypatch.setattr(threads, "RESTART_S", 0.0)
+    logged = []
+    attempts = iter([ValueError("odd record"), None])
+
+    def run():
+        error = next(attempts)
+        if error is not None:
+            raise error
+
+    def write_log(number, call_id, fields):
+        logged.append((number, "odd record" in fields["traceback"]))
+
+    threads.start_thread("reader", run, write_log).join(5.0)
+    assert logged == [("PF9002", True)]
+    assert next(attempts, "ended") == "ended"
+
+
+def test_wanted_role_change_reads_the_store_once_in_a_claim(monkeypatch):
+    """Guards against a read a second by each node while engines are short."""
+    now = 100.0
+    reads = []
+    fleet = SimpleNamespace(
+        host=SimpleNamespace(bounds=SimpleNamespace(lease_s=3.0)),
+        clock=lambda: now,
+        cost=StreamCost(),
+        rng=random.Random(1),
+    )
+
+    def read_end(topic, offset, timeout_s):
+        reads.append(now)
+        return Ok(1)
+
+    store = SimpleNamespace(read_end=read_end)
+    orders = RoleOrders(fleet, store, None, lambda number, call_id, fields: None)
+    monkeypatch.setattr(orders, "plan", lambda: ["change"])
+    monkeypatch.setattr(orders, "claim_and_order", lambda: None)
+    # Another node's claim is found by the first read and holds for 9 s.
+    for _ in range(11):
+        orders.look()
+        now += 1.0
+    assert reads == [102.0]
