--- a/src/poplarfold/_internal/logs/routes.py
+++ b/src/poplarfold/_internal/logs/routes.py
@@ -26,6 +26,11 @@
 CALL_ENDED = "PF1005"
 RECORDED_ANSWER = "PF1006"
 CANCEL_CONFIRMED = "PF1007"
+# Events of a gateway on the prepared platform.
+ENDPOINT_ANSWERED = "PF1102"
+ENDPOINT_FAILED = "PF1103"
+STREAM_COMPLETED = "PF1107"
+REQUEST_FAILED = "PF1109"
 
 
 class Route(NamedTuple):
@@ -139,6 +144,14 @@
             return f"answered with the recorded answer, status {fields.get('status')}"
         if row.event.number == CALL_REFUSED:
             return f"refused before any work: {fields.get('code')}"
+        if row.event.number == REQUEST_FAILED:
+            return f"failed with {fields.get('code')}: {as_text(fields.get('problem'))}"
+        if row.event.number == STREAM_COMPLETED:
+            length = f"{fields.get('events')} events, {seconds(fields.get('stream_s'))}"
+            return f"whole; {length}, pause {seconds(fields.get('pause_s'))}"
+        if row.event.number == ENDPOINT_ANSWERED:
+            where = fields.get("endpoint")
+            return f"answered by {where} with status {fields.get('status')}"
     return "no end was logged: the call runs, or its node died"
 
 
@@ -172,8 +185,10 @@
         yield from (f"    {line}" for line in lines)
     yield ""
     yield "attempts"
-    if not route.attempts:
+    exchanges = [text for row in route.events for text in exchange_lines(row, start)]
+    if not route.attempts and not exchanges:
         yield "  none"
+    yield from exchanges
     for row in route.attempts:
         fields = row.event.fields
         prefill = fields.get("prefill")
@@ -198,6 +213,20 @@
         )
 
 
+def exchange_lines(row: TimedEvent, start: float) -> Iterator[str]:
+    """Yield how an attempt of a gateway at an endpoint went, if the event tells."""
+    fields = row.event.fields
+    where = f"  {offset(row, start)} {as_text(fields.get('endpoint'))}"
+    if row.event.number == ENDPOINT_ANSWERED:
+        answer = (
+            f"status {fields.get('status')} after {seconds(fields.get('answer_s'))}"
+        )
+        yield f"{where}: {answer}{', not run' if fields.get('not_run') else ''}"
+    elif row.event.number == ENDPOINT_FAILED:
+        outcome = "may have run" if fields.get("sent") else "not run"
+        yield f"{where}: {as_text(fields.get('problem'))}, {outcome}"
+
+
 def first_output(route: Route, attempt: object) -> str:
     """Return when an attempt gave its first output."""
     for row in route.events:
--- a/tests/unit/test_timeline.py
+++ b/tests/unit/test_timeline.py
@@ -172,3 +172,25 @@
     assert main(["timeline", log, "--html", str(page)]) == 0
     assert "c-2" in page.read_text()
     assert main(["timeline", str(tmp_path / "no")]) == StatusCode.INVALID_FILE
+
+
+def test_a_request_of_a_gateway_is_explained_by_its_id(tmp_path):
+    """Guards against a route that says that nothing was logged of a request on
+    the prepared platform."""
+    node = Clocks("front-lhr-a-1", 0.0)
+    node.write(0.0, "PF1101", "cut", route="abstract", service="llm", version=2)
+    node.write(0.1, "PF1102", "cut", endpoint="i-1", status=200, answer_s=0.064)
+    problem = "connection reset"
+    node.write(0.2, "PF1103", "cut", endpoint="i-1", problem=problem, sent=True)
+    node.write(0.2, "PF1109", "cut", code="endpoint_error", problem=problem)
+    node.write(0.3, "PF1102", "plain", endpoint="i-2", status=500, answer_s=0.02)
+    node.write(0.4, "PF1107", "whole", events=9, stream_s=1.5, pause_s=0.1)
+    line = merged(tmp_path, node)
+    text = "\n".join(route_lines(find_route(line, "cut")))
+    assert text.startswith("call cut: failed with endpoint_error: connection reset")
+    assert "+0.1000 s i-1: status 200 after 0.064 s" in text
+    assert "+0.2000 s i-1: connection reset, may have run" in text
+    assert find_route(line, "plain").outcome == "answered by i-2 with status 500"
+    assert (
+        find_route(line, "whole").outcome == "whole; 9 events, 1.500 s, pause 0.100 s"
+    )
