Let a request at the soak's stand-ins meet one set of faults

The stand-in noted the run, worked for 10 ms and then answered as not run, because the fault had begun meanwhile; the node's log shows that answer after 13 ms.

Change: a stand-in decides once for a request, and its answer's body names the same request as its header.

Ruled out: the gateway; it passed on two answers that said not run.

--- a/tests/functional/gateway_soak/backends.py
+++ b/tests/functional/gateway_soak/backends.py
@@ -1,7 +1,6 @@
 """The stand-ins of the platform, with what the soak adds to them."""
 
 import time
-from typing import Any
 
 from tests.functional.gateway_soak.proxy import Link, LinkMode
 from tests.functional.gateway_soak.records import Arrival, Records, total_events
@@ -86,28 +85,13 @@
         self.note(headers, ran=False, is_prefill=True)
         super().prefill(request, headers, number)
 
-    def run(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
-        runs = "not_run" not in self.faults
-        request_id = self.note(headers, runs, is_prefill=False)
-        if not runs:
-            request.answer(503, b"", {"Poplarfold-Not-Executed": "1"})
-            return
-        time.sleep(self.work_s)
-        answered_id = "0000" if "foreign" in self.faults else request_id
-        whole = f"answer for {answered_id}".encode()
-        request.answer = self.answer_with(request, whole)  # type: ignore[method-assign]
-        super().run(request, headers, body)
-        del request.answer
-
-    def answer_with(self, request: Handler, whole: bytes) -> Any:
-        """Return an answer() that puts the request's id into a success."""
-
-        def answer(
-            status: int, body: bytes = b"", headers: dict[str, str] | None = None
-        ) -> None:
-            Handler.answer(request, status, whole if status == 200 else body, headers)
-
-        return answer
+    def note_arrival(self, headers: dict[str, str], ran: bool) -> None:
+        self.note(headers, ran, is_prefill=False)
+        if ran:
+            time.sleep(self.work_s)
+
+    def whole_body(self, request_id: str) -> bytes:
+        return f"answer for {request_id}".encode()
 
     def stream(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
         if "not_run" in self.faults or "Poplarfold-Kv-Hold" not in headers:
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -294,27 +294,39 @@
             "Poplarfold-Server-Load": "1,0,4",
         }
 
+    def note_arrival(self, headers: dict[str, str], ran: bool) -> None:
+        """Take a call to a plain service, before its work begins."""
+
+    def whole_body(self, request_id: str) -> bytes:
+        """Return the body of a good answer to a request."""
+        return b"whole answer"
+
     def run(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
-        if "not_run" in self.faults:
+        # Faults that change meanwhile are for later calls.
+        faults = frozenset(self.faults)
+        self.note_arrival(headers, "not_run" not in faults)
+        if "not_run" in faults:
             request.answer(503, b"", {"Poplarfold-Not-Executed": "1"})
             return
         self.runs.append((request.command, request.path, headers, body))
-        if "silent" in self.faults:
+        if "silent" in faults:
             time.sleep(2.0)
             request.close_connection = True
-        elif "error" in self.faults:
+        elif "error" in faults:
             request.answer(500, b"failed", self.proof(headers))
-        elif "cut_head" in self.faults:
+        elif "cut_head" in faults:
             own = headers["Poplarfold-Request-Id"]
             head = f"HTTP/1.1 200 OK\r\nPoplarfold-Request-Id: {own}\r\n"
             request.cut(f"{head}Poplarfold-Server-Stamp: {STAMP}\r\nConte".encode())
-        elif "cut_body" in self.faults:
+        elif "cut_body" in faults:
             own = headers["Poplarfold-Request-Id"]
             head = f"HTTP/1.1 200 OK\r\nPoplarfold-Request-Id: {own}\r\n"
             head += f"Poplarfold-Server-Stamp: {STAMP}\r\nContent-Length: 9\r\n\r\n"
             request.cut(head.encode() + b"ha")
         else:
-            request.answer(200, b"whole answer", self.proof(headers))
+            proof = self.proof(headers)
+            whole = self.whole_body(proof["Poplarfold-Request-Id"])
+            request.answer(200, whole, proof)
 
     def stream(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
         self.leases.discard(headers.get("Poplarfold-Kv-Hold", ""))
