--- a/tests/functional/gateway_soak/__main__.py
+++ b/tests/functional/gateway_soak/__main__.py
@@ -28,7 +28,7 @@
 # The nodes have counted each other by then, so that retries are divided.
 COUNTED_S = 6.0
 SETTLE_S = 2.0
-HEARTBEAT_S = 0.5
+LOOK_S = 0.5
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -59,8 +59,8 @@
     return plain + engines
 
 
-class Heartbeats(threading.Thread):
-    """Has the processes checked and their logs read while the soak runs."""
+class ProcessWatch(threading.Thread):
+    """Looks whether processes have ended by themselves."""
 
     def __init__(self, nodes: list[Node]) -> None:
         super().__init__(daemon=True)
@@ -69,7 +69,7 @@
 
     def run(self) -> None:
         """Check until told to stop."""
-        while not self.stopping.wait(HEARTBEAT_S):
+        while not self.stopping.wait(LOOK_S):
             for node in self.nodes:
                 node.check_running()
 
@@ -150,8 +150,8 @@
         Caller(options.seed * 1000 + number, nodes, records)
         for number in range(options.callers)
     ]
-    heartbeats = Heartbeats(nodes)
-    threads = [*callers, *watchers, heartbeats]
+    watch = ProcessWatch(nodes)
+    threads = [*callers, *watchers, watch]
     for thread in threads:
         thread.start()
     faults.run(options.seconds)
--- a/tests/functional/gateway_soak/backends.py
+++ b/tests/functional/gateway_soak/backends.py
@@ -9,7 +9,6 @@
 __all__ = ["SoakEndpoint", "SoakStore"]
 
 EVENT_PERIOD_S = 0.03
-HEARTBEAT_S = 0.5
 
 
 class SoakStore(StoreStandIn):
--- a/tests/functional/gateway_soak/faults.py
+++ b/tests/functional/gateway_soak/faults.py
@@ -100,13 +100,13 @@
     def span(
         self, kind: str, where: str = "", is_planned: bool = False
     ) -> Iterator[None]:
-        """Record the time that a fault takes."""
-        start = time.monotonic()
-        # Seen by checks even while the fault lasts.
+        """Record the time that a fault takes; until it ends, it has no end."""
+        row = Span(kind, time.monotonic(), float("inf"), where, is_planned)
+        self.records.add(row)
         try:
             yield
         finally:
-            self.records.add(Span(kind, start, time.monotonic(), where, is_planned))
+            self.records.end_span(row, time.monotonic())
 
     def wait(self, low_s: float, high_s: float) -> None:
         """Wait for a random time."""
--- a/tests/functional/gateway_soak/records.py
+++ b/tests/functional/gateway_soak/records.py
@@ -76,6 +76,12 @@
             else:
                 self.spans.append(row)
 
+    def end_span(self, span: Span, end: float) -> None:
+        """Note when a fault has ended."""
+        with self.lock:
+            self.spans.remove(span)
+            self.spans.append(span._replace(end=end))
+
     def violate(self, promise: str, detail: str) -> None:
         """Note a broken promise."""
         with self.lock:
@@ -83,10 +89,12 @@
 
     def is_disturbed(self, start: float, end: float, node: str) -> bool:
         """Return whether an unplanned fault touched a node between two times."""
+        with self.lock:
+            spans = list(self.spans)
         return any(
             not span.is_planned
             and span.where in ("", node)
             and span.start <= end
             and span.end >= start
-            for span in self.spans
+            for span in spans
         )
