--- a/tests/functional/gateway_soak/nodes.py
+++ b/tests/functional/gateway_soak/nodes.py
@@ -1,8 +1,10 @@
 """Router processes that the soak starts, signals and ends, by their own ids."""
 
+import contextlib
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +18,8 @@
 __all__ = ["Node", "free_port"]
 
 ROOT = Path(__file__).resolve().parents[3]
+# Below the range from which the kernel takes ports for connections.
+PORTS = (15_000, 32_000)
 GRACE_S = 4.0
 # Nobody handles a signal until the interpreter runs the program's first line.
 INTERPRETER_START_S = 0.5
@@ -31,10 +35,16 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on at the moment."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that nobody listens on at the moment.
+
+    Ports of the kernel's own choice may be taken by another process before the
+    node listens, as CI beside other runs has shown.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 class Node:
