Share the tests' ports and boot file, and drop a flag that nothing read

Cause: reading the change once more. FaultMaker set a flag that nothing read.

Assertions are unchanged.

--- a/tests/functional/gateway_soak/faults.py
+++ b/tests/functional/gateway_soak/faults.py
@@ -55,7 +55,6 @@
         self.newest = self.older = b""
         self.steps: list[str] = []
         self.threads: list[threading.Thread] = []
-        self.stopping = threading.Event()
 
     def run(self, seconds: float, calm_s: float = 6.0, trouble_s: float = 8.0) -> None:
         """Make faults for a while, and heal everything at the end."""
@@ -66,7 +65,6 @@
             if left_s > trouble_s:
                 self.play(self.trouble_steps(), trouble_s)
                 time.sleep(STABLE_S)
-        self.stopping.set()
         for thread in self.threads:
             thread.join()
 
--- a/tests/functional/gateway_soak/nodes.py
+++ b/tests/functional/gateway_soak/nodes.py
@@ -1,12 +1,9 @@
 """Router processes that the soak starts, signals and ends, by their own ids."""
 
-import contextlib
 import http.client
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -14,12 +11,12 @@
 
 from tests.functional.gateway_soak.proxy import Link
 from tests.functional.gateway_soak.records import Records
+from tests.lib.platform_standin import boot_fields
+from tests.lib.ports import free_port
 
-__all__ = ["Node", "free_port"]
+__all__ = ["Node"]
 
 ROOT = Path(__file__).resolve().parents[3]
-# Below the range from which the kernel takes ports for connections.
-PORTS = (15_000, 32_000)
 GRACE_S = 4.0
 # Nobody handles a signal until the interpreter runs the program's first line.
 INTERPRETER_START_S = 0.5
@@ -34,19 +31,6 @@
 }
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on at the moment.
-
-    Ports of the kernel's own choice may be taken by another process before the
-    node listens, as CI beside other runs has shown.
-    """
-    while True:
-        port = random.randrange(*PORTS)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-
-
 class Node:
     """One host of the router. ``life`` counts the starts of its process."""
 
@@ -67,29 +51,14 @@
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
         self.settings.write_text(f"metrics_port = {self.ports['metrics']}\n")
-        self.boot.write_text(json.dumps(self.boot_fields()))
+        fields = boot_fields(self.name, self.ports, self.store_link.address, BOUNDS)
+        self.boot.write_text(json.dumps(fields))
         self.life = 0
         self.started_at = self.signalled_at = 0.0
         self.process: subprocess.Popen[bytes] | None = None
         # Whether the soak itself has ended the process.
         self.is_stopped = True
 
-    def boot_fields(self) -> dict[str, object]:
-        """Return the settings that the platform writes for this host."""
-        address = {name: f"127.0.0.1:{port}" for name, port in self.ports.items()}
-        return {
-            "node_name": self.name,
-            "zone": "lhr-a",
-            "region": "lahore",
-            "ip": "127.0.0.1",
-            "zones": {"lhr-a": "lahore", "khi-a": "karachi"},
-            "listen": {"front": address["front"], "ready": address["ready"]},
-            "port_range": [0, 0],
-            "limits": {"memory_mb": 150},
-            "bounds": BOUNDS,
-            "platform": {"address": self.store_link.address},
-        }
-
     def start(self) -> None:
         """Start the process."""
         program = [str(ROOT / "poplarfold_gateway.py")]
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -15,20 +15,16 @@
 from tests.lib.platform_standin import (
     EndpointStandIn,
     StoreStandIn,
+    boot_fields,
     configuration,
 )
+from tests.lib.ports import free_port
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_LIMIT_S = 15.0
 ENTRY_LIMIT_S = 4.0
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Fleet:
     """One process of the router with a store, an engine pair and two services."""
 
@@ -51,19 +47,9 @@
         self.start()
 
     def boot_fields(self):
-        address = {name: f"127.0.0.1:{port}" for name, port in self.ports.items()}
-        return {
-            "node_name": "front-lhr-a-1",
-            "zone": "lhr-a",
-            "region": "lahore",
-            "ip": "127.0.0.1",
-            "zones": {"lhr-a": "lahore", "khi-a": "karachi"},
-            "listen": {"front": address["front"], "ready": address["ready"]},
-            "port_range": [0, 0],
-            "limits": {"memory_mb": 150},
-            "bounds": {"grace_s": 6},
-            "platform": {"address": self.store.address},
-        }
+        return boot_fields(
+            "front-lhr-a-1", self.ports, self.store.address, {"grace_s": 6}
+        )
 
     def announce(self, endpoint, service, **changes):
         entry = endpoint.entry(service, **changes)
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -361,6 +361,25 @@
             self.open_streams -= 1
 
 
+def boot_fields(
+    name: str, ports: dict[str, int], store_address: str, bounds: dict[str, Any]
+) -> dict[str, Any]:
+    """Return the settings that the platform writes for a host's process."""
+    address = {listener: f"127.0.0.1:{port}" for listener, port in ports.items()}
+    return {
+        "node_name": name,
+        "zone": "lhr-a",
+        "region": "lahore",
+        "ip": "127.0.0.1",
+        "zones": {"lhr-a": "lahore", "khi-a": "karachi"},
+        "listen": {"front": address["front"], "ready": address["ready"]},
+        "port_range": [0, 0],
+        "limits": {"memory_mb": 150},
+        "bounds": bounds,
+        "platform": {"address": store_address},
+    }
+
+
 STREAMED = {"sticky": True, "resumable": True, "timeout_ms": 14000}
 
 
