Bound answers that are bytes without end, in time and in memory

Cause: a socket's timeout starts anew with each byte. An endpoint (or the store) that sent a byte now and then, or a head, chunk framing or trailers without end, held a call far beyond its timeout. A stream whose bytes contained no end of an event grew in memory until the caller left, and each read searched all of it again. For a stream, any bytes counted as progress.

Change: buffered reads of the endpoint client end at the deadline of the call; an event of more than 1 MB is a typed error; a stream that can be resumed must complete an event within its idle timeout, any other stream runs until its deadline as before; an error answer of a stream is limited like other answers.

Ruled out: a shorter timeout for each read, which would cut slow but sound answers (a test keeps them).

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -27,6 +27,7 @@
 )
 
 __all__ = [
+    "ANSWER_LIMIT_BYTES",
     "AbortHandle",
     "Answer",
     "EndpointClient",
@@ -155,11 +156,35 @@
                 self.fp = reader.source
 
 
+class DeadlineSocket(socket.socket):
+    """A socket whose buffered reads end at a deadline.
+
+    A timeout of a socket starts anew with each byte, so that an endpoint which sends a
+    byte now and then, or a head without end, would never exceed it. ``deadline`` is in
+    monotonic seconds, or None without one.
+    """
+
+    deadline: float | None = None
+
+    def recv_into(self, *arguments: Any) -> int:
+        """Read like ``socket.recv_into``. Raises TimeoutError at the deadline."""
+        if self.deadline is not None:
+            left_s = self.deadline - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError("timed out")
+            self.settimeout(left_s)
+        return super().recv_into(*arguments)
+
+
 class EndpointConnection(HTTPConnection):
-    """A connection whose responses must have complete heads."""
+    """A connection whose responses must have complete heads, before a deadline."""
 
     response_class = StrictHeadResponse
 
+    def _new_conn(self) -> socket.socket:
+        sock = super()._new_conn()
+        return DeadlineSocket(sock.family, sock.type, sock.proto, sock.detach())
+
 
 class EndpointStream:
     """The body of a response, read as it arrives.
@@ -195,10 +220,14 @@
         self.buffered = response.fp.read1(READ_BYTES) or b""
 
     def read(self) -> Result[bytes, Failure]:
-        """Wait for bytes and return them; empty at the end of the body."""
+        """Wait for bytes and return them; empty at the end of the body.
+
+        The framing of chunks counts as no bytes.
+        """
+        deadline = time.monotonic() + self.idle_timeout_s
         while not self.ended:
             try:
-                self.sock.settimeout(self.idle_timeout_s)
+                self.sock.settimeout(max(0.001, deadline - time.monotonic()))
                 data = self._decode_body(self.buffered or self.sock.recv(READ_BYTES))
             except (OSError, ValueError) as error:
                 return Err(failure_of(error, self.address, sent=True))
@@ -329,6 +358,8 @@
         except NETWORK_ERRORS as error:
             connection.close()
             return Err(failure_of(error, target.address, sent=True))
+        if isinstance(sock, DeadlineSocket):
+            sock.deadline = None
         stream = EndpointStream(
             connection, sock, response, target.address, idle_timeout_s
         )
@@ -463,6 +494,8 @@
                     return Failure(EndpointError("the attempt was aborted"), False)
             if sock is not None:
                 sock.settimeout(timeout_s)
+            if isinstance(sock, DeadlineSocket):
+                sock.deadline = time.monotonic() + timeout_s
             connection.timeout = timeout_s
             sent = True
             connection.request(
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -400,6 +400,12 @@
     code = "platform_format"
 
 
+class EventTooLongError(EndpointError):
+    """An endpoint sent bytes that contain no end of an event."""
+
+    code = "event_too_long"
+
+
 class ListenError(PoplarfoldError):
     """A listener of this process could not be opened."""
 
--- a/src/poplarfold/_internal/gateway/events.py
+++ b/src/poplarfold/_internal/gateway/events.py
@@ -2,10 +2,15 @@
 
 import re
 
+from poplarfold._internal.exceptions import EventTooLongError
+
 __all__ = ["EventSplitter"]
 
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+# The longest end of an event, without its last byte.
+EVENT_END_OVERLAP_BYTES = 3
+EVENT_MAX_BYTES = 1_000_000
 
 
 class EventSplitter:
@@ -24,13 +29,21 @@
         self.events = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events that are now complete, and buffer the rest."""
+        """Return the events that are now complete, and buffer the rest.
+
+        Raises EventTooLongError if the rest exceeds EVENT_MAX_BYTES: a faulty endpoint
+        may send bytes without end that are no events.
+        """
         buffer = self.rest + data
         end = 0
-        for match in EVENT_END.finditer(buffer):
+        searched = max(0, len(self.rest) - EVENT_END_OVERLAP_BYTES)
+        for match in EVENT_END.finditer(buffer, searched):
             end = match.end()
             self.events += 1
         whole, self.rest = buffer[:end], buffer[end:]
+        if len(self.rest) > EVENT_MAX_BYTES:
+            self.rest = b""
+            raise EventTooLongError(f"an event exceeds {EVENT_MAX_BYTES} bytes")
         ids = EVENT_ID.findall(whole)
         if ids:
             self.last_id = ids[-1].decode("latin-1").strip()
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -1,15 +1,21 @@
 """Model output streams: relayed event by event, and resumed after a failure."""
 
+from result import Err, Result
+
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.daemon.endpoint_client import (
+    ANSWER_LIMIT_BYTES,
     AbortHandle,
     EndpointStream,
+    Failure,
     Target,
 )
 from poplarfold._internal.exceptions import (
     EndpointError,
     EndpointRefusedError,
+    EndpointStalledError,
+    EventTooLongError,
     NotRunError,
     PoplarfoldError,
     ResponseMismatchError,
@@ -177,8 +183,9 @@
                 self.record_refusal(prepared)
                 raise EndpointRefusedError(f"{endpoint.address} refused the stream")
             return self.relay_failure(stream, endpoint, started_at)
+        progress_at = started_at
         while not stream.ended:
-            result = stream.read()
+            result = self.read_stream(stream, progress_at)
             self.context.check_caller()
             if result.is_err():
                 failure = result.unwrap_err()
@@ -187,14 +194,13 @@
                 self.splitter.restart()
                 context.remaining_s()
                 raise failure.error
-            event_bytes = self.splitter.feed(result.unwrap())
+            event_bytes = self.split_events(result.unwrap(), endpoint)
             if stream.ended and not stream.is_truncated:
                 event_bytes += self.splitter.rest
                 self.splitter.restart()
             if event_bytes:
+                progress_at = boot_time()
                 self.send_events(stream, event_bytes, prepared, started_at)
-            if not stream.ended:
-                stream.idle_timeout_s = self.read_timeout_s(self.settings.silence_s)
         if stream.is_truncated:
             self.fleet.record_answer(endpoint, started_at, ok=False)
             self.splitter.restart()
@@ -218,6 +224,32 @@
         )
         return True
 
+    def read_stream(
+        self, stream: EndpointStream, progress_at: float
+    ) -> Result[bytes, Failure]:
+        """Read bytes of a stream that sent its last whole event at ``progress_at``.
+
+        Bytes that complete no event are no progress. Without progress, a stream that
+        can be resumed ends after the timeout, any other one at the deadline.
+        """
+        settings = self.settings
+        usual_s = settings.silence_s if self.has_started else settings.first_output_s
+        idle_s = usual_s - (boot_time() - progress_at)
+        if self.context.route.resumable and idle_s <= 0:
+            stalled = EndpointStalledError(f"{stream.address} completes no event")
+            return Err(Failure(stalled, sent=True))
+        stream.idle_timeout_s = self.read_timeout_s(idle_s)
+        return stream.read()
+
+    def split_events(self, data: bytes, endpoint: FleetEndpoint) -> bytes:
+        """Return the events that are complete now. Raises EventTooLongError."""
+        try:
+            return self.splitter.feed(data)
+        except EventTooLongError as error:
+            self.fleet.record_unresponsive(endpoint)
+            self.context.log_failure(endpoint.endpoint_id, error, True)
+            raise
+
     def record_pace(self, started_at: float) -> None:
         """Record the expected duration of a stream once its pace is known."""
         call = self.context.call
@@ -302,12 +334,16 @@
         ok = stream.status < 500
         self.fleet.record_answer(endpoint, started_at, ok, metadata.load)
         parts = []
+        size = 0
         while not stream.ended:
             result = stream.read()
             self.context.check_caller()
             if result.is_err():
                 raise result.unwrap_err().error
             parts.append(result.unwrap())
+            size += len(parts[-1])
+            if size > ANSWER_LIMIT_BYTES:
+                raise EndpointError(f"the answer exceeds {ANSWER_LIMIT_BYTES} bytes")
         if stream.is_truncated or self.has_started:
             raise EndpointError("the answer was truncated")
         if stream.status >= 500 and context.route.resumable:
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -217,6 +217,36 @@
     assert ids == [f"id: {n}" for n in range(1, 6)]
 
 
+def test_stream_that_completes_no_event_is_resumed(fleet):
+    """Guards against a stalled stream that never ends because it sends a byte now and
+    then."""
+    fleet.wait_counted()
+    second = EndpointStandIn("i-decode-2", "decode")
+    fleet.announce(second, "llm")
+    # The first stream fails at either engine, and the next one at neither.
+    second.faults = fleet.decode.faults
+    second.faults.add("drip_stream")
+    started = time.monotonic()
+    try:
+        answer = fleet.caption()
+    finally:
+        second.stop()
+    ids = [line for line in answer.data.decode().split("\n") if line.startswith("id")]
+    assert ids == [f"id: {n}" for n in range(1, 6)]
+    assert time.monotonic() - started < 6.0
+
+
+@pytest.mark.parametrize("fault", ["drip", "endless_head"])
+def test_answer_without_end_ends_with_the_route_timeout(fleet, fault):
+    """Guards against calls that an endpoint holds by sending a byte now and then."""
+    for endpoint in fleet.plain:
+        endpoint.faults.add(fault)
+    started = time.monotonic()
+    answer = fleet.call("POST", "/filing/1", body=b"x")
+    assert answer.status in (502, 504)
+    assert time.monotonic() - started < 2.0
+
+
 def test_filing_is_sent_once(fleet):
     """Guards against a filing that runs twice, or ran and is reported as not run."""
     for endpoint in fleet.plain:
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -214,6 +214,9 @@
     no_room      refuses leases
     cut_stream   truncates the next stream half-way
     lost_handle  rejects streams that refer to the result of a prefill
+    drip         sends a byte of the body now and then
+    drip_stream  starts a stream and then sends bytes that complete no event
+    endless_head sends headers without end
     reset_kept   resets requests on a connection that was used before
     """
 
@@ -331,6 +334,10 @@
             own = headers["Poplarfold-Request-Id"]
             head = f"HTTP/1.1 200 OK\r\nPoplarfold-Request-Id: {own}\r\n"
             request.cut(f"{head}Poplarfold-Server-Stamp: {STAMP}\r\nConte".encode())
+        elif "drip" in faults:
+            self.send_without_end(request, b"HTTP/1.1 200 OK\r\n\r\n", b"x", 0.1)
+        elif "endless_head" in faults:
+            self.send_without_end(request, b"HTTP/1.1 200 OK\r\nX-A: ", b"x" * 20, 0.01)
         elif "cut_body" in faults:
             own = headers["Poplarfold-Request-Id"]
             head = f"HTTP/1.1 200 OK\r\nPoplarfold-Request-Id: {own}\r\n"
@@ -341,6 +348,21 @@
             whole = self.whole_body(proof["Poplarfold-Request-Id"])
             request.answer(200, whole, proof)
 
+    def send_without_end(
+        self, request: Handler, head: bytes, part: bytes, pause_s: float
+    ) -> None:
+        """Send a head and then the same bytes again and again, for 20 s at most."""
+        request.close_connection = True
+        ends_at = time.monotonic() + 20.0
+        try:
+            request.wfile.write(head)
+            while time.monotonic() < ends_at:
+                request.wfile.write(part)
+                request.wfile.flush()
+                time.sleep(pause_s)
+        except OSError:
+            return
+
     def stream(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
         self.leases.discard(headers.get("Poplarfold-Kv-Hold", ""))
         has_source = "Poplarfold-Kv-Source" in headers
@@ -363,6 +385,10 @@
                     self.faults.discard("cut_stream")
                     request.cut(b"7\r\nid: 3\n")
                     return
+                if "drip_stream" in self.faults and number > self.events // 2:
+                    self.faults.discard("drip_stream")
+                    self.send_without_end(request, b"", b"1\r\nx\r\n", 0.1)
+                    return
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
                 request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
                 request.wfile.flush()
