Do not estimate the pace of a stream that adds no event

Cause, found while reading the change: the estimate divided by the events since the first bytes of a stream. A stream whose first bytes hold at least three events and whose last bytes complete none divided by zero, after its caller had everything but the end. Ruled out for other streams: each later part holds at least one whole event. The estimate is a function of its own with a test.

--- a/src/poplarfold/_internal/core/fleet/stream_cost.py
+++ b/src/poplarfold/_internal/core/fleet/stream_cost.py
@@ -9,7 +9,12 @@
 
 from poplarfold._internal.core.fleet.relay_messages import CostReport
 
-__all__ = ["OWN_PREFILL_SLOWDOWN", "StreamCost", "merge_costs"]
+__all__ = [
+    "OWN_PREFILL_SLOWDOWN",
+    "StreamCost",
+    "expected_stream_s",
+    "merge_costs",
+]
 
 # A decode engine takes this many times as long for a prefill as a prefill engine, as
 # the platform's protocol says.
@@ -138,6 +143,19 @@
     return average + weight * (value - average)
 
 
+def expected_stream_s(
+    first_s: float, elapsed_s: float, events: int, expected_events: float
+) -> float | None:
+    """Return how long a stream will take by its pace so far, or None if unknown.
+
+    Its first events came after ``first_s``, and ``events`` more of them within
+    ``elapsed_s`` after that. A stream may end with bytes that complete no event.
+    """
+    if events <= 0:
+        return None
+    return first_s + elapsed_s / events * expected_events
+
+
 def merge_costs(costs: Iterable[StreamCost]) -> StreamCost:
     """Combine what several nodes have learned, weighted by their recent samples.
 
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -3,6 +3,7 @@
 from result import Err, Result
 
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
+from poplarfold._internal.core.fleet.stream_cost import expected_stream_s
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.daemon.endpoint_client import (
     ANSWER_LIMIT_BYTES,
@@ -259,12 +260,14 @@
         self.is_pace_recorded = True
         if self.context.details is None or not call.expected_outputs:
             return
-        first_s = self.first_sent_at - started_at
-        per_event_s = (self.last_sent_at - self.first_sent_at) / (
-            self.splitter.events - self.first_events
+        stream_s = expected_stream_s(
+            self.first_sent_at - started_at,
+            self.last_sent_at - self.first_sent_at,
+            self.splitter.events - self.first_events,
+            call.expected_outputs / self.context.details.outputs_per_event,
         )
-        events = call.expected_outputs / self.context.details.outputs_per_event
-        self.fleet.record_pace(first_s + per_event_s * events, self.setup.lease_tokens)
+        if stream_s is not None:
+            self.fleet.record_pace(stream_s, self.setup.lease_tokens)
 
     def record_end(self, stream_s: float) -> None:
         """Record a completed stream's duration and outputs."""
--- a/tests/unit/test_fleet_decisions.py
+++ b/tests/unit/test_fleet_decisions.py
@@ -39,7 +39,11 @@
     Service,
     WeightedService,
 )
-from poplarfold._internal.core.fleet.stream_cost import StreamCost, merge_costs
+from poplarfold._internal.core.fleet.stream_cost import (
+    StreamCost,
+    expected_stream_s,
+    merge_costs,
+)
 from poplarfold._internal.core.model import EndpointRole
 
 REGIONS = {"lhr-a": "lahore", "lhr-b": "lahore", "khi-a": "karachi"}
@@ -547,6 +551,15 @@
         assert 0.8 < cost.prefill_s < 1.1
 
 
+def test_pace_of_a_stream_that_adds_no_event_is_unknown():
+    """Guards against a stream that fails at its end with a division by zero.
+
+    Its first bytes held all of its events, and the last ones complete none.
+    """
+    assert expected_stream_s(0.2, 0.5, 0, 70) is None
+    assert expected_stream_s(0.2, 0.5, 10, 70) == pytest.approx(3.7)
+
+
 def test_nodes_that_see_few_streams_learn_from_each_other():
     """Guards against large fleets in which no node ever learns the cost of a stream."""
     node = StreamCost().with_prefill(0.1, 5000).with_stream(3.0, 9000)
