--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -386,6 +386,7 @@
         first = int(headers.get("Last-Event-Id", "0")) + 1
         self.open_streams += 1
         time.sleep(self.first_event_s)
+        next_at = time.monotonic()
         try:
             for number in range(first, self.events + 1):
                 if "cut_stream" in self.faults and number > self.events // 2:
@@ -399,7 +400,10 @@
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
                 request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
                 request.wfile.flush()
-                time.sleep(self.event_period_s)
+                # Paced by the start of the stream, so that late wake-ups on a busy
+                # machine do not add up.
+                next_at += self.event_period_s
+                time.sleep(max(0.0, next_at - time.monotonic()))
             request.wfile.write(b"0\r\n\r\n")
         except OSError:
             request.close_connection = True
