--- a/src/poplarfold/_internal/core/fleet/directory.py
+++ b/src/poplarfold/_internal/core/fleet/directory.py
@@ -84,15 +84,6 @@
             self.usable_cache.clear()
         return EndpointChange(before, after)
 
-    def replace_endpoints(
-        self, found: dict[str, FleetEndpoint], now: float
-    ) -> list[EndpointChange]:
-        """Apply the complete list of entries; a missing entry counts as deleted."""
-        changes = [self.apply_endpoint(key, row, now) for key, row in found.items()]
-        for key in [key for key in self.endpoints if key not in found]:
-            changes.append(self.apply_endpoint(key, None, now))
-        return changes
-
     def is_expiry_grace_over(self, now: float) -> bool:
         """Return whether living endpoints have had time to announce themselves again.
 
