Log what a node knows of the store beside each decision

The logs could not tell the hypotheses about CONFIG and DRAIN apart. Each line of a routed, answered or failed attempt and of a configuration or endpoint that took effect now says how old the node's knowledge is, up to which offset, and from which source. New lines: a deletion that is held back (PF7108), a node that begins or ends to read a topic from the store itself (PF7109, PF7110), and a subscription to a relay (PF6404). No decision changes.

--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -95,6 +95,19 @@
         """Log a numbered event of this call."""
         self.services.write_log(number, self.call.request_id, fields)
 
+    def log_answer(
+        self, endpoint_id: str, status: int, not_run: bool, started_at: float
+    ) -> None:
+        """Log the start of an endpoint's answer to an attempt."""
+        self.log(
+            "PF1102",
+            endpoint=endpoint_id,
+            status=status,
+            not_run=not_run,
+            answer_s=round(boot_time() - started_at, 4),
+            known=self.services.fleet.describe_knowledge("endpoints"),
+        )
+
     def log_failure(
         self, endpoint_id: str, error: PoplarfoldError, maybe_sent: bool
     ) -> None:
@@ -105,4 +118,5 @@
             code=error.code,
             problem=str(error),
             sent=maybe_sent,
+            known=self.services.fleet.describe_knowledge("endpoints"),
         )
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -3,7 +3,7 @@
 import random
 import threading
 from collections.abc import Callable, Collection, Iterable
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 from poplarfold._internal.core.fleet.admission_queue import (
     AdmissionQueue,
@@ -42,7 +42,7 @@
 from poplarfold._internal.platform import HostSettings
 from poplarfold._internal.utils.clock import boot_time
 
-__all__ = ["Fleet", "MatchedRoute"]
+__all__ = ["Fleet", "KnowledgeFields", "MatchedRoute", "TopicKnowledge"]
 
 
 class MatchedRoute(NamedTuple):
@@ -54,6 +54,26 @@
     version: int
 
 
+class KnowledgeFields(TypedDict):
+    """What a node knows of a topic, as a field of log events."""
+
+    age_s: float
+    end: int
+    source: str
+
+
+class TopicKnowledge(NamedTuple):
+    """What a node knows of one topic of the store.
+
+    All records before the offset ``end`` were known at ``read_at``, in seconds of the
+    runtime's clock. ``source`` is the relay that sent the newest of them, or "store".
+    """
+
+    read_at: float
+    end: int
+    source: str
+
+
 class Fleet:
     """One node's view of routes and endpoints, and its own use of the endpoints."""
 
@@ -78,8 +98,8 @@
         self.admission_queue = AdmissionQueue(settings.door)
         self.presence = Presence(settings.unknown_nodes)
         self.budgets: dict[str, RetryBudget] = {}
-        # When each topic of the store was last read, by the topic's name.
-        self.topic_read_at: dict[str, float] = {}
+        # By the topic's name, see ``StoreTopic``.
+        self.knowledge: dict[str, TopicKnowledge] = {}
         # The cost of a stream as learned by this node, and by all nodes of its region.
         self.own_cost = StreamCost()
         self.region_cost = StreamCost()
@@ -122,9 +142,17 @@
                 0 if table is None else table.version,
                 self.presence.node_count(),
                 len(self.directory.endpoints),
-                {topic: now - at for topic, at in self.topic_read_at.items()},
+                {topic: now - row.read_at for topic, row in self.knowledge.items()},
             )
 
+    def describe_knowledge(self, topic: str) -> KnowledgeFields | None:
+        """Return the age, end and source of a topic for the log; None if unknown."""
+        row = self.knowledge.get(topic)
+        if row is None:
+            return None
+        age_s = round(self.clock() - row.read_at, 3)
+        return KnowledgeFields(age_s=age_s, end=row.end, source=row.source)
+
     def match(self, host: str, path: str) -> MatchedRoute:
         """Return the route of a call, with a service drawn by the route's weights.
 
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -75,6 +75,7 @@
             version=context.version,
             deadline_s=call.deadline_s,
             prompt_tokens=call.prompt_tokens,
+            known=fleet.describe_knowledge("routes"),
         )
         sock = exchange.connection.socket
         descriptor = self.services.watcher.watch(sock, context.on_caller_gone)
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -121,12 +121,8 @@
         self.fleet.record_answer(endpoint, started_at, ok, metadata.load)
         if metadata.is_other_endpoint:
             self.fleet.record_unresponsive(endpoint)
-        context.log(
-            "PF1102",
-            endpoint=endpoint.endpoint_id,
-            status=answer.status,
-            not_run=metadata.not_run,
-            answer_s=round(boot_time() - started_at, 4),
+        context.log_answer(
+            endpoint.endpoint_id, answer.status, metadata.not_run, started_at
         )
         return answer, NotRunError("all endpoints have refused the call")
 
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -249,10 +249,11 @@
                 )
                 await connection.send(pack(hello))
                 reporter = self.loop.create_task(self._report_costs(connection))
+                self.write_log("PF6404", None, {"relay": relay.host})
                 waits_for = "message"
                 while True:
                     async with asyncio.timeout(self.silence_s):
-                        await self._receive(connection)
+                        await self._receive(connection, relay.host)
                     self.choice.record_success(relay.host)
         except TimeoutError:
             problem = f"no {waits_for} in time"
@@ -266,7 +267,7 @@
         self.choice.record_failure(relay.host, self.fleet.clock())
         self.write_log("PF6402", None, {"relay": relay.host, "problem": problem})
 
-    async def _receive(self, connection: Any) -> None:
+    async def _receive(self, connection: Any, relay: str) -> None:
         """Receive messages up to the next records of a topic, and apply these."""
         while True:
             message = decode(await connection.recv())
@@ -281,6 +282,7 @@
                         message.end,
                         message.is_snapshot,
                         message.age_s,
+                        relay,
                     )
                 return
 
--- a/src/poplarfold/_internal/gateway/store_reader.py
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -2,7 +2,7 @@
 
 import threading
 from functools import partial
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
@@ -89,11 +89,14 @@
         failures = 0
         while not self.stopping.is_set():
             if not self.must_read(topic):
+                if is_reading:
+                    self.write_log("PF7110", None, self.reading_fields(topic))
                 is_reading = False
                 self.stopping.wait(RELAY_CHECK_PERIOD_S)
                 continue
             if not is_reading:
                 is_reading = True
+                self.write_log("PF7109", None, self.reading_fields(topic))
                 self.stopping.wait(self.fallback_delay_s())
                 continue
             offset = None if needs_snapshot else self.state.views[topic].end
@@ -127,6 +130,15 @@
             return self.fleet.clock() - self.started_at > START_WAIT_S
         return not self.state.is_current(topic)
 
+    def reading_fields(self, topic: StoreTopic) -> dict[str, Any]:
+        """Return the fields of the events on beginning and ending to read a topic."""
+        name = topic.name.lower()
+        return {
+            "topic": name,
+            "is_relay": self.relay_link.is_relay(),
+            "known": self.fleet.describe_knowledge(name),
+        }
+
     def fallback_delay_s(self) -> float:
         """Return a random delay before a node without current relays reads."""
         if self.relay_link.is_relay():
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -171,12 +171,8 @@
             self.is_unexecuted = False
             raise ResponseMismatchError("the answer does not belong to the request")
         self.is_unexecuted = self.is_unexecuted and metadata.not_run
-        context.log(
-            "PF1102",
-            endpoint=endpoint.endpoint_id,
-            status=stream.status,
-            not_run=metadata.not_run,
-            answer_s=round(boot_time() - started_at, 4),
+        context.log_answer(
+            endpoint.endpoint_id, stream.status, metadata.not_run, started_at
         )
         if stream.status != 200:
             self.setup.release(prepared)
--- a/src/poplarfold/_internal/gateway/topic_state.py
+++ b/src/poplarfold/_internal/gateway/topic_state.py
@@ -9,7 +9,7 @@
 from poplarfold._internal.core.fleet.relays import Member
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.exceptions import PlatformFormatError, PoplarfoldError
-from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.fleet import Fleet, KnowledgeFields, TopicKnowledge
 from poplarfold._internal.gateway.member_records import decode_member
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import (
@@ -21,6 +21,8 @@
 __all__ = ["TopicState"]
 
 ROUTES_KEY = "config"
+# The source of records that this node has read from the store itself.
+STORE_SOURCE = "store"
 # A topic is current for this share of the time within which its changes must be in
 # force. The rest is left for a read of the store by this node itself.
 CURRENT_SHARE = 0.75
@@ -69,8 +71,9 @@
         end: int,
         is_snapshot: bool,
         age_s: float | None = None,
+        source: str = STORE_SOURCE,
     ) -> None:
-        """Apply records, and publish what has changed.
+        """Apply records from a relay or from the store, and publish what has changed.
 
         ``age_s`` is the age of records that a relay has sent, and None for records that
         this node has just read. Only its own reads are published without a change: two
@@ -83,17 +86,18 @@
             else:
                 newer = view.newer(records)
             view.advance(end)
+            read_at = self.fleet.clock() - (age_s or 0.0)
+            self.current_at[topic] = max(read_at, self.current_at.get(topic, read_at))
+            with self.fleet.lock:
+                self.fleet.knowledge[topic.name.lower()] = TopicKnowledge(
+                    self.current_at[topic], view.end or 0, source
+                )
             if topic is StoreTopic.ROUTES:
                 changes = self._apply_routes(view, newer)
             elif topic is StoreTopic.ENDPOINTS:
                 changes = self._apply_endpoints(view, newer)
             else:
                 changes = self._apply_members(view, newer)
-            read_at = self.fleet.clock() - (age_s or 0.0)
-            self.current_at[topic] = max(read_at, self.current_at.get(topic, read_at))
-            with self.fleet.lock:
-                name = topic.name.lower()
-                self.fleet.topic_read_at[name] = self.current_at[topic]
             if topic is StoreTopic.ENDPOINTS and self.is_current(topic):
                 # Old records, from a relay that cannot read the store, are no sign
                 # that the store answers.
@@ -153,8 +157,16 @@
                 continue
             view.put(record.key, record.value)
             changes.append(record)
-            count = len(table.routes)
-            self.write_log("PF7106", None, {"version": table.version, "routes": count})
+            self.write_log(
+                "PF7106",
+                None,
+                {
+                    "version": table.version,
+                    "routes": len(table.routes),
+                    "offset": record.offset,
+                    "known": self._known(StoreTopic.ROUTES),
+                },
+            )
         return changes
 
     def _apply_endpoints(
@@ -175,8 +187,19 @@
                     view.put(record.key, record.value)
             self.fleet.remove_endpoint_stats([change for _, change in changes])
         effective = [pair for pair in changes if is_effective(pair[1])]
-        for _, change in effective:
-            self._log_change(change)
+        for record, change in changes:
+            if record.value is None and change.after is not None:
+                self.write_log(
+                    "PF7108",
+                    None,
+                    {
+                        "endpoint": record.key,
+                        "offset": record.offset,
+                        "known": self._known(StoreTopic.ENDPOINTS),
+                    },
+                )
+        for record, change in effective:
+            self._log_change(record, change)
         return [record for record, _ in effective]
 
     def _apply_members(
@@ -233,7 +256,11 @@
             self.write_log("PF7105", None, {"problem": str(error)})
             return None
 
-    def _log_change(self, change: EndpointChange) -> None:
+    def _known(self, topic: StoreTopic) -> KnowledgeFields | None:
+        """Return what this node knows of a topic, for the log."""
+        return self.fleet.describe_knowledge(topic.name.lower())
+
+    def _log_change(self, record: ViewRecord, change: EndpointChange) -> None:
         """Log a change of an endpoint."""
         row = change.after or change.before
         if row is None:
@@ -249,6 +276,8 @@
                 "role": row.role.value,
                 "born": row.incarnation,
                 "state": "gone" if change.after is None else state,
+                "offset": record.offset,
+                "known": self._known(StoreTopic.ENDPOINTS),
             },
         )
 
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -307,19 +307,20 @@
     EventKind(
         "PF1101",
         "request_routed",
-        ("route", "service", "version", "deadline_s", "prompt_tokens"),
-        "a request matched a route of this configuration",
+        ("route", "service", "version", "deadline_s", "prompt_tokens", "known"),
+        "a request matched a route of this configuration; known says how long ago it "
+        "was the newest one, up to which offset of its topic, and by which source",
     ),
     EventKind(
         "PF1102",
         "endpoint_answered",
-        ("endpoint", "status", "not_run", "answer_s"),
+        ("endpoint", "status", "not_run", "answer_s", "known"),
         "an endpoint started its response to a request",
     ),
     EventKind(
         "PF1103",
         "endpoint_failed",
-        ("endpoint", "code", "problem", "sent"),
+        ("endpoint", "code", "problem", "sent", "known"),
         "an attempt at an endpoint failed; if sent is true, it may have run",
     ),
     EventKind(
@@ -446,6 +447,12 @@
         ("problem",),
         "a subscriber sent a malformed message and was disconnected",
     ),
+    EventKind(
+        "PF6404",
+        "relay_subscribed",
+        ("relay",),
+        "the node is connected to a relay and waits for its records",
+    ),
     EventKind(
         "PF7101",
         "store_gap",
@@ -480,15 +487,35 @@
     EventKind(
         "PF7106",
         "routes_in_force",
-        ("version", "routes"),
+        ("version", "routes", "offset", "known"),
         "this configuration is now in force on this node",
     ),
     EventKind(
         "PF7107",
         "endpoint_changed",
-        ("endpoint", "service", "address", "role", "born", "state"),
+        ("endpoint", "service", "address", "role", "born", "state", "offset", "known"),
         "an endpoint was announced, changed, is leaving or was removed",
     ),
+    EventKind(
+        "PF7108",
+        "deletion_held",
+        ("endpoint", "offset", "known"),
+        "an entry was deleted during or shortly after an outage of the store; the "
+        "endpoint stays in use until it has had time to announce itself again",
+    ),
+    EventKind(
+        "PF7109",
+        "topic_reading_began",
+        ("topic", "is_relay", "known"),
+        "this node begins to read a topic from the store, as a relay or because no "
+        "relay has sent it recently",
+    ),
+    EventKind(
+        "PF7110",
+        "topic_reading_ended",
+        ("topic", "is_relay", "known"),
+        "relays send a topic again; this node no longer reads it from the store",
+    ),
     EventKind(
         "PF9001",
         "invariant_violated",
