--- /dev/null
+++ b/tests/functional/test_leaving_and_changes.py
@@ -0,0 +1,152 @@
+"""Tests of changes that must be in force on all nodes in time, whatever relays do."""
+
+import time
+
+import pytest
+from tests.lib.platform_standin import (
+    EndpointStandIn,
+    StoreStandIn,
+    configuration,
+    route,
+)
+from tests.lib.relay_nodes import BOUNDS, RelayNode, wait_for
+
+from poplarfold._internal.core.fleet.directory import EXPIRY_GRACE_S
+from poplarfold._internal.gateway.settings import GatewaySettings
+
+NODES = 6
+START_LIMIT_S = 10.0
+# How long a node may take to notice that a time has passed.
+NOTICE_S = 0.5
+# By how much the delay of messages grows each second.
+DELAY_RISE = 0.6
+
+
+@pytest.fixture
+def store():
+    found = StoreStandIn()
+    found.put("keyed.op", "config", configuration(version=7))
+    for endpoint_id in ("i-1", "i-2"):
+        entry = EndpointStandIn(endpoint_id).entry("registry")
+        found.put("keyed.servers", endpoint_id, entry)
+    yield found
+    found.stop()
+
+
+def started_nodes(store, count=NODES, settings=None):
+    """Nodes of one region that have known the store for longer than an outage lasts."""
+    found = [RelayNode(f"node-{n}", store, settings).start() for n in range(count)]
+    wait_for(lambda: all(node.routes_version() == 7 for node in found), START_LIMIT_S)
+    wait_for(lambda: len(relays(found)) == min(2, count), START_LIMIT_S)
+    time.sleep(EXPIRY_GRACE_S)
+    return found
+
+
+@pytest.fixture
+def nodes(store):
+    found = started_nodes(store)
+    yield found
+    for node in found:
+        node.stop()
+
+
+def relays(nodes):
+    return [node for node in nodes if node.link.is_relay()]
+
+
+def followers(nodes):
+    return [node for node in nodes if not node.link.is_relay()]
+
+
+def lose_store(node):
+    """Make a node believe that the store did not answer until now."""
+    with node.fleet.lock:
+        node.fleet.directory.set_store_status(False, node.fleet.clock())
+
+
+def has_logged(node, number):
+    return any(row[0] == number for row in node.logged)
+
+
+def delete_while_relays_hold(store, nodes):
+    """Delete i-1 while the relays take its deletion for the end of an outage."""
+    for node in relays(nodes):
+        lose_store(node)
+    store.put("keyed.servers", "i-1", None)
+    wait_for(
+        lambda: all(has_logged(node, "PF7108") for node in relays(nodes)),
+        BOUNDS.leaving_s,
+    )
+
+
+def test_deletion_that_relays_hold_back_outlives_them(store, nodes):
+    """Guards against followers that skip a deletion which their relays kept back."""
+    readers = relays(nodes)
+    living = followers(nodes)
+    delete_while_relays_hold(store, nodes)
+    for node in readers:
+        node.stop()
+    wait_for(
+        lambda: all(node.endpoint_ids() == {"i-2"} for node in living),
+        BOUNDS.leaving_s,
+    )
+
+
+def test_node_that_joins_during_a_held_deletion_learns_it(store, nodes):
+    """Guards against a snapshot that gives an old entry the offset of its deletion."""
+    delete_while_relays_hold(store, nodes)
+    joined = RelayNode("node-joined", store).start()
+    try:
+        wait_for(lambda: joined.endpoint_ids() != set(), START_LIMIT_S)
+        limit_s = EXPIRY_GRACE_S + BOUNDS.leaving_s
+        wait_for(lambda: joined.endpoint_ids() == {"i-2"}, limit_s)
+    finally:
+        joined.stop()
+
+
+def test_held_deletion_takes_effect_without_further_records(store):
+    """Guards against a deletion that waits for the next read after its time is over."""
+    (node,) = started_nodes(store, 1, GatewaySettings(endpoint_poll_share=2.0))
+    try:
+        lose_store(node)
+        store.put("keyed.servers", "i-1", None)
+        wait_for(lambda: has_logged(node, "PF7108"), 4 * BOUNDS.leaving_s)
+        wait_for(lambda: node.endpoint_ids() == {"i-2"}, EXPIRY_GRACE_S + NOTICE_S)
+    finally:
+        node.stop()
+
+
+def delay_messages(node, limit_s):
+    """Delay the messages of a relay, slowly rising so that they never stop."""
+    link, send, began_at = node.link, node.link._broadcast, time.monotonic()
+
+    def send_later(data):
+        delay_s = DELAY_RISE * (time.monotonic() - began_at)
+        link.loop.call_later(min(limit_s, delay_s), send, data)
+
+    link._broadcast = send_later
+
+
+def test_records_that_waited_on_the_way_do_not_count_as_fresh(store, nodes):
+    """Guards against followers that trust a slow link instead of reading the store."""
+    delay_s = 1.5 * BOUNDS.apply_s
+    for node in relays(nodes):
+        delay_messages(node, delay_s)
+    time.sleep(delay_s / DELAY_RISE + delay_s)
+    store.put("keyed.op", "config", configuration(version=8))
+    wait_for(lambda: all(node.routes_version() == 8 for node in nodes), BOUNDS.apply_s)
+
+
+def test_configuration_that_takes_long_to_read_comes_into_force(store):
+    """Guards against a time limit of a call below the time that its answer takes."""
+    (node,) = started_nodes(store, 1)
+    try:
+        routes = [
+            route(f"r-{n}", f"/r{n}/", "idempotent", "registry") for n in range(4000)
+        ]
+        value = configuration(version=8, routes=routes)
+        store.bytes_per_s = len(value) / (3 * GatewaySettings().store_call_s)
+        store.put("keyed.op", "config", value)
+        wait_for(lambda: node.routes_version() == 8, 15.0)
+    finally:
+        node.stop()
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import math
 import socket
 import struct
 import sys
@@ -17,6 +18,7 @@
 
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 EVENT_PERIOD_S = 0.02
+PART_BYTES = 16_384
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -45,7 +47,10 @@
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        for start in range(0, len(body), PART_BYTES):
+            part = body[start : start + PART_BYTES]
+            self.wfile.write(part)
+            time.sleep(len(part) / self.server.standin.bytes_per_s)
 
     def answer_json(self, fields: object, status: int = 200) -> None:
         self.answer(
@@ -74,10 +79,11 @@
 
 
 class StandIn:
-    """An HTTP server on loopback."""
+    """An HTTP server on loopback. ``bytes_per_s`` limits the rate of its answers."""
 
     def __init__(self) -> None:
         self.lock = threading.Lock()
+        self.bytes_per_s = math.inf
         self.server = StandInServer(("127.0.0.1", 0), Handler)
         self.server.standin = self  # type: ignore[attr-defined]
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
