Send records of the store to subscribers as they stand there

Callers were sent to an endpoint for as long as it lived after it had left, and to its address afterwards (DRAIN, or a connection that fails).

Cause: an end offset that passes changes which were never delivered. A relay published only what had taken effect on itself, with the offset up to which it had read.

Two more ways, found by looking for the same cause: a relay that had started after a deletion sent a reconnecting node the changes since that node's offset, of which it did not know the deletion; and a change could be sent to a new subscriber before the records that precede it.

Now the view holds the store's records and each node holds deletions back by its own knowledge only. A message names the offset at which it starts; a node moves its end only if nothing is missing, and reconnects otherwise.

The two unit tests of offsets need the new messages. Ruled out: late messages alone, since no further message ever removed the endpoint.

--- a/src/poplarfold/_internal/core/fleet/keyed_view.py
+++ b/src/poplarfold/_internal/core/fleet/keyed_view.py
@@ -3,12 +3,15 @@
 A node reads a topic of the store itself or gets its records from relays. A relay that
 was paused may send an old record after another relay has sent a newer one. Each
 record carries its offset in the topic, and an older record never replaces a newer one.
+
+The view holds the records as they stand in the store. Whether a node acts on them at
+once is decided elsewhere: what a node withholds must not be lost to the nodes that it
+sends the records to.
 """
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ["KeyedView", "ViewRecord"]
+__all__ = ["KeyedView", "TopicBatch", "ViewRecord"]
 
 
 class ViewRecord(NamedTuple):
@@ -19,68 +22,101 @@
     offset: int
 
 
+class TopicBatch(NamedTuple):
+    """All changes of a topic from the offset ``start`` to before ``end``.
+
+    Of several records of a key only the newest one need be there. A snapshot contains
+    all keys, and starts at 0.
+    """
+
+    records: tuple[ViewRecord, ...]
+    start: int
+    end: int
+    is_snapshot: bool = False
+
+
 class KeyedView:
     """Offsets and values by key, and the offset up to which the topic is known.
 
-    ``end`` is None before the first complete list of records.
+    ``end`` is None before the first snapshot. All deletions from ``changes_from`` on
+    are known; a snapshot does not tell which keys were deleted before it.
 
         view = KeyedView()
-        view.newer([ViewRecord("a", b"1", 4)])
+        view.merge(TopicBatch((ViewRecord("a", b"1", 4),), 0, 5, is_snapshot=True))
+        view.changes_since(5)
     """
 
     def __init__(self) -> None:
         self.offsets: dict[str, int] = {}
         self.values: dict[str, bytes] = {}
         self.end: int | None = None
+        self.changes_from = 0
 
-    def newer(self, records: Iterable[ViewRecord]) -> list[ViewRecord]:
-        """Record the offsets of the records that are newer; return these records."""
-        found = []
-        for record in records:
-            if record.offset > self.offsets.get(record.key, -1):
-                self.offsets[record.key] = record.offset
-                found.append(record)
-        return found
+    def continues(self, batch: TopicBatch) -> bool:
+        """Return whether no records are missing between the view and a batch."""
+        return batch.is_snapshot or (self.end is not None and batch.start <= self.end)
 
-    def newer_of_snapshot(
-        self, records: Iterable[ViewRecord], end: int
-    ) -> list[ViewRecord]:
-        """Like ``newer``, for a complete list of the records before ``end``.
+    def merge(self, batch: TopicBatch) -> list[ViewRecord]:
+        """Take over the records that are newer than the view; return these.
 
-        A key that the list does not contain was deleted, unless its record is newer
-        than the list.
+        If records are missing before the batch, the end of the view stays.
         """
-        rows = list(records)
-        listed = {record.key for record in rows}
-        missing = [
-            ViewRecord(key, None, end - 1)
-            for key in self.values
-            if key not in listed and self.offsets[key] < end - 1
-        ]
-        return self.newer([*rows, *missing])
-
-    def advance(self, end: int) -> None:
-        """Record that all records before ``end`` are known."""
-        self.end = end if self.end is None else max(self.end, end)
-
-    def put(self, key: str, value: bytes | None) -> None:
-        """Keep the value in force for a key, or remove the key."""
-        if value is None:
-            self.values.pop(key, None)
-        else:
-            self.values[key] = value
-
-    def snapshot(self) -> tuple[ViewRecord, ...]:
-        """Return the record in force for each key."""
-        return tuple(
+        rows = list(batch.records)
+        if batch.is_snapshot:
+            rows += self._missing_in(batch)
+        newer = []
+        for record in rows:
+            if record.offset > self.offsets.get(record.key, -1):
+                self._put(record)
+                newer.append(record)
+        if self.continues(batch):
+            self._advance(batch)
+        return newer
+
+    def snapshot(self) -> TopicBatch:
+        """Return the newest record of each key."""
+        records = tuple(
             ViewRecord(key, value, self.offsets[key])
             for key, value in self.values.items()
         )
+        return TopicBatch(records, 0, self.end or 0, is_snapshot=True)
+
+    def changes_since(self, offset: int) -> TopicBatch:
+        """Return the records from an offset on, deletions among them.
 
-    def changes_since(self, offset: int) -> tuple[ViewRecord, ...]:
-        """Return the records in force from an offset on, and the deletions."""
-        return tuple(
+        Returns a snapshot if deletions since that offset are not known.
+        """
+        if self.end is None or offset < self.changes_from:
+            return self.snapshot()
+        records = tuple(
             ViewRecord(key, self.values.get(key), at)
             for key, at in self.offsets.items()
             if at >= offset
         )
+        return TopicBatch(records, offset, self.end)
+
+    def _missing_in(self, snapshot: TopicBatch) -> list[ViewRecord]:
+        """Return deletions of the keys that a snapshot does not contain.
+
+        A record that is newer than the snapshot is kept.
+        """
+        listed = {record.key for record in snapshot.records}
+        last = snapshot.end - 1
+        return [
+            ViewRecord(key, None, last)
+            for key in self.values
+            if key not in listed and self.offsets[key] < last
+        ]
+
+    def _put(self, record: ViewRecord) -> None:
+        self.offsets[record.key] = record.offset
+        if record.value is None:
+            self.values.pop(record.key, None)
+        else:
+            self.values[record.key] = record.value
+
+    def _advance(self, batch: TopicBatch) -> None:
+        end = -1 if self.end is None else self.end
+        if batch.is_snapshot and batch.end > end:
+            self.changes_from = batch.end
+        self.end = max(end, batch.end)
--- a/src/poplarfold/_internal/core/fleet/relay_messages.py
+++ b/src/poplarfold/_internal/core/fleet/relay_messages.py
@@ -12,7 +12,7 @@
 
 from result import Err, Result
 
-from poplarfold._internal.core.fleet.keyed_view import ViewRecord
+from poplarfold._internal.core.fleet.keyed_view import TopicBatch, ViewRecord
 from poplarfold._internal.core.message_codec import MESSAGE_MAX_BYTES, MessageCodec
 from poplarfold._internal.exceptions import PeerProtocolError
 
@@ -26,7 +26,7 @@
     "unpack",
 ]
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 COMPRESSED_FROM_BYTES = 1_000
 # The first byte of zlib data (RFC 1950) with the usual window, which no CBOR map has.
 ZLIB_FIRST_BYTE = 0x78
@@ -53,18 +53,31 @@
 
 
 class TopicRecords(NamedTuple):
-    """The changes of a topic up to ``end``, or all of its records if it is a snapshot.
+    """All changes of a topic from the offset ``start`` to before ``end``.
 
-    ``age_s`` is the time between the relay's read of the store and this message.
-    Without ``records``, the message says that nothing has changed.
+    A snapshot has all of its records instead. ``age_s`` is the time between the
+    relay's read of the store and this message. Without ``records``, the message says
+    that nothing has changed.
     """
 
     topic: str
+    start: int
     end: int
     age_s: float
     is_snapshot: bool
     records: tuple[ViewRecord, ...]
 
+    @classmethod
+    def of_batch(cls, topic: str, batch: TopicBatch, age_s: float) -> "TopicRecords":
+        """Return the message that carries a batch of a topic."""
+        return cls(
+            topic, batch.start, batch.end, age_s, batch.is_snapshot, batch.records
+        )
+
+    def batch(self) -> TopicBatch:
+        """Return the batch of records that the message carries."""
+        return TopicBatch(self.records, self.start, self.end, self.is_snapshot)
+
 
 class CostReport(NamedTuple):
     """What the sender has learned about the cost of a stream."""
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -388,6 +388,12 @@
     code = "peer_protocol"
 
 
+class RecordGapError(PoplarfoldError):
+    """Records of a topic are missing between what is known and what a relay sent."""
+
+    code = "record_gap"
+
+
 class InvariantViolationError(PoplarfoldError):
     """An invariant of the core does not hold."""
 
--- a/src/poplarfold/_internal/gateway/announcer.py
+++ b/src/poplarfold/_internal/gateway/announcer.py
@@ -2,9 +2,9 @@
 
 import threading
 
-from poplarfold._internal.core.fleet.keyed_view import ViewRecord
 from poplarfold._internal.gateway.member_records import encode_member
 from poplarfold._internal.gateway.relay_link import RelayLink
+from poplarfold._internal.gateway.store_reader import as_topic_batch
 from poplarfold._internal.gateway.threads import start_thread
 from poplarfold._internal.gateway.topic_state import TopicState
 from poplarfold._internal.logs.writer import WriteLog
@@ -70,7 +70,5 @@
         if result.is_err():
             self.write_log("PF6302", None, {"problem": str(result.unwrap_err())})
             return False
-        batch = result.unwrap()
-        records = [ViewRecord(*record) for record in batch.records]
-        self.state.apply(StoreTopic.NODES, records, batch.end, is_snapshot=True)
+        self.state.apply(StoreTopic.NODES, as_topic_batch(result.unwrap(), None))
         return True
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -13,7 +13,7 @@
 from websockets.asyncio.server import Server, ServerConnection, broadcast, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from poplarfold._internal.core.fleet.keyed_view import ViewRecord
+from poplarfold._internal.core.fleet.keyed_view import TopicBatch
 from poplarfold._internal.core.fleet.relay_messages import (
     CostReport,
     FleetCost,
@@ -24,7 +24,7 @@
 )
 from poplarfold._internal.core.fleet.relays import Member, RelayChoice
 from poplarfold._internal.core.message_codec import MESSAGE_MAX_BYTES
-from poplarfold._internal.exceptions import PeerProtocolError
+from poplarfold._internal.exceptions import PeerProtocolError, RecordGapError
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.topic_state import TopicState
 from poplarfold._internal.logs.writer import WriteLog
@@ -96,11 +96,11 @@
         self.choice.update({**members, self.me.host: self.me})
         self.is_known = True
 
-    def publish(self, topic: StoreTopic, records: list[ViewRecord], end: int) -> None:
+    def publish(self, topic: StoreTopic, batch: TopicBatch) -> None:
         """Send the changes of a topic that was just read to all subscribers."""
         if not self.subscribers:
             return
-        message = TopicRecords(topic.value, end, 0.0, False, tuple(records))
+        message = TopicRecords.of_batch(topic.value, batch, 0.0)
         self.loop.call_soon_threadsafe(self._broadcast, pack(message))
 
     # Methods of the event loop's thread.
@@ -168,12 +168,8 @@
             if not isinstance(message, Subscribe) or message.relay != self.me.host:
                 await connection.close(1008)
                 return
+            self._send_known(connection, message)
             self.subscribers[connection] = None
-            known = {row.topic: row.end for row in message.known}
-            for topic in StoreTopic:
-                records = self.state.message_for(topic, known.get(topic.value))
-                if records.end >= 0:
-                    await connection.send(pack(records))
             async for data in connection:
                 message = decode(data)
                 if isinstance(message, CostReport):
@@ -186,6 +182,18 @@
         finally:
             self.subscribers.pop(connection, None)
 
+    def _send_known(self, connection: ServerConnection, hello: Subscribe) -> None:
+        """Send a new subscriber what it does not know yet.
+
+        Nothing is awaited between this and the subscription, so that no later change
+        is sent before the records that it follows.
+        """
+        known = {row.topic: row.end for row in hello.known}
+        for topic in StoreTopic:
+            records = self.state.message_for(topic, known.get(topic.value))
+            if records is not None:
+                broadcast([connection], pack(records))
+
     def _broadcast(self, data: bytes) -> None:
         """Send a message to all subscribers, and disconnect those that do not read."""
         for connection in list(self.subscribers):
@@ -259,7 +267,7 @@
             problem = f"no {waits_for} in time"
         except (ConnectionClosed, OSError, WebSocketException) as error:
             problem = str(error) or problem
-        except PeerProtocolError as error:
+        except (PeerProtocolError, RecordGapError) as error:
             problem = str(error)
         finally:
             if reporter is not None:
@@ -276,16 +284,17 @@
             elif isinstance(message, TopicRecords):
                 topic = topic_of_name(message.topic)
                 if topic is not None:
-                    self.state.apply(
-                        topic,
-                        message.records,
-                        message.end,
-                        message.is_snapshot,
-                        message.age_s,
-                        relay,
-                    )
+                    self._apply(topic, message, relay)
                 return
 
+    def _apply(self, topic: StoreTopic, message: TopicRecords, relay: str) -> None:
+        """Apply a relay's records. Raises RecordGapError if some are missing."""
+        batch = message.batch()
+        if not self.state.apply(topic, batch, message.age_s, relay):
+            raise RecordGapError(
+                f"records of {topic.value} are missing before offset {batch.start}"
+            )
+
     async def _report_costs(self, connection: Any) -> None:
         """Send this node's learned costs periodically, when they have changed."""
         sent: CostReport | None = None
--- a/src/poplarfold/_internal/gateway/store_reader.py
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from poplarfold._internal.core.fleet.keyed_view import ViewRecord
+from poplarfold._internal.core.fleet.keyed_view import TopicBatch, ViewRecord
 from poplarfold._internal.exceptions import PoplarfoldError, StoreGapError
 from poplarfold._internal.gateway.relay_link import RelayLink
 from poplarfold._internal.gateway.threads import start_thread
@@ -14,7 +14,7 @@
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import RecordBatch, StoreClient, StoreTopic
 
-__all__ = ["StoreReader"]
+__all__ = ["StoreReader", "as_topic_batch"]
 
 # The pause between failed calls, so that few calls are made during an outage. It
 # grows with the number of nodes, of which each may be cut off from its relays.
@@ -102,9 +102,7 @@
             offset = None if needs_snapshot else self.state.views[topic].end
             result = self.read(followed, offset)
             if result.is_ok():
-                batch = result.unwrap()
-                records = [ViewRecord(*record) for record in batch.records]
-                self.state.apply(topic, records, batch.end, offset is None)
+                self.state.apply(topic, as_topic_batch(result.unwrap(), offset))
                 needs_snapshot = False
                 failures = 0
                 self.stopping.wait(followed.pause_s)
@@ -167,3 +165,9 @@
             followed.topic, offset, followed.read_wait_s, self.call_timeout_s
         )
         return Ok(read.unwrap()) if read.is_ok() else Err(read.unwrap_err())
+
+
+def as_topic_batch(read: RecordBatch, offset: int | None) -> TopicBatch:
+    """Return what was read from an offset on, or a snapshot if it is None."""
+    records = tuple(ViewRecord(*record) for record in read.records)
+    return TopicBatch(records, offset or 0, read.end, is_snapshot=offset is None)
--- a/src/poplarfold/_internal/gateway/topic_state.py
+++ b/src/poplarfold/_internal/gateway/topic_state.py
@@ -1,10 +1,10 @@
 """Applies the records of the store's topics, whether read here or sent by a relay."""
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from poplarfold._internal.core.fleet.directory import EndpointChange
-from poplarfold._internal.core.fleet.keyed_view import KeyedView, ViewRecord
+from poplarfold._internal.core.fleet.keyed_view import KeyedView, TopicBatch, ViewRecord
 from poplarfold._internal.core.fleet.relay_messages import KnownTopic, TopicRecords
 from poplarfold._internal.core.fleet.relays import Member
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
@@ -27,23 +27,23 @@
 # force. The rest is left for a read of the store by this node itself.
 CURRENT_SHARE = 0.75
 
-Publish = Callable[[StoreTopic, list[ViewRecord], int], None]
+Publish = Callable[[StoreTopic, TopicBatch], None]
 UpdateMembers = Callable[[dict[str, Member]], None]
 
 
 class TopicState:
     """The topics as this node knows them. Thread-safe.
 
-    ``publish`` passes changes that are in force to the subscribers of this node, and
-    ``update_members`` passes on the members of the fleet. A change of an endpoint is
-    passed on when it takes effect here, so that subscribers need not wait again for
-    entries that expired during an outage of the store.
+    ``publish`` passes the records of the store to the subscribers of this node, and
+    ``update_members`` passes on the members of the fleet. Records are passed on at
+    once, also those that have no effect on this node yet: each node decides by its
+    own knowledge of the store how long it holds back the deletion of an endpoint.
     """
 
     def __init__(self, fleet: Fleet, write_log: WriteLog) -> None:
         self.fleet = fleet
         self.write_log = write_log
-        self.publish: Publish = lambda topic, records, end: None
+        self.publish: Publish = lambda topic, batch: None
         self.update_members: UpdateMembers = lambda members: None
         # Serializes updates, so that an older record cannot be applied last.
         self.lock = threading.Lock()
@@ -67,43 +67,43 @@
     def apply(
         self,
         topic: StoreTopic,
-        records: Iterable[ViewRecord],
-        end: int,
-        is_snapshot: bool,
+        batch: TopicBatch,
         age_s: float | None = None,
         source: str = STORE_SOURCE,
-    ) -> None:
+    ) -> bool:
         """Apply records from a relay or from the store, and publish what has changed.
 
         ``age_s`` is the age of records that a relay has sent, and None for records that
         this node has just read. Only its own reads are published without a change: two
         relays that subscribe to each other would otherwise send messages forever.
+
+        Returns False if records are missing before the batch. What it contains is in
+        force then, but the topic does not count as known up to its end.
         """
         with self.lock:
             view = self.views[topic]
-            if is_snapshot:
-                newer = view.newer_of_snapshot(records, end)
-            else:
-                newer = view.newer(records)
-            view.advance(end)
+            before = view.end
+            newer = view.merge(batch)
+            if not view.continues(batch):
+                self._apply_newer(topic, view, newer)
+                return False
             read_at = self.fleet.clock() - (age_s or 0.0)
             self.current_at[topic] = max(read_at, self.current_at.get(topic, read_at))
             with self.fleet.lock:
                 self.fleet.knowledge[topic.name.lower()] = TopicKnowledge(
                     self.current_at[topic], view.end or 0, source
                 )
-            if topic is StoreTopic.ROUTES:
-                changes = self._apply_routes(view, newer)
-            elif topic is StoreTopic.ENDPOINTS:
-                changes = self._apply_endpoints(view, newer)
-            else:
-                changes = self._apply_members(view, newer)
+            self._apply_newer(topic, view, newer)
             if topic is StoreTopic.ENDPOINTS and self.is_current(topic):
                 # Old records, from a relay that cannot read the store, are no sign
                 # that the store answers.
-                changes += self._record_store_state(None)
-            if changes or age_s is None:
-                self.publish(topic, changes, end)
+                self._record_store_state(None)
+            if newer or view.end != before or age_s is None:
+                # After a snapshot it is unknown which keys were deleted before it, so
+                # the subscribers need all of it.
+                start = before if before is not None and not batch.is_snapshot else -1
+                self.publish(topic, view.changes_since(start))
+            return True
 
     def record_failure(self, topic: StoreTopic, error: PoplarfoldError) -> None:
         """Record that this node could not read a topic, and that no relay could."""
@@ -121,27 +121,34 @@
                 if view.end is not None
             )
 
-    def message_for(self, topic: StoreTopic, known_end: int | None) -> TopicRecords:
+    def message_for(
+        self, topic: StoreTopic, known_end: int | None
+    ) -> TopicRecords | None:
         """Return what a new subscriber needs, which knows a topic up to an offset.
 
-        The end is negative if this node has not read the topic yet.
+        Returns None if this node has not read the topic yet.
         """
         with self.lock:
             view = self.views[topic]
             if view.end is None:
-                return TopicRecords(topic.value, -1, 0.0, False, ())
+                return None
             age_s = max(0.0, self.fleet.clock() - self.current_at[topic])
-            is_snapshot = known_end is None
-            records = (
-                view.snapshot() if known_end is None else view.changes_since(known_end)
-            )
-            return TopicRecords(topic.value, view.end, age_s, is_snapshot, records)
+            start = -1 if known_end is None else known_end
+            return TopicRecords.of_batch(topic.value, view.changes_since(start), age_s)
 
-    def _apply_routes(
-        self, view: KeyedView, records: list[ViewRecord]
-    ) -> list[ViewRecord]:
+    def _apply_newer(
+        self, topic: StoreTopic, view: KeyedView, records: list[ViewRecord]
+    ) -> None:
+        """Put the records into force that are newer than those known before."""
+        if topic is StoreTopic.ROUTES:
+            self._apply_routes(records)
+        elif topic is StoreTopic.ENDPOINTS:
+            self._apply_endpoints(records)
+        else:
+            self._apply_members(view, records)
+
+    def _apply_routes(self, records: list[ViewRecord]) -> None:
         """Apply the newest configuration among the records."""
-        changes = []
         for record in records:
             if record.key != ROUTES_KEY or record.value is None:
                 continue
@@ -155,8 +162,6 @@
                 self.fleet.changed.notify_all()
             if not is_new:
                 continue
-            view.put(record.key, record.value)
-            changes.append(record)
             self.write_log(
                 "PF7106",
                 None,
@@ -167,12 +172,9 @@
                     "known": self._known(StoreTopic.ROUTES),
                 },
             )
-        return changes
 
-    def _apply_endpoints(
-        self, view: KeyedView, records: list[ViewRecord]
-    ) -> list[ViewRecord]:
-        """Apply the newest entry of each endpoint; return those that took effect."""
+    def _apply_endpoints(self, records: list[ViewRecord]) -> None:
+        """Apply the newest entry of each endpoint."""
         rows = [(record, self._decode_entry(record)) for record in records]
         changes = []
         with self.fleet.lock:
@@ -181,13 +183,10 @@
             for record, row in rows:
                 change = directory.apply_endpoint(record.key, row, now)
                 changes.append((record, change))
-                if change.after is None:
-                    view.put(record.key, None)
-                elif row is not None:
-                    view.put(record.key, record.value)
             self.fleet.remove_endpoint_stats([change for _, change in changes])
-        effective = [pair for pair in changes if is_effective(pair[1])]
         for record, change in changes:
+            if is_effective(change):
+                self._log_change(record, change)
             if record.value is None and change.after is not None:
                 self.write_log(
                     "PF7108",
@@ -198,16 +197,9 @@
                         "known": self._known(StoreTopic.ENDPOINTS),
                     },
                 )
-        for record, change in effective:
-            self._log_change(record, change)
-        return [record for record, _ in effective]
 
-    def _apply_members(
-        self, view: KeyedView, records: list[ViewRecord]
-    ) -> list[ViewRecord]:
+    def _apply_members(self, view: KeyedView, records: list[ViewRecord]) -> None:
         """Apply the presence records of nodes."""
-        for record in records:
-            view.put(record.key, record.value)
         with self.fleet.lock:
             now = self.fleet.clock()
             presence = self.fleet.presence
@@ -219,15 +211,12 @@
             self.write_log("PF6301", None, {"nodes": nodes})
         members = {key: decode_member(key, view.values[key]) for key in present}
         self.update_members(members)
-        return records
 
-    def _record_store_state(self, error: PoplarfoldError | None) -> list[ViewRecord]:
+    def _record_store_state(self, error: PoplarfoldError | None) -> None:
         """Record whether the store answers, and drop expired endpoints.
 
-        Returns the deletions that have taken effect by that. Logs when the store
-        becomes unreachable and when it is reachable again.
+        Logs when the store becomes unreachable and when it is reachable again.
         """
-        view = self.views[StoreTopic.ENDPOINTS]
         with self.fleet.lock:
             now = self.fleet.clock()
             has_changed = self.fleet.directory.set_store_status(error is None, now)
@@ -236,15 +225,10 @@
                 [EndpointChange(row, None) for row in dropped]
             )
         for row in dropped:
-            view.put(row.endpoint_id, None)
             self.write_log("PF7104", None, {"endpoint": row.endpoint_id})
         if has_changed:
             number = "PF7102" if error is not None else "PF7103"
             self.write_log(number, None, {"problem": str(error) if error else ""})
-        return [
-            ViewRecord(row.endpoint_id, None, view.offsets[row.endpoint_id])
-            for row in dropped
-        ]
 
     def _decode_entry(self, record: ViewRecord) -> FleetEndpoint | None:
         """Decode one entry; return None if it is deleted or malformed."""
--- a/tests/functional/test_relay_link.py
+++ b/tests/functional/test_relay_link.py
@@ -85,7 +85,7 @@
     """Guards against followers of relays whose connections are open but silent."""
     for node in readers(nodes):
         node.reader.stopping.set()
-        node.link.publish = lambda topic, records, end: None
+        node.link.publish = lambda topic, batch: None
     store.put("keyed.op", "config", configuration(version=8))
     living = [node for node in nodes if not node.reader.stopping.is_set()]
     wait_for(lambda: all(n.routes_version() == 8 for n in living), BOUNDS.apply_s + 0.5)
@@ -97,9 +97,10 @@
     store.put("keyed.op", "config", configuration(version=9))
     wait_for(lambda: follower.routes_version() == 9, BOUNDS.apply_s)
     relay = readers(nodes)[0]
-    view = relay.state.views[next(iter(relay.state.views))]
-    old = [row._replace(value=configuration(version=8)) for row in view.snapshot()]
-    relay.link.publish(next(iter(relay.state.views)), old, view.end)
+    snapshot = relay.state.views[StoreTopic.ROUTES].snapshot()
+    value = configuration(version=8)
+    old = tuple(row._replace(value=value) for row in snapshot.records)
+    relay.link.publish(StoreTopic.ROUTES, snapshot._replace(records=old))
     time.sleep(0.3)
     assert follower.routes_version() == 9
 
@@ -132,9 +133,9 @@
     topic = StoreTopic.ENDPOINTS
     message = node.state.message_for(topic, None)
     age_s = BOUNDS.leaving_s
-    node.state.apply(topic, message.records, message.end, True, age_s)
+    assert node.state.apply(topic, message.batch(), age_s)
     assert not node.fleet.directory.is_store_up
-    node.state.apply(topic, message.records, message.end, True, 0.1)
+    assert node.state.apply(topic, message.batch(), 0.1)
     assert node.fleet.directory.is_store_up
 
 
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from poplarfold._internal.core.fleet.keyed_view import KeyedView, ViewRecord
+from poplarfold._internal.core.fleet.keyed_view import KeyedView, TopicBatch, ViewRecord
 from poplarfold._internal.core.fleet.relay_messages import (
     CostReport,
     FleetCost,
@@ -28,6 +28,13 @@
     }
 
 
+def view_of(*records, end=0):
+    """A view that has read these records as a snapshot."""
+    view = KeyedView()
+    view.merge(TopicBatch(records, 0, end, is_snapshot=True))
+    return view
+
+
 def choice_of(host, known, region="lahore"):
     choice = RelayChoice(host, region)
     choice.update(known)
@@ -87,7 +94,7 @@
     ]
     value = json.dumps({"version": 9, "routes": routes}).encode()
     record = ViewRecord("config", value, 3)
-    message = TopicRecords("keyed.op", 4, 0.0, False, (record,))
+    message = TopicRecords("keyed.op", 3, 4, 0.0, False, (record,))
     data = pack(message)
     assert unpack(data).unwrap() == message
     assert 30 * len(data) * 8 / 5e6 < 4.0
@@ -154,32 +161,52 @@
     A relay that was paused sends the older record after another relay has sent the
     newer one.
     """
-    view = KeyedView()
+    view = view_of()
     leaving, ready = ViewRecord("i-1", b"leaving", 7), ViewRecord("i-1", b"ready", 5)
-    assert view.newer([leaving]) == [leaving]
-    assert view.newer([ready, leaving]) == []
-    assert view.newer_of_snapshot([ready], 6) == []
+    assert view.merge(TopicBatch((leaving,), 0, 8)) == [leaving]
+    assert view.merge(TopicBatch((ready, leaving), 0, 8)) == []
+    assert view.merge(TopicBatch((ready,), 0, 6, is_snapshot=True)) == []
+    assert view.values == {"i-1": b"leaving"} and view.end == 8
 
 
 def test_snapshot_deletes_only_what_it_can_know():
     """Guards against an endpoint that vanishes because a relay's list is older."""
-    view = KeyedView()
-    for record in view.newer([ViewRecord("old", b"1", 3), ViewRecord("new", b"1", 9)]):
-        view.put(record.key, record.value)
-    assert view.newer_of_snapshot([], 6) == [ViewRecord("old", None, 5)]
+    view = view_of(ViewRecord("old", b"1", 3), ViewRecord("new", b"1", 9))
+    snapshot = TopicBatch((), 0, 6, is_snapshot=True)
+    assert view.merge(snapshot) == [ViewRecord("old", None, 5)]
 
 
 def test_subscriber_that_knows_a_topic_gets_only_later_records():
     """Guards against relays that send all records again to each reconnected node."""
-    view = KeyedView()
-    for record in [ViewRecord("a", b"1", 3), ViewRecord("b", b"1", 4)]:
-        view.newer([record])
-        view.put(record.key, record.value)
+    view = view_of()
+    first = (ViewRecord("a", b"1", 3), ViewRecord("b", b"1", 4))
     gone = ViewRecord("a", None, 6)
-    view.newer([gone])
-    view.put("a", None)
-    assert view.changes_since(5) == (gone,)
-    assert set(view.changes_since(4)) == {gone, ViewRecord("b", b"1", 4)}
+    view.merge(TopicBatch((*first, gone), 0, 7))
+    assert view.changes_since(5) == TopicBatch((gone,), 5, 7)
+    found = view.changes_since(4)
+    assert set(found.records) == {gone, ViewRecord("b", b"1", 4)}
+
+
+def test_relay_that_started_later_does_not_hide_a_deletion():
+    """Guards against an endpoint that stays for good at a node whose new relay has
+    read the store only after the endpoint's entry was deleted."""
+    follower = view_of(ViewRecord("i-1", b"ready", 3), end=5)
+    relay = view_of(ViewRecord("i-2", b"ready", 4), end=9)
+    newer = follower.merge(relay.changes_since(follower.end))
+    assert ViewRecord("i-1", None, 8) in newer
+    assert follower.values == {"i-2": b"ready"} and follower.end == 9
+
+
+def test_records_with_a_gap_before_them_do_not_move_the_end():
+    """Guards against a deletion that is skipped since later records came first."""
+    view = view_of(ViewRecord("i-1", b"ready", 3), end=5)
+    late = TopicBatch((ViewRecord("i-2", b"ready", 8),), 7, 9)
+    assert not view.continues(late)
+    assert view.merge(late) == list(late.records)
+    assert view.end == 5
+    whole = TopicBatch((ViewRecord("i-1", None, 6), *late.records), 5, 9)
+    assert view.merge(whole) == [ViewRecord("i-1", None, 6)]
+    assert view.end == 9 and view.values == {"i-2": b"ready"}
 
 
 @given(st.integers(0, 2**32), st.integers(1, 40))
@@ -204,29 +231,25 @@
             if rng.random() < 0.3:
                 state = {record.key: record for record in log[:end]}
                 rows = [row for row in state.values() if row.value is not None]
-                yield True, rows, end
+                yield TopicBatch(tuple(rows), 0, end, is_snapshot=True)
             else:
-                yield False, log[at:end], end
+                yield TopicBatch(tuple(log[at:end]), at, end)
             at = end
 
     queues = [list(messages()), list(messages())]
-    view = KeyedView()
+    view = view_of()
     while any(queues):
         queue = rng.choice([queue for queue in queues if queue])
-        message = queue[0] if rng.random() < 0.2 else queue.pop(0)
-        is_snapshot, rows, end = message
-        apply = view.newer_of_snapshot(rows, end) if is_snapshot else view.newer(rows)
-        for record in apply:
-            view.put(record.key, record.value)
-        view.advance(end)
+        batch = queue[0] if rng.random() < 0.2 else queue.pop(0)
+        view.merge(batch)
     expected = {key: row.value for key, row in newest.items() if row.value is not None}
     assert view.values == expected and view.end == count
 
 
 MESSAGES = [
     Subscribe("a", 1, "b", (KnownTopic("keyed.op", 4),)),
-    TopicRecords("keyed.op", 4, 0.1, True, (ViewRecord("config", b"{}", 3),)),
-    TopicRecords("keyed.servers", 4, 0.0, False, (ViewRecord("i-1", None, 3),)),
+    TopicRecords("keyed.op", 0, 4, 0.1, True, (ViewRecord("config", b"{}", 3),)),
+    TopicRecords("keyed.servers", 3, 4, 0.0, False, (ViewRecord("i-1", None, 3),)),
     FleetCost(CostReport(1, 2, 3.0, 4.0, 5.0, 6.0)),
 ]
 
