Measure the age of a relay's records by the relay's clock

Cause: time that nobody counted. A relay stated the age of records when it packed them, and 0 for what it passed on from another relay. Time in a socket, on a slow link or in a paused process made old records fresh, so that the node did not read the store for itself.

Records now carry the time of the relay's clock at which they were known to be all. A node bounds the difference of the two clocks with one round trip, which errs only towards older. Records that are too old do not keep a subscription alive, so another relay is chosen. An own read counts from the beginning of the call, or from the end of the store's wait if no record came.

New: a property that no times of delays make a record later than it was. Ruled out: a shorter limit for silence, since the messages never stop.

--- a/src/poplarfold/_internal/core/fleet/relay_messages.py
+++ b/src/poplarfold/_internal/core/fleet/relay_messages.py
@@ -3,8 +3,8 @@
 Each message is one CBOR map; see ``core/message_codec``. A large one is compressed: a
 configuration goes to all nodes of a region over the link of one relay.
 
-    >>> unpack(pack(Subscribe("a", 1, "b"))).unwrap()
-    Subscribe(host='a', incarnation=1, relay='b', known=())
+    >>> unpack(pack(ClockProbe(7.5))).unwrap()
+    ClockProbe(sent_at=7.5)
 """
 
 import zlib
@@ -17,6 +17,8 @@
 from poplarfold._internal.exceptions import PeerProtocolError
 
 __all__ = [
+    "ClockProbe",
+    "ClockReply",
     "CostReport",
     "FleetCost",
     "KnownTopic",
@@ -43,35 +45,50 @@
     """Asks for all topics; the first message on a connection.
 
     ``relay`` is the host that the sender wants to reach. Another host may have taken
-    over its address. For each topic in ``known``, only later records are sent.
+    over its address. For each topic in ``known``, only later records are sent. The
+    relay answers ``sent_at``, a time of the sender's clock, with a ClockReply.
     """
 
     host: str
     incarnation: int
     relay: str
+    sent_at: float
     known: tuple[KnownTopic, ...] = ()
 
 
+class ClockProbe(NamedTuple):
+    """Asks for a ClockReply; ``sent_at`` is a time of the sender's clock."""
+
+    sent_at: float
+
+
+class ClockReply(NamedTuple):
+    """What the relay's clock showed when it received a message of ``sent_at``."""
+
+    sent_at: float
+    relay_at: float
+
+
 class TopicRecords(NamedTuple):
     """All changes of a topic from the offset ``start`` to before ``end``.
 
-    A snapshot has all of its records instead. ``age_s`` is the time between the
-    relay's read of the store and this message. Without ``records``, the message says
-    that nothing has changed.
+    A snapshot has all of its records instead. ``read_at`` is the time of the relay's
+    clock at which all of these records were known. Without ``records``, the message
+    says that nothing has changed.
     """
 
     topic: str
     start: int
     end: int
-    age_s: float
+    read_at: float
     is_snapshot: bool
     records: tuple[ViewRecord, ...]
 
     @classmethod
-    def of_batch(cls, topic: str, batch: TopicBatch, age_s: float) -> "TopicRecords":
+    def of_batch(cls, topic: str, batch: TopicBatch, read_at: float) -> "TopicRecords":
         """Return the message that carries a batch of a topic."""
         return cls(
-            topic, batch.start, batch.end, age_s, batch.is_snapshot, batch.records
+            topic, batch.start, batch.end, read_at, batch.is_snapshot, batch.records
         )
 
     def batch(self) -> TopicBatch:
@@ -98,7 +115,10 @@
     cost: CostReport
 
 
-CODEC = MessageCodec((Subscribe, TopicRecords, CostReport, FleetCost), PROTOCOL_VERSION)
+CODEC = MessageCodec(
+    (Subscribe, ClockProbe, ClockReply, TopicRecords, CostReport, FleetCost),
+    PROTOCOL_VERSION,
+)
 
 
 def pack(message: Any) -> bytes:
--- a/src/poplarfold/_internal/gateway/announcer.py
+++ b/src/poplarfold/_internal/gateway/announcer.py
@@ -66,9 +66,11 @@
     def read_members(self) -> bool:
         """Read the records of all nodes; return whether the store answered."""
         timeout_s = self.fleet.settings.store_call_s
+        started_at = self.fleet.clock()
         result = self.store.read_newest(StoreTopic.NODES, timeout_s)
         if result.is_err():
             self.write_log("PF6302", None, {"problem": str(result.unwrap_err())})
             return False
-        self.state.apply(StoreTopic.NODES, as_topic_batch(result.unwrap(), None))
+        batch = as_topic_batch(result.unwrap(), None)
+        self.state.apply(StoreTopic.NODES, batch, started_at)
         return True
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -14,7 +14,10 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch
+from poplarfold._internal.core.fleet.peer_clock import PeerClock
 from poplarfold._internal.core.fleet.relay_messages import (
+    ClockProbe,
+    ClockReply,
     CostReport,
     FleetCost,
     Subscribe,
@@ -40,6 +43,8 @@
 # engines wait for it.
 COST_PERIOD_S = 2.0
 FIRST_COST_PERIOD_S = 0.3
+# How often a subscriber compares its clock with that of a relay.
+CLOCK_PERIOD_S = 10.0
 # A subscriber with more unsent bytes than this is disconnected.
 UNSENT_MAX_BYTES = 2_000_000
 SUBSCRIBER_MESSAGE_MAX_BYTES = 65_536
@@ -96,11 +101,11 @@
         self.choice.update({**members, self.me.host: self.me})
         self.is_known = True
 
-    def publish(self, topic: StoreTopic, batch: TopicBatch) -> None:
+    def publish(self, topic: StoreTopic, batch: TopicBatch, read_at: float) -> None:
         """Send the changes of a topic that was just read to all subscribers."""
         if not self.subscribers:
             return
-        message = TopicRecords.of_batch(topic.value, batch, 0.0)
+        message = TopicRecords.of_batch(topic.value, batch, read_at)
         self.loop.call_soon_threadsafe(self._broadcast, pack(message))
 
     # Methods of the event loop's thread.
@@ -174,6 +179,8 @@
                 message = decode(data)
                 if isinstance(message, CostReport):
                     self.subscribers[connection] = message
+                elif isinstance(message, ClockProbe):
+                    self._answer_probe(connection, message.sent_at)
         except PeerProtocolError as error:
             self.write_log("PF6403", None, {"problem": str(error)})
             await connection.close(1008)
@@ -188,12 +195,17 @@
         Nothing is awaited between this and the subscription, so that no later change
         is sent before the records that it follows.
         """
+        self._answer_probe(connection, hello.sent_at)
         known = {row.topic: row.end for row in hello.known}
         for topic in StoreTopic:
             records = self.state.message_for(topic, known.get(topic.value))
             if records is not None:
                 broadcast([connection], pack(records))
 
+    def _answer_probe(self, connection: ServerConnection, sent_at: float) -> None:
+        """Tell a subscriber what this node's clock shows."""
+        broadcast([connection], pack(ClockReply(sent_at, self.fleet.clock())))
+
     def _broadcast(self, data: bytes) -> None:
         """Send a message to all subscribers, and disconnect those that do not read."""
         for connection in list(self.subscribers):
@@ -253,15 +265,17 @@
                     self.me.host,
                     self.me.incarnation,
                     relay.host,
+                    self.fleet.clock(),
                     self.state.known_topics(),
                 )
                 await connection.send(pack(hello))
-                reporter = self.loop.create_task(self._report_costs(connection))
+                reporter = self.loop.create_task(self._send_reports(connection))
                 self.write_log("PF6404", None, {"relay": relay.host})
                 waits_for = "message"
+                clock = PeerClock()
                 while True:
                     async with asyncio.timeout(self.silence_s):
-                        await self._receive(connection, relay.host)
+                        await self._receive(connection, relay.host, clock)
                     self.choice.record_success(relay.host)
         except TimeoutError:
             problem = f"no {waits_for} in time"
@@ -275,31 +289,43 @@
         self.choice.record_failure(relay.host, self.fleet.clock())
         self.write_log("PF6402", None, {"relay": relay.host, "problem": problem})
 
-    async def _receive(self, connection: Any, relay: str) -> None:
-        """Receive messages up to the next records of a topic, and apply these."""
+    async def _receive(self, connection: Any, relay: str, clock: PeerClock) -> None:
+        """Receive and apply messages up to the next recent records of a topic."""
         while True:
             message = decode(await connection.recv())
             if isinstance(message, FleetCost):
                 self.fleet.set_fleet_cost(message.cost)
+            elif isinstance(message, ClockReply):
+                clock.measure(message.sent_at, message.relay_at)
             elif isinstance(message, TopicRecords):
-                topic = topic_of_name(message.topic)
-                if topic is not None:
-                    self._apply(topic, message, relay)
-                return
+                if self._apply(message, relay, clock):
+                    return
 
-    def _apply(self, topic: StoreTopic, message: TopicRecords, relay: str) -> None:
-        """Apply a relay's records. Raises RecordGapError if some are missing."""
-        batch = message.batch()
-        if not self.state.apply(topic, batch, message.age_s, relay):
+    def _apply(self, message: TopicRecords, relay: str, clock: PeerClock) -> bool:
+        """Apply a relay's records; return whether they are recent.
+
+        Raises RecordGapError if records are missing before them.
+        """
+        topic = topic_of_name(message.topic)
+        read_at = clock.local_time(message.read_at)
+        if topic is None or read_at is None:
+            return False
+        if not self.state.apply(topic, message.batch(), read_at, relay):
             raise RecordGapError(
-                f"records of {topic.value} are missing before offset {batch.start}"
+                f"records of {topic.value} are missing before offset {message.start}"
             )
+        return self.state.is_recent(topic, read_at)
 
-    async def _report_costs(self, connection: Any) -> None:
-        """Send this node's learned costs periodically, when they have changed."""
+    async def _send_reports(self, connection: Any) -> None:
+        """Send clock probes, and this node's learned costs when they have changed."""
         sent: CostReport | None = None
+        probe_at = self.fleet.clock() + CLOCK_PERIOD_S
         try:
             while True:
+                now = self.fleet.clock()
+                if now >= probe_at:
+                    probe_at = now + CLOCK_PERIOD_S
+                    await connection.send(pack(ClockProbe(now)))
                 report = self.fleet.own_cost_report()
                 if report != sent:
                     sent = report
--- a/src/poplarfold/_internal/gateway/store_reader.py
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -86,6 +86,7 @@
         topic = followed.topic
         is_reading = True
         needs_snapshot = self.state.views[topic].end is None
+        may_wait = True
         failures = 0
         while not self.stopping.is_set():
             if not self.must_read(topic):
@@ -100,9 +101,16 @@
                 self.stopping.wait(self.fallback_delay_s())
                 continue
             offset = None if needs_snapshot else self.state.views[topic].end
-            result = self.read(followed, offset)
+            wait_s = followed.read_wait_s if may_wait else 0.0
+            started_at = self.fleet.clock()
+            result = self.read(topic, offset, wait_s)
             if result.is_ok():
-                self.state.apply(topic, as_topic_batch(result.unwrap(), offset))
+                batch = as_topic_batch(result.unwrap(), offset)
+                read_at = self.known_at(batch, started_at, wait_s)
+                self.state.apply(topic, batch, read_at)
+                # It is unknown how long a read with records has waited for them. The
+                # next one does not wait, and tells that the topic is current.
+                may_wait = not batch.records
                 needs_snapshot = False
                 failures = 0
                 self.stopping.wait(followed.pause_s)
@@ -154,16 +162,26 @@
         with self.fleet.lock:
             return len(self.fleet.presence.rows) or 1
 
+    def known_at(self, batch: TopicBatch, started_at: float, wait_s: float) -> float:
+        """Return a time at which the topic had no records after those of a read.
+
+        That is when the call began, or when the store stopped waiting for a record.
+        """
+        took_s = self.fleet.clock() - started_at
+        has_waited = not batch.is_snapshot and not batch.records and took_s >= wait_s
+        return started_at + wait_s if has_waited else started_at
+
     def read(
-        self, followed: FollowedTopic, offset: int | None
+        self, topic: StoreTopic, offset: int | None, wait_s: float
     ) -> Result[RecordBatch, PoplarfoldError]:
-        """Read the records from an offset on, or the newest per key if it is None."""
+        """Read the records from an offset on, or the newest per key if it is None.
+
+        ``wait_s`` is how long the store waits for a record.
+        """
         if offset is None:
-            newest = self.store.read_newest(followed.topic, self.call_timeout_s)
+            newest = self.store.read_newest(topic, self.call_timeout_s)
             return Ok(newest.unwrap()) if newest.is_ok() else Err(newest.unwrap_err())
-        read = self.store.read_from(
-            followed.topic, offset, followed.read_wait_s, self.call_timeout_s
-        )
+        read = self.store.read_from(topic, offset, wait_s, self.call_timeout_s)
         return Ok(read.unwrap()) if read.is_ok() else Err(read.unwrap_err())
 
 
--- a/src/poplarfold/_internal/gateway/topic_state.py
+++ b/src/poplarfold/_internal/gateway/topic_state.py
@@ -27,7 +27,7 @@
 # force. The rest is left for a read of the store by this node itself.
 CURRENT_SHARE = 0.75
 
-Publish = Callable[[StoreTopic, TopicBatch], None]
+Publish = Callable[[StoreTopic, TopicBatch, float], None]
 UpdateMembers = Callable[[dict[str, Member]], None]
 
 
@@ -43,7 +43,7 @@
     def __init__(self, fleet: Fleet, write_log: WriteLog) -> None:
         self.fleet = fleet
         self.write_log = write_log
-        self.publish: Publish = lambda topic, batch: None
+        self.publish: Publish = lambda topic, batch, read_at: None
         self.update_members: UpdateMembers = lambda members: None
         # Serializes updates, so that an older record cannot be applied last.
         self.lock = threading.Lock()
@@ -59,23 +59,25 @@
     def is_current(self, topic: StoreTopic) -> bool:
         """Return whether the topic was read recently, here or by a relay."""
         at = self.current_at.get(topic)
+        return at is not None and self.is_recent(topic, at)
+
+    def is_recent(self, topic: StoreTopic, read_at: float) -> bool:
+        """Return whether records that were read at a time may still be relied on."""
         limit_s = self.current_s.get(topic)
-        if at is None or limit_s is None:
-            return at is not None
-        return self.fleet.clock() - at < limit_s
+        return limit_s is None or self.fleet.clock() - read_at < limit_s
 
     def apply(
         self,
         topic: StoreTopic,
         batch: TopicBatch,
-        age_s: float | None = None,
+        read_at: float,
         source: str = STORE_SOURCE,
     ) -> bool:
         """Apply records from a relay or from the store, and publish what has changed.
 
-        ``age_s`` is the age of records that a relay has sent, and None for records that
-        this node has just read. Only its own reads are published without a change: two
-        relays that subscribe to each other would otherwise send messages forever.
+        All of them were known at ``read_at``. Only this node's own reads are published
+        without a change: two relays that subscribe to each other would otherwise send
+        messages forever.
 
         Returns False if records are missing before the batch. What it contains is in
         force then, but the topic does not count as known up to its end.
@@ -87,7 +89,6 @@
             if not view.continues(batch):
                 self._apply_newer(topic, view, newer)
                 return False
-            read_at = self.fleet.clock() - (age_s or 0.0)
             self.current_at[topic] = max(read_at, self.current_at.get(topic, read_at))
             with self.fleet.lock:
                 self.fleet.knowledge[topic.name.lower()] = TopicKnowledge(
@@ -98,11 +99,12 @@
                 # Old records, from a relay that cannot read the store, are no sign
                 # that the store answers.
                 self._record_store_state(None)
-            if newer or view.end != before or age_s is None:
+            if newer or view.end != before or source == STORE_SOURCE:
                 # After a snapshot it is unknown which keys were deleted before it, so
                 # the subscribers need all of it.
                 start = before if before is not None and not batch.is_snapshot else -1
-                self.publish(topic, view.changes_since(start))
+                changes = view.changes_since(start)
+                self.publish(topic, changes, self.current_at[topic])
             return True
 
     def record_failure(self, topic: StoreTopic, error: PoplarfoldError) -> None:
@@ -132,9 +134,8 @@
             view = self.views[topic]
             if view.end is None:
                 return None
-            age_s = max(0.0, self.fleet.clock() - self.current_at[topic])
-            start = -1 if known_end is None else known_end
-            return TopicRecords.of_batch(topic.value, view.changes_since(start), age_s)
+            changes = view.changes_since(-1 if known_end is None else known_end)
+            return TopicRecords.of_batch(topic.value, changes, self.current_at[topic])
 
     def _apply_newer(
         self, topic: StoreTopic, view: KeyedView, records: list[ViewRecord]
--- a/tests/functional/test_relay_link.py
+++ b/tests/functional/test_relay_link.py
@@ -85,7 +85,7 @@
     """Guards against followers of relays whose connections are open but silent."""
     for node in readers(nodes):
         node.reader.stopping.set()
-        node.link.publish = lambda topic, batch: None
+        node.link.publish = lambda topic, batch, read_at: None
     store.put("keyed.op", "config", configuration(version=8))
     living = [node for node in nodes if not node.reader.stopping.is_set()]
     wait_for(lambda: all(n.routes_version() == 8 for n in living), BOUNDS.apply_s + 0.5)
@@ -100,7 +100,8 @@
     snapshot = relay.state.views[StoreTopic.ROUTES].snapshot()
     value = configuration(version=8)
     old = tuple(row._replace(value=value) for row in snapshot.records)
-    relay.link.publish(StoreTopic.ROUTES, snapshot._replace(records=old))
+    read_at = relay.state.current_at[StoreTopic.ROUTES]
+    relay.link.publish(StoreTopic.ROUTES, snapshot._replace(records=old), read_at)
     time.sleep(0.3)
     assert follower.routes_version() == 9
 
@@ -132,10 +133,10 @@
     wait_for(lambda: not node.fleet.directory.is_store_up, 3 * BOUNDS.leaving_s)
     topic = StoreTopic.ENDPOINTS
     message = node.state.message_for(topic, None)
-    age_s = BOUNDS.leaving_s
-    assert node.state.apply(topic, message.batch(), age_s)
+    read_at = node.fleet.clock() - BOUNDS.leaving_s
+    assert node.state.apply(topic, message.batch(), read_at, "relay")
     assert not node.fleet.directory.is_store_up
-    assert node.state.apply(topic, message.batch(), 0.1)
+    assert node.state.apply(topic, message.batch(), read_at + BOUNDS.leaving_s, "relay")
     assert node.fleet.directory.is_store_up
 
 
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -6,9 +6,13 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
+from tests.lib.relay_nodes import host_settings
 
 from poplarfold._internal.core.fleet.keyed_view import KeyedView, TopicBatch, ViewRecord
+from poplarfold._internal.core.fleet.peer_clock import PeerClock
 from poplarfold._internal.core.fleet.relay_messages import (
+    ClockProbe,
+    ClockReply,
     CostReport,
     FleetCost,
     KnownTopic,
@@ -18,7 +22,11 @@
     unpack,
 )
 from poplarfold._internal.core.fleet.relays import Member, RelayChoice
+from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.member_records import decode_member, encode_member
+from poplarfold._internal.gateway.settings import GatewaySettings
+from poplarfold._internal.gateway.topic_state import TopicState
+from poplarfold._internal.platform import StoreTopic
 
 
 def members(count, region="lahore"):
@@ -246,8 +254,40 @@
     assert view.values == expected and view.end == count
 
 
+@given(
+    st.floats(-1e6, 1e6),
+    st.lists(st.tuples(st.floats(0, 40), st.floats(0, 20), st.floats(0, 20))),
+)
+def test_times_of_a_relay_never_count_as_later_than_they_were(ahead_s, probes):
+    """Guards against old records that count as fresh since a message was delayed.
+
+    The relay's clock is ``ahead_s`` ahead of the node's. A question and a message each
+    wait on the way for any time.
+    """
+    clock = PeerClock()
+    assert clock.local_time(1.0) is None
+    now = 1000.0
+    for pause_s, question_s, message_s in probes:
+        now += pause_s
+        received_at = now + question_s
+        clock.measure(now, received_at + ahead_s)
+        read_at = received_at + message_s
+        assert clock.local_time(read_at + ahead_s) <= read_at + 1e-6
+        now = read_at
+
+
+def test_one_quick_answer_tells_the_age_of_delayed_records():
+    """Guards against records of a quick relay that count as old after one delay."""
+    clock = PeerClock()
+    clock.measure(sent_at=100.0, peer_at=50.001)
+    clock.measure(sent_at=110.0, peer_at=63.0)
+    assert clock.local_time(64.0) == pytest.approx(113.999, abs=0.01)
+
+
 MESSAGES = [
-    Subscribe("a", 1, "b", (KnownTopic("keyed.op", 4),)),
+    Subscribe("a", 1, "b", 7.5, (KnownTopic("keyed.op", 4),)),
+    ClockProbe(8.0),
+    ClockReply(8.0, 2.5),
     TopicRecords("keyed.op", 0, 4, 0.1, True, (ViewRecord("config", b"{}", 3),)),
     TopicRecords("keyed.servers", 3, 4, 0.0, False, (ViewRecord("i-1", None, 3),)),
     FleetCost(CostReport(1, 2, 3.0, 4.0, 5.0, 6.0)),
@@ -273,3 +313,18 @@
         type(None),
         *map(type, MESSAGES),
     }
+
+
+def test_records_of_another_relay_are_passed_on_with_their_age():
+    """Guards against old records that become fresh by passing through a relay."""
+    host = host_settings("node-1", "127.0.0.1:1")
+    fleet = Fleet(host, GatewaySettings(), 1, lambda: 100.0)
+    state = TopicState(fleet, lambda number, call_id, fields: None)
+    published = []
+    state.publish = lambda topic, batch, read_at: published.append(read_at)
+    batch = TopicBatch((ViewRecord("i-1", b"{}", 3),), 0, 4, is_snapshot=True)
+    assert state.apply(StoreTopic.ENDPOINTS, batch, 95.0, "node-2")
+    assert state.apply(StoreTopic.ENDPOINTS, batch, 98.0, "node-2")
+    message = state.message_for(StoreTopic.ENDPOINTS, None)
+    assert published == [95.0] and message.read_at == 98.0
+    assert not state.is_current(StoreTopic.ENDPOINTS)
