Drop held endpoints when their time is over

Cause: a deadline that only an unrelated event looked at. The deletion of an endpoint that may have expired in an outage is held for 2.2 s, but it took effect with the next records of the topic only.

The link's loop now looks every 0.25 s, as it does for the choice of relays.

--- a/src/poplarfold/_internal/core/fleet/directory.py
+++ b/src/poplarfold/_internal/core/fleet/directory.py
@@ -97,7 +97,7 @@
 
     def remove_expired(self, now: float) -> list[FleetEndpoint]:
         """Remove and return expired endpoints that were not announced again in time."""
-        if not self.is_expiry_grace_over(now):
+        if not self.expired_ids or not self.is_expiry_grace_over(now):
             return []
         rows = [self.endpoints.pop(key, None) for key in self.expired_ids]
         self.expired_ids.clear()
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -127,6 +127,7 @@
         cost_at = 0.0
         while not self.stopping.is_set():
             self._update_sources()
+            self.state.drop_expired()
             now = self.fleet.clock()
             if now - cost_at >= self._cost_period_s():
                 cost_at = now
--- a/src/poplarfold/_internal/gateway/topic_state.py
+++ b/src/poplarfold/_internal/gateway/topic_state.py
@@ -114,6 +114,19 @@
         with self.lock:
             self._record_store_state(error)
 
+    def drop_expired(self) -> None:
+        """Remove the endpoints that have not announced themselves again in time.
+
+        To be called periodically, since no record tells that the time is over.
+        """
+        with self.fleet.lock:
+            dropped = self.fleet.directory.remove_expired(self.fleet.clock())
+            self.fleet.remove_endpoint_stats(
+                [EndpointChange(row, None) for row in dropped]
+            )
+        for row in dropped:
+            self.write_log("PF7104", None, {"endpoint": row.endpoint_id})
+
     def known_topics(self) -> tuple[KnownTopic, ...]:
         """Return the topics that this node knows, each with its end offset."""
         with self.lock:
@@ -214,19 +227,10 @@
         self.update_members(members)
 
     def _record_store_state(self, error: PoplarfoldError | None) -> None:
-        """Record whether the store answers, and drop expired endpoints.
-
-        Logs when the store becomes unreachable and when it is reachable again.
-        """
+        """Record whether the store answers, and log when that changes."""
         with self.fleet.lock:
             now = self.fleet.clock()
             has_changed = self.fleet.directory.set_store_status(error is None, now)
-            dropped = self.fleet.directory.remove_expired(now)
-            self.fleet.remove_endpoint_stats(
-                [EndpointChange(row, None) for row in dropped]
-            )
-        for row in dropped:
-            self.write_log("PF7104", None, {"endpoint": row.endpoint_id})
         if has_changed:
             number = "PF7102" if error is not None else "PF7103"
             self.write_log(number, None, {"problem": str(error) if error else ""})
