Let a large answer of the store take the time that its bytes need

Added routes were not served, and an older configuration stayed in force for good, on a node that read a large one over a slow link (CONFIG).

Cause: a limit on the whole call that does not know how much there is to carry. Since answers without end are bounded, a read ends 0.8 s after it began (plus its wait for records), whatever arrives; the next read begins anew and ends at the same place. At 5 Mbit/s that is a configuration of 500 kB, less beside other traffic. The class is a timeout below the time that sound work takes.

Bytes of the store's answers now extend the limit by the time that they take at 62.5 kB/s. A byte now and then still ends the call.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -7,6 +7,7 @@
 
 import http.client
 import json
+import math
 import socket
 import threading
 import time
@@ -161,10 +162,12 @@
 
     A timeout of a socket starts anew with each byte, so that an endpoint which sends a
     byte now and then, or a head without end, would never exceed it. ``deadline`` is in
-    monotonic seconds, or None without one.
+    monotonic seconds, or None without one. Received bytes extend it by the time that
+    they take at ``bytes_per_s_min``, by default not at all.
     """
 
     deadline: float | None = None
+    bytes_per_s_min: float = math.inf
 
     def recv_into(self, *arguments: Any) -> int:
         """Read like ``socket.recv_into``. Raises TimeoutError at the deadline."""
@@ -173,7 +176,10 @@
             if left_s <= 0:
                 raise TimeoutError("timed out")
             self.settimeout(left_s)
-        return super().recv_into(*arguments)
+        received = super().recv_into(*arguments)
+        if self.deadline is not None:
+            self.deadline += received / self.bytes_per_s_min
+        return received
 
 
 class EndpointConnection(HTTPConnection):
@@ -291,6 +297,7 @@
         handle: AbortHandle | None = None,
         belongs_to_request: OwnAnswerCheck | None = None,
         retry_on_new_connection: bool = True,
+        bytes_per_s_min: float = math.inf,
     ) -> Result[Answer, Failure]:
         """Make one request and read its complete response.
 
@@ -301,7 +308,8 @@
         that fails because the endpoint has closed a reused connection is repeated
         once on a new one, so it must be safe to repeat. Without
         ``retry_on_new_connection`` it fails instead, and the caller decides whether
-        to repeat it. ``timeout_s`` bounds each wait for bytes.
+        to repeat it. ``timeout_s`` bounds the whole exchange. A large response may
+        take longer if it arrives at ``bytes_per_s_min`` or faster.
         """
         if not use_new_connection:
             connection = self.take_idle(target.address)
@@ -314,6 +322,7 @@
                     timeout_s,
                     handle,
                     belongs_to_request=belongs_to_request,
+                    bytes_per_s_min=bytes_per_s_min,
                 )
                 stalled = result.is_err() and isinstance(
                     result.unwrap_err().error, EndpointStalledError
@@ -332,6 +341,7 @@
             handle,
             use_new_connection,
             belongs_to_request,
+            bytes_per_s_min,
         )
 
     def open_stream(
@@ -442,11 +452,14 @@
         handle: AbortHandle | None,
         use_new_connection: bool = False,
         belongs_to_request: OwnAnswerCheck | None = None,
+        bytes_per_s_min: float = math.inf,
     ) -> Result[Answer, Failure]:
         failure = self._send(connection, target, body, headers, timeout_s, handle)
         if failure is not None:
             connection.close()
             return Err(failure)
+        if isinstance(connection.sock, DeadlineSocket):
+            connection.sock.bytes_per_s_min = bytes_per_s_min
         try:
             response = connection.getresponse()
             data = read_response_body(response)
--- a/src/poplarfold/_internal/platform/store.py
+++ b/src/poplarfold/_internal/platform/store.py
@@ -29,6 +29,9 @@
 RECORD_LENGTH = struct.Struct(">I")
 READ_LIMIT_KB = 4096
 KEY_LIMIT_BYTES = 255
+# An answer may take longer than a call's timeout if it arrives at this rate. That is a
+# tenth of the slowest link, which a host shares with its callers.
+BYTES_PER_S_MIN = 62_500
 NEWEST_PATH = "/v1/log-newest"
 SERVER_ERROR = 500
 
@@ -202,7 +205,12 @@
         """Make one call and pass it to ``on_call``; a write uses a new connection."""
         use_new_connection = body is not None
         result = self.endpoint_client.exchange(
-            target, body, {}, timeout_s, use_new_connection=use_new_connection
+            target,
+            body,
+            {},
+            timeout_s,
+            use_new_connection=use_new_connection,
+            bytes_per_s_min=BYTES_PER_S_MIN,
         )
         is_ok = result.is_ok() and result.unwrap().status < SERVER_ERROR
         self.on_call(kind, is_ok)
