Derive the age limit of relayed records from the steps that follow it

On a node whose relays fell silent a change could be in force after its bound (CONFIG, DRAIN), if the fleet is large.

Cause: a share of the bound that was not added up. For a bound of 2.5 s and 250 nodes, 1.875 s of age, 0.2 s until the next check, up to 0.5 s of random delay, a call, and 0.3 s to connect to an endpoint that was chosen just before make 3.1 s. The first own read could also wait 1.6 s on a kept connection that is dead.

The limit is now what the steps leave of the bound, and the first own read does not wait for records. With 9 nodes it is 1.73 s instead of 1.875 s, with 66 nodes and a bound of 4 s 3.12 s instead of 3 s. A call that gets no answer at all still exceeds the bound of 2.5 s; the platform excuses a host whose link fails.

Evidence: the unit test adds up the steps for fleets of 1 to 400 nodes; by the old share it fails from 250 nodes on. Ruled out by the same sum: that an endpoint which is chosen and then leaves gets calls too late, since a plain call or prefill follows its choice within the 0.3 s, and the decode call looks again.

--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -145,6 +145,11 @@
                 {topic: now - row.read_at for topic, row in self.knowledge.items()},
             )
 
+    def node_count(self) -> int:
+        """Return the number of known nodes, or 1 while it is unknown."""
+        with self.lock:
+            return len(self.presence.rows) or 1
+
     def describe_knowledge(self, topic: str) -> KnowledgeFields | None:
         """Return the age, end and source of a topic for the log; None if unknown."""
         row = self.knowledge.get(topic)
--- a/src/poplarfold/_internal/gateway/store_reader.py
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -6,6 +6,10 @@
 
 from result import Err, Ok, Result
 
+from poplarfold._internal.core.fleet.fallback import (
+    CHECK_PERIOD_S,
+    fallback_spread_s,
+)
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch, ViewRecord
 from poplarfold._internal.exceptions import PoplarfoldError, StoreGapError
 from poplarfold._internal.gateway.relay_link import RelayLink
@@ -20,14 +24,8 @@
 # grows with the number of nodes, of which each may be cut off from its relays.
 READ_RETRY_S = 0.4
 NODES_PER_RETRY_PAUSE = 50
-# How often a node that gets its records from relays checks whether it must read.
-RELAY_CHECK_PERIOD_S = 0.2
 # A node that has just started waits this long for records from relays.
 START_WAIT_S = 1.0
-# Nodes that lose their relays at the same time read the store at random times within
-# this time per node.
-FALLBACK_SPREAD_S_PER_NODE = 0.002
-FALLBACK_SPREAD_MAX_S = 0.5
 MEMBER_POLL_S = 3.0
 
 
@@ -93,10 +91,12 @@
                 if is_reading:
                     self.write_log("PF7110", None, self.reading_fields(topic))
                 is_reading = False
-                self.stopping.wait(RELAY_CHECK_PERIOD_S)
+                self.stopping.wait(CHECK_PERIOD_S)
                 continue
             if not is_reading:
                 is_reading = True
+                # A kept connection may be dead, which a waiting read notices late.
+                may_wait = False
                 self.write_log("PF7109", None, self.reading_fields(topic))
                 self.stopping.wait(self.fallback_delay_s())
                 continue
@@ -149,19 +149,13 @@
         """Return a random delay before a node without current relays reads."""
         if self.relay_link.is_relay():
             return 0.0
-        spread_s = FALLBACK_SPREAD_S_PER_NODE * self.node_count()
-        return min(FALLBACK_SPREAD_MAX_S, spread_s) * self.fleet.rng.random()
+        return fallback_spread_s(self.fleet.node_count()) * self.fleet.rng.random()
 
     def retry_pause_s(self) -> float:
         """Return the pause after a failed read."""
-        factor = max(1.0, self.node_count() / NODES_PER_RETRY_PAUSE)
+        factor = max(1.0, self.fleet.node_count() / NODES_PER_RETRY_PAUSE)
         return READ_RETRY_S * factor * (0.75 + 0.5 * self.fleet.rng.random())
 
-    def node_count(self) -> int:
-        """Return the number of known nodes, or 1 while it is unknown."""
-        with self.fleet.lock:
-            return len(self.fleet.presence.rows) or 1
-
     def known_at(self, batch: TopicBatch, started_at: float, wait_s: float) -> float:
         """Return a time at which the topic had no records after those of a read.
 
--- a/src/poplarfold/_internal/gateway/topic_state.py
+++ b/src/poplarfold/_internal/gateway/topic_state.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from poplarfold._internal.core.fleet.directory import EndpointChange
+from poplarfold._internal.core.fleet.fallback import reliance_s
 from poplarfold._internal.core.fleet.keyed_view import KeyedView, TopicBatch, ViewRecord
 from poplarfold._internal.core.fleet.relay_messages import KnownTopic, TopicRecords
 from poplarfold._internal.core.fleet.relays import Member
@@ -23,9 +24,6 @@
 ROUTES_KEY = "config"
 # The source of records that this node has read from the store itself.
 STORE_SOURCE = "store"
-# A topic is current for this share of the time within which its changes must be in
-# force. The rest is left for a read of the store by this node itself.
-CURRENT_SHARE = 0.75
 
 Publish = Callable[[StoreTopic, TopicBatch, float], None]
 UpdateMembers = Callable[[dict[str, Member]], None]
@@ -51,9 +49,10 @@
         # When each topic was last known to be current.
         self.current_at: dict[StoreTopic, float] = {}
         bounds = fleet.host.bounds
-        self.current_s = {
-            StoreTopic.ROUTES: CURRENT_SHARE * bounds.apply_s,
-            StoreTopic.ENDPOINTS: CURRENT_SHARE * bounds.leaving_s,
+        # The time within which a change of a topic must be in force.
+        self.bounds_s = {
+            StoreTopic.ROUTES: bounds.apply_s,
+            StoreTopic.ENDPOINTS: bounds.leaving_s,
         }
 
     def is_current(self, topic: StoreTopic) -> bool:
@@ -63,8 +62,12 @@
 
     def is_recent(self, topic: StoreTopic, read_at: float) -> bool:
         """Return whether records that were read at a time may still be relied on."""
-        limit_s = self.current_s.get(topic)
-        return limit_s is None or self.fleet.clock() - read_at < limit_s
+        bound_s = self.bounds_s.get(topic)
+        if bound_s is None:
+            return True
+        connect_s = self.fleet.settings.connect_s
+        limit_s = reliance_s(bound_s, self.fleet.node_count(), connect_s)
+        return self.fleet.clock() - read_at < limit_s
 
     def apply(
         self,
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -8,6 +8,12 @@
 from hypothesis import given, settings, strategies as st
 from tests.lib.relay_nodes import host_settings
 
+from poplarfold._internal.core.fleet.fallback import (
+    CHECK_PERIOD_S,
+    STORE_ANSWER_S,
+    fallback_spread_s,
+    reliance_s,
+)
 from poplarfold._internal.core.fleet.keyed_view import KeyedView, TopicBatch, ViewRecord
 from poplarfold._internal.core.fleet.peer_clock import PeerClock
 from poplarfold._internal.core.fleet.relay_messages import (
@@ -49,6 +55,19 @@
     return choice
 
 
+@pytest.mark.parametrize("bound_s", [2.5, 4.0, 5.0])
+@pytest.mark.parametrize("nodes", [1, 6, 66, 250, 400])
+def test_the_steps_of_a_node_without_relays_fit_into_the_bound(bound_s, nodes):
+    """Guards against a limit of age that leaves too little time to read the store."""
+    settings = GatewaySettings()
+    limit_s = reliance_s(bound_s, nodes, settings.connect_s)
+    steps_s = CHECK_PERIOD_S + fallback_spread_s(nodes) + STORE_ANSWER_S
+    assert limit_s + steps_s + settings.connect_s <= bound_s
+    # Messages of a sound relay, which follow each of its reads, are no older.
+    assert limit_s > settings.route_wait_share * bound_s
+    assert limit_s > settings.endpoint_poll_share * bound_s
+
+
 @pytest.mark.parametrize("count", [1, 2, 6, 59, 195, 300])
 def test_two_nodes_of_a_region_read_the_store_at_any_size(count):
     """Guards against store calls that grow with the number of nodes."""
