Block a part of prompts that crashes engines on all nodes

Cause: failures were counted by engine only, by each node for itself. No node sees enough crashes of one part, and the repeat of a broken stream does not ask why it broke.

Nodes now exchange a state for each suspected part, over the relays at once and through the store for other regions and later starts. Suspect are the parts of streams that were answered for less than 0.5 s when their engine's process ended (a refused connection). A stream that is answered for 0.5 s clears its parts. Under three crashed engines new requests are rejected as not run, under two a request that has crashed one is not repeated. The deepest part that explains the crashes is blocked, so that requests which share the first part are served.

--- a/src/poplarfold/_internal/core/fleet/relay_messages.py
+++ b/src/poplarfold/_internal/core/fleet/relay_messages.py
@@ -13,6 +13,7 @@
 from result import Err, Result
 
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch, ViewRecord
+from poplarfold._internal.core.fleet.prompt_suspects import PartState
 from poplarfold._internal.core.message_codec import MESSAGE_MAX_BYTES, MessageCodec
 from poplarfold._internal.exceptions import PeerProtocolError
 
@@ -22,6 +23,7 @@
     "CostReport",
     "FleetCost",
     "KnownTopic",
+    "PartStates",
     "Subscribe",
     "TopicRecords",
     "pack",
@@ -96,6 +98,12 @@
         return TopicBatch(self.records, self.start, self.end, self.is_snapshot)
 
 
+class PartStates(NamedTuple):
+    """Suspected parts of prompts, in either direction: all at first, then changes."""
+
+    states: tuple[PartState, ...]
+
+
 class CostReport(NamedTuple):
     """What the sender has learned about the cost of a stream."""
 
@@ -116,7 +124,15 @@
 
 
 CODEC = MessageCodec(
-    (Subscribe, ClockProbe, ClockReply, TopicRecords, CostReport, FleetCost),
+    (
+        Subscribe,
+        ClockProbe,
+        ClockReply,
+        TopicRecords,
+        PartStates,
+        CostReport,
+        FleetCost,
+    ),
     PROTOCOL_VERSION,
 )
 
--- a/src/poplarfold/_internal/core/fleet/relays.py
+++ b/src/poplarfold/_internal/core/fleet/relays.py
@@ -52,7 +52,8 @@
 class RelayChoice:
     """One node's choice of relays. Times are seconds of the runtime's clock.
 
-    ``order_rank`` is the number of nodes that come before this one in giving orders.
+    ``order_rank`` is the number of nodes that come before this one in giving orders,
+    ``relay_rank`` that of its region's nodes that come before it as a relay.
     """
 
     def __init__(self, host: str, region: str) -> None:
@@ -61,6 +62,7 @@
         self.members: dict[str, Member] = {}
         self.order: tuple[str, ...] = ()
         self.order_rank = 0
+        self.relay_rank = 0
         self.unavailable: Table[str, Unavailability] = Table()
 
     def update(self, members: Mapping[str, Member]) -> None:
@@ -80,6 +82,7 @@
             )
         )
 
+        self.relay_rank = self.order.index(self.host) if self.host in self.order else 0
         hosts = rank_hosts(ORDERS_KEY, members)
         self.order_rank = hosts.index(self.host) if self.host in hosts else 0
 
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -431,6 +431,12 @@
     code = "store_gap"
 
 
+class StoreTopicMissingError(StoreUnavailableError):
+    """The topic does not exist in the store, since nothing was written to it yet."""
+
+    code = "store_topic_missing"
+
+
 class NoRouteTableError(PoplarfoldError):
     """This node has not received a configuration yet. The call has not run."""
 
@@ -452,6 +458,20 @@
     status = 503
 
 
+class PromptBlockedError(PoplarfoldError):
+    """A part of the prompt crashes engines. The call has not run.
+
+    Requests with the part are rejected for ``remaining_s`` more.
+    """
+
+    code = "prompt_blocked"
+    status = 503
+
+    def __init__(self, message: str, remaining_s: float) -> None:
+        super().__init__(message)
+        self.remaining_s = remaining_s
+
+
 class DecodePoolFullError(PoplarfoldError):
     """All decode engines are full. The call has not run."""
 
--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -12,6 +12,7 @@
 )
 from poplarfold._internal.gateway.fleet import Fleet, MatchedRoute
 from poplarfold._internal.gateway.metrics import GatewayMetrics
+from poplarfold._internal.gateway.part_guard import PartGuard
 from poplarfold._internal.gateway.server import CallerExchange
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import CallerCall, EngineClient
@@ -26,6 +27,7 @@
     fleet: Fleet
     client: EndpointClient
     engines: EngineClient
+    guard: PartGuard
     watcher: SocketWatcher
     metrics: GatewayMetrics
     write_log: WriteLog
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -8,6 +8,7 @@
     NoRouteTableError,
     NotRunError,
     PoplarfoldError,
+    PromptBlockedError,
     RequestError,
     StoppingError,
 )
@@ -75,12 +76,14 @@
             version=context.version,
             deadline_s=call.deadline_s,
             prompt_tokens=call.prompt_tokens,
+            parts=list(call.shared_parts),
             known=fleet.describe_knowledge("routes"),
         )
         sock = exchange.connection.socket
         descriptor = self.services.watcher.watch(sock, context.on_caller_gone)
         try:
             if context.route.kind is CallKind.STREAM and context.route.uses_engine:
+                self.services.guard.check(call.shared_parts)
                 StreamCall(context).run()
             else:
                 PlainCall(context).run()
@@ -101,6 +104,8 @@
             retry_after_s = SHORT_RETRY_AFTER_S
         elif isinstance(error, StoppingError):
             retry_after_s = OTHER_NODE_RETRY_AFTER_S
+        elif isinstance(error, PromptBlockedError):
+            retry_after_s = error.remaining_s
         send_error(exchange, call.request_id, error, retry_after_s)
 
     def log_end(self, call: CallerCall, error: PoplarfoldError) -> None:
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -21,6 +21,8 @@
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.handler import CallHandler
 from poplarfold._internal.gateway.metrics import GatewayMetrics
+from poplarfold._internal.gateway.part_guard import PartGuard
+from poplarfold._internal.gateway.part_writer import PartWriter
 from poplarfold._internal.gateway.relay_link import RelayLink
 from poplarfold._internal.gateway.role_orders import RoleOrders
 from poplarfold._internal.gateway.server import CallerExchange, GatewayServer
@@ -76,10 +78,12 @@
         self.fleet = Fleet(host, settings, seed)
         self.watcher = SocketWatcher()
         self.metrics = GatewayMetrics()
+        self.guard = PartGuard(self.fleet.clock, writer.write_event)
         services = Services(
             self.fleet,
             client,
             EngineClient(client),
+            self.guard,
             self.watcher,
             self.metrics,
             writer.write_event,
@@ -88,9 +92,16 @@
         store = StoreClient(client, host.store_address, self.metrics.count_store_call)
         state = TopicState(self.fleet, writer.write_event)
         self.relay_link = RelayLink(
-            self.fleet, state, writer.incarnation, writer.write_event
+            self.fleet, state, self.guard, writer.incarnation, writer.write_event
         )
         self.reader = StoreReader(state, store, self.relay_link, writer.write_event)
+        self.part_writer = PartWriter(
+            self.guard,
+            store,
+            self.relay_link,
+            settings.store_call_s,
+            writer.write_event,
+        )
         self.orders = RoleOrders(
             self.fleet,
             store,
@@ -130,6 +141,7 @@
         self.watcher.start()
         self.relay_link.start()
         self.reader.start()
+        self.part_writer.start()
         self.orders.start()
         self.announcer.start()
         for server in self.servers:
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/part_guard.py
@@ -0,0 +1,168 @@
+"""Shares the suspected parts of prompts between the nodes, and rejects requests.
+
+The decisions are in ``core/fleet/prompt_suspects``. Changes go to the node's relays and
+subscribers at once. A suspicion that lasts is also kept in the store, for the other
+regions and for nodes that start later.
+"""
+
+import json
+import threading
+from collections.abc import Callable, Iterable, Sequence
+
+from poplarfold._internal.core.fleet.keyed_view import ViewRecord
+from poplarfold._internal.core.fleet.prompt_suspects import (
+    BlockedPart,
+    EngineKey,
+    PartState,
+    PromptSuspects,
+)
+from poplarfold._internal.core.fleet.rows import FleetEndpoint
+from poplarfold._internal.exceptions import PromptBlockedError
+from poplarfold._internal.logs.writer import WriteLog
+
+__all__ = ["PartGuard", "decode_part_state", "encode_part_state"]
+
+# A suspicion is written to the store if it has not been cleared for this long. Sound
+# streams clear the parts that many prompts share within this time.
+SETTLED_S = 1.0
+
+Share = Callable[[tuple[PartState, ...]], None]
+
+
+class PartGuard:
+    """The suspected parts of prompts as this node knows them. Thread-safe.
+
+    ``share`` sends changed states to the relays and subscribers of this node.
+    """
+
+    def __init__(self, clock: Callable[[], float], write_log: WriteLog) -> None:
+        self.clock = clock
+        self.write_log = write_log
+        self.share: Share = lambda states: None
+        self.lock = threading.Lock()
+        self.suspects = PromptSuspects()
+        self.blocked: set[str] = set()
+        # The newest records of the store, by part.
+        self.stored: dict[str, bytes] = {}
+
+    def check(self, parts: Sequence[str]) -> None:
+        """Raise PromptBlockedError if requests with one of the parts are rejected."""
+        found = self.blocked_part(parts)
+        if found is not None:
+            raise PromptBlockedError(
+                f"engines have crashed under part {found.part} of the prompt",
+                found.remaining_s,
+            )
+
+    def blocked_part(self, parts: Sequence[str]) -> BlockedPart | None:
+        """Return the part because of which a request must be rejected, if any."""
+        with self.lock:
+            return self.suspects.blocked_part(parts, self.clock())
+
+    def may_repeat(self, parts: Sequence[str]) -> bool:
+        """Return whether a request whose engine has crashed may go to another one."""
+        with self.lock:
+            return self.suspects.may_repeat(parts, self.clock())
+
+    def record_crash(self, parts: Sequence[str], engine: FleetEndpoint) -> None:
+        """Record that an engine crashed when it should have answered these parts."""
+        key = EngineKey(engine.endpoint_id, engine.incarnation)
+        with self.lock:
+            self._share(self.suspects.record_crash(parts, key, self.clock()))
+
+    def record_sound(self, parts: Sequence[str], began_at: float) -> None:
+        """Clear the parts of a stream that an engine has answered since a time."""
+        with self.lock:
+            self._share(self.suspects.record_sound(parts, began_at, self.clock()))
+
+    def merge(self, states: Iterable[PartState]) -> None:
+        """Merge the states that another node has sent."""
+        with self.lock:
+            self._share(self.suspects.merge(states, self.clock()))
+
+    def merge_stored(self, records: Iterable[ViewRecord]) -> None:
+        """Merge the states that were read from the store."""
+        states = []
+        for record in records:
+            if record.value is None:
+                self.stored.pop(record.key, None)
+                continue
+            self.stored[record.key] = record.value
+            state = decode_part_state(record.key, record.value)
+            if state is not None:
+                states.append(state)
+        self.merge(states)
+
+    def expire(self) -> None:
+        """End the blocks whose time is over. To be called periodically."""
+        with self.lock:
+            self._share(self.suspects.expire(self.clock()))
+
+    def states(self) -> tuple[PartState, ...]:
+        """Return all states, for a node that has just connected."""
+        with self.lock:
+            return tuple(self.suspects.states.values())
+
+    def unstored(self) -> list[tuple[str, bytes]]:
+        """Return the keys and values that the store should have; b"" for a deletion."""
+        found = []
+        with self.lock:
+            settled_at = self.clock() - SETTLED_S
+            for part, state in self.suspects.states.items():
+                value = encode_part_state(state)
+                is_wanted = bool(state.crashes) or part in self.stored
+                is_settled = self.suspects.times[part].changed_at <= settled_at
+                if is_wanted and is_settled and self.stored.get(part) != value:
+                    found.append((part, value))
+            forgotten = self.stored.keys() - self.suspects.states.keys()
+            found.extend((part, b"") for part in forgotten)
+        return found
+
+    def _share(self, states: list[PartState]) -> None:
+        """Send changed states, and log which parts are blocked by them or no longer."""
+        if not states:
+            return
+        self.share(tuple(states))
+        now = self.clock()
+        for state in states:
+            is_blocked = self.suspects.blocked_part((state.part,), now) is not None
+            if is_blocked == (state.part in self.blocked):
+                continue
+            fields = {
+                "part": state.part,
+                "crashes": [f"{row.endpoint_id}@{row.incarnation}" for row in state[4]],
+                "blocks": state.blocks,
+            }
+            if is_blocked:
+                self.blocked.add(state.part)
+                self.write_log("PF7201", None, fields)
+            else:
+                self.blocked.discard(state.part)
+                self.write_log("PF7202", None, fields)
+
+
+def encode_part_state(state: PartState) -> bytes:
+    """Return the value of a part's record in the store."""
+    fields = {
+        "depth": state.depth,
+        "round": state.round,
+        "blocks": state.blocks,
+        "crashes": [list(key) for key in state.crashes],
+    }
+    return json.dumps(fields).encode()
+
+
+def decode_part_state(part: str, value: bytes) -> PartState | None:
+    """Decode the record of a part; return None if it is malformed."""
+    try:
+        fields = json.loads(value)
+        crashes = tuple(EngineKey(str(name), int(at)) for name, at in fields["crashes"])
+        return PartState(
+            part,
+            int(fields["depth"]),
+            int(fields["round"]),
+            int(fields["blocks"]),
+            tuple(sorted(crashes)),
+        )
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -15,11 +15,13 @@
 
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch
 from poplarfold._internal.core.fleet.peer_clock import PeerClock
+from poplarfold._internal.core.fleet.prompt_suspects import PartState
 from poplarfold._internal.core.fleet.relay_messages import (
     ClockProbe,
     ClockReply,
     CostReport,
     FleetCost,
+    PartStates,
     Subscribe,
     TopicRecords,
     pack,
@@ -29,6 +31,7 @@
 from poplarfold._internal.core.message_codec import MESSAGE_MAX_BYTES
 from poplarfold._internal.exceptions import PeerProtocolError, RecordGapError
 from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.part_guard import PartGuard
 from poplarfold._internal.gateway.topic_state import TopicState
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import StoreTopic
@@ -57,16 +60,24 @@
     """
 
     def __init__(
-        self, fleet: Fleet, state: TopicState, incarnation: int, write_log: WriteLog
+        self,
+        fleet: Fleet,
+        state: TopicState,
+        guard: PartGuard,
+        incarnation: int,
+        write_log: WriteLog,
     ) -> None:
         host = fleet.host
         self.fleet = fleet
         self.state = state
+        self.guard = guard
         self.write_log = write_log
         self.me = Member(host.host, incarnation, host.region, None, host.link_mbps)
         self.choice = RelayChoice(host.host, host.region)
         self.subscribers: dict[ServerConnection, CostReport | None] = {}
         self.sources: dict[str, asyncio.Task[None]] = {}
+        # The open connections to relays.
+        self.upstream: set[Any] = set()
         self.loop = asyncio.new_event_loop()
         self.started = threading.Event()
         self.stopping = asyncio.Event()
@@ -78,6 +89,8 @@
         self.silence_s = min(bounds.apply_s, bounds.leaving_s)
         state.publish = self.publish
         state.update_members = self.update_members
+        state.update_parts = guard.merge_stored
+        guard.share = self.share_parts
 
     def start(self) -> None:
         """Start the thread and wait until it listens."""
@@ -108,6 +121,12 @@
         message = TopicRecords.of_batch(topic.value, batch, read_at)
         self.loop.call_soon_threadsafe(self._broadcast, pack(message))
 
+    def share_parts(self, states: tuple[PartState, ...]) -> None:
+        """Send changed states of parts to all relays and subscribers."""
+        if self.subscribers or self.upstream:
+            data = pack(PartStates(states))
+            self.loop.call_soon_threadsafe(self._send_parts, data)
+
     # Methods of the event loop's thread.
 
     def _run(self) -> None:
@@ -182,6 +201,8 @@
                     self.subscribers[connection] = message
                 elif isinstance(message, ClockProbe):
                     self._answer_probe(connection, message.sent_at)
+                elif isinstance(message, PartStates):
+                    self.guard.merge(message.states)
         except PeerProtocolError as error:
             self.write_log("PF6403", None, {"problem": str(error)})
             await connection.close(1008)
@@ -202,6 +223,7 @@
             records = self.state.message_for(topic, known.get(topic.value))
             if records is not None:
                 broadcast([connection], pack(records))
+        broadcast([connection], pack(PartStates(self.guard.states())))
 
     def _answer_probe(self, connection: ServerConnection, sent_at: float) -> None:
         """Tell a subscriber what this node's clock shows."""
@@ -215,6 +237,10 @@
                 connection.transport.abort()
         broadcast(self.subscribers, data)
 
+    def _send_parts(self, data: bytes) -> None:
+        self._broadcast(data)
+        broadcast(self.upstream, data)
+
     def _cost_period_s(self) -> float:
         """Return the time between two reports of learned costs."""
         with self.fleet.lock:
@@ -252,6 +278,7 @@
         problem = "the connection was closed"
         waits_for = "connection"
         reporter: asyncio.Task[None] | None = None
+        upstream: Any = None
         try:
             async with connect(
                 f"ws://{relay.address}/",
@@ -270,6 +297,9 @@
                     self.state.known_topics(),
                 )
                 await connection.send(pack(hello))
+                await connection.send(pack(PartStates(self.guard.states())))
+                upstream = connection
+                self.upstream.add(connection)
                 reporter = self.loop.create_task(self._send_reports(connection))
                 self.write_log("PF6404", None, {"relay": relay.host})
                 waits_for = "message"
@@ -285,6 +315,7 @@
         except (PeerProtocolError, RecordGapError) as error:
             problem = str(error)
         finally:
+            self.upstream.discard(upstream)
             if reporter is not None:
                 reporter.cancel()
         self.choice.record_failure(relay.host, self.fleet.clock())
@@ -296,6 +327,8 @@
             message = decode(await connection.recv())
             if isinstance(message, FleetCost):
                 self.fleet.set_fleet_cost(message.cost)
+            elif isinstance(message, PartStates):
+                self.guard.merge(message.states)
             elif isinstance(message, ClockReply):
                 clock.measure(message.sent_at, message.relay_at)
             elif isinstance(message, TopicRecords):
--- a/src/poplarfold/_internal/gateway/store_reader.py
+++ b/src/poplarfold/_internal/gateway/store_reader.py
@@ -4,14 +4,18 @@
 from functools import partial
 from typing import Any, NamedTuple
 
-from result import Err, Ok, Result
+from result import Ok, Result
 
 from poplarfold._internal.core.fleet.fallback import (
     CHECK_PERIOD_S,
     fallback_spread_s,
 )
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch, ViewRecord
-from poplarfold._internal.exceptions import PoplarfoldError, StoreGapError
+from poplarfold._internal.exceptions import (
+    PoplarfoldError,
+    StoreGapError,
+    StoreTopicMissingError,
+)
 from poplarfold._internal.gateway.relay_link import RelayLink
 from poplarfold._internal.gateway.threads import start_thread
 from poplarfold._internal.gateway.topic_state import TopicState
@@ -27,6 +31,7 @@
 # A node that has just started waits this long for records from relays.
 START_WAIT_S = 1.0
 MEMBER_POLL_S = 3.0
+PART_WAIT_S = 3.0
 
 
 class FollowedTopic(NamedTuple):
@@ -71,6 +76,7 @@
                 settings.endpoint_poll_share * bounds.leaving_s,
             ),
             FollowedTopic(StoreTopic.NODES, 0.0, MEMBER_POLL_S),
+            FollowedTopic(StoreTopic.PARTS, PART_WAIT_S, 0.0),
         )
 
     def start(self) -> None:
@@ -113,7 +119,7 @@
                 may_wait = not batch.records
                 needs_snapshot = False
                 failures = 0
-                self.stopping.wait(followed.pause_s)
+                self.stopping.wait(self.pause_after(followed, batch, started_at))
                 continue
             error = result.unwrap_err()
             if isinstance(error, StoreGapError):
@@ -130,7 +136,7 @@
         """Return whether this node has to read a topic from the store itself."""
         if self.relay_link.is_relay():
             return True
-        if topic is StoreTopic.NODES:
+        if topic in (StoreTopic.NODES, StoreTopic.PARTS):
             return False
         if self.state.views[topic].end is None:
             return self.fleet.clock() - self.started_at > START_WAIT_S
@@ -156,6 +162,18 @@
         factor = max(1.0, self.fleet.node_count() / NODES_PER_RETRY_PAUSE)
         return READ_RETRY_S * factor * (0.75 + 0.5 * self.fleet.rng.random())
 
+    def pause_after(
+        self, followed: FollowedTopic, batch: TopicBatch, started_at: float
+    ) -> float:
+        """Return the pause after a read.
+
+        A topic without any record does not exist yet, so that a read does not wait.
+        """
+        if batch.end > 0:
+            return followed.pause_s
+        took_s = self.fleet.clock() - started_at
+        return max(followed.pause_s, followed.read_wait_s - took_s)
+
     def known_at(self, batch: TopicBatch, started_at: float, wait_s: float) -> float:
         """Return a time at which the topic had no records after those of a read.
 
@@ -172,11 +190,20 @@
 
         ``wait_s`` is how long the store waits for a record.
         """
+        result: Result[RecordBatch, Any]
         if offset is None:
-            newest = self.store.read_newest(topic, self.call_timeout_s)
-            return Ok(newest.unwrap()) if newest.is_ok() else Err(newest.unwrap_err())
-        read = self.store.read_from(topic, offset, wait_s, self.call_timeout_s)
-        return Ok(read.unwrap()) if read.is_ok() else Err(read.unwrap_err())
+            result = self.store.read_newest(topic, self.call_timeout_s)
+        else:
+            result = self.store.read_from(topic, offset, wait_s, self.call_timeout_s)
+        is_err = result.is_err()
+        if is_err and topic is StoreTopic.PARTS and is_missing(result.unwrap_err()):
+            return Ok(RecordBatch((), 0))
+        return result
+
+
+def is_missing(error: PoplarfoldError) -> bool:
+    """Return whether a read failed because nothing was written to the topic yet."""
+    return isinstance(error, StoreTopicMissingError)
 
 
 def as_topic_batch(read: RecordBatch, offset: int | None) -> TopicBatch:
--- a/src/poplarfold/_internal/gateway/topic_state.py
+++ b/src/poplarfold/_internal/gateway/topic_state.py
@@ -26,6 +26,7 @@
 STORE_SOURCE = "store"
 
 Publish = Callable[[StoreTopic, TopicBatch, float], None]
+UpdateParts = Callable[[list[ViewRecord]], None]
 UpdateMembers = Callable[[dict[str, Member]], None]
 
 
@@ -33,7 +34,8 @@
     """The topics as this node knows them. Thread-safe.
 
     ``publish`` passes the records of the store to the subscribers of this node, and
-    ``update_members`` passes on the members of the fleet. Records are passed on at
+    ``update_members`` passes on the members of the fleet, and ``update_parts`` the
+    suspected parts of prompts. Records are passed on at
     once, also those that have no effect on this node yet: each node decides by its
     own knowledge of the store how long it holds back the deletion of an endpoint.
     """
@@ -43,6 +45,7 @@
         self.write_log = write_log
         self.publish: Publish = lambda topic, batch, read_at: None
         self.update_members: UpdateMembers = lambda members: None
+        self.update_parts: UpdateParts = lambda records: None
         # Serializes updates, so that an older record cannot be applied last.
         self.lock = threading.Lock()
         self.views = {topic: KeyedView() for topic in StoreTopic}
@@ -161,8 +164,10 @@
             self._apply_routes(records)
         elif topic is StoreTopic.ENDPOINTS:
             self._apply_endpoints(records)
-        else:
+        elif topic is StoreTopic.NODES:
             self._apply_members(view, records)
+        else:
+            self.update_parts(records)
 
     def _apply_routes(self, records: list[ViewRecord]) -> None:
         """Apply the newest configuration among the records."""
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -307,7 +307,8 @@
     EventKind(
         "PF1101",
         "request_routed",
-        ("route", "service", "version", "deadline_s", "prompt_tokens", "known"),
+        ("route", "service", "version", "deadline_s", "prompt_tokens")
+        + ("parts", "known"),
         "a request matched a route of this configuration; known says how long ago it "
         "was the newest one, up to which offset of its topic, and by which source",
     ),
@@ -372,6 +373,13 @@
         ("endpoint",),
         "no prefill engine could prefill the prompt; the decode engine does",
     ),
+    EventKind(
+        "PF1111",
+        "engine_crashed",
+        ("endpoint", "born", "parts", "events"),
+        "an engine's process ended before it had answered a stream for long; the "
+        "parts of its prompt are suspect",
+    ),
     EventKind(
         "PF2101",
         "gateway_started",
@@ -516,6 +524,26 @@
         ("topic", "is_relay", "known"),
         "relays send a topic again; this node no longer reads it from the store",
     ),
+    EventKind(
+        "PF7201",
+        "part_blocked",
+        ("part", "crashes", "blocks"),
+        "engines have crashed under a part of prompts; requests with it are rejected",
+        alert=True,
+    ),
+    EventKind(
+        "PF7202",
+        "part_unblocked",
+        ("part", "crashes", "blocks"),
+        "requests with a part of prompts are served again, after a time or because a "
+        "stream with it was answered",
+    ),
+    EventKind(
+        "PF7203",
+        "part_not_stored",
+        ("part", "problem"),
+        "a relay could not write a suspected part to the store, and tries again",
+    ),
     EventKind(
         "PF9001",
         "invariant_violated",
--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -30,6 +30,9 @@
 SERVER_LOAD = "Poplarfold-Server-Load"
 NOT_EXECUTED = "Poplarfold-Not-Executed"
 
+# Further parts of a prompt are not looked at.
+SHARED_PARTS_MAX = 32
+
 # Only the router may set these headers; those that a caller sends are removed.
 ROUTER_HEADERS = frozenset(
     name.lower()
@@ -69,8 +72,9 @@
 
     ``request_id`` identifies one attempt of the caller; a retry has another id.
     ``deadline_s`` is how long the caller waits. ``resume_after`` is the id of the
-    last event that the caller has received, or None. ``headers`` are those to
-    forward.
+    last event that the caller has received, or None. ``shared_parts`` are the ids of
+    the parts of the prompt that other prompts may share, in order. ``headers`` are
+    those to forward.
     """
 
     request_id: str
@@ -83,6 +87,7 @@
     expected_outputs: int
     resume_after: str | None
     headers: tuple[tuple[str, str], ...]
+    shared_parts: tuple[str, ...] = ()
 
 
 class CallTarget(NamedTuple):
@@ -160,9 +165,19 @@
         ),
         resume_after=lower_headers.get(LAST_EVENT_ID.lower()),
         headers=kept,
+        shared_parts=decode_shared_parts(lower_headers.get(PROMPT_PREFIX.lower(), "")),
     )
 
 
+def decode_shared_parts(value: str) -> tuple[str, ...]:
+    """Decode ``ID:TOKENS,ID:TOKENS``, without the last part.
+
+    That one belongs to the call itself or to its session.
+    """
+    parts = [part.partition(":")[0].strip() for part in value.split(",")]
+    return tuple(part for part in parts[:-1] if part)[:SHARED_PARTS_MAX]
+
+
 def connection_names(value: str) -> frozenset[str]:
     """Return the header names that a Connection header lists."""
     return frozenset(part.strip().lower() for part in value.split(","))
--- a/src/poplarfold/_internal/platform/engines.py
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -1,6 +1,7 @@
 """The router's own calls to engines: leases, prefills and role orders."""
 
 import json
+import socket
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -182,6 +183,17 @@
         )
         return result.unwrap().status if result.is_ok() else None
 
+    def has_ended(self, address: str, timeout_s: float) -> bool:
+        """Return whether no process listens at an engine's address any more."""
+        host, _, port = address.rpartition(":")
+        try:
+            socket.create_connection((host, int(port)), timeout_s).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def _delete(self, address: str, path: str, timeout_s: float) -> bool:
         result = self.endpoint_client.exchange(
             Target(address, "DELETE", path), None, {}, timeout_s
--- a/src/poplarfold/_internal/platform/store.py
+++ b/src/poplarfold/_internal/platform/store.py
@@ -19,6 +19,7 @@
 from poplarfold._internal.exceptions import (
     PlatformFormatError,
     StoreGapError,
+    StoreTopicMissingError,
     StoreUnavailableError,
 )
 
@@ -43,6 +44,8 @@
     ENDPOINTS = "keyed.servers"
     # Presence records of the router's own nodes.
     NODES = "keyed.poplarfold.nodes"
+    # Parts of prompts under which engines have crashed.
+    PARTS = "keyed.poplarfold.parts"
 
 
 class Record(NamedTuple):
@@ -229,6 +232,8 @@
             return Err(
                 StoreGapError(f"{path}: the requested records have been deleted")
             )
+        if answer.status == 404:
+            return Err(StoreTopicMissingError(f"{path}: the topic does not exist"))
         if answer.status != 200:
             return Err(
                 StoreUnavailableError(
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -202,6 +202,40 @@
     wait_until(lambda: not fleet.decode.leases, 1.0)
 
 
+def prompt(*parts):
+    """The header of a prompt whose last part is its own."""
+    own = f"{time.monotonic_ns():x}"
+    return {"Poplarfold-Prompt-Prefix": ",".join(f"{p}:50" for p in (*parts, own))}
+
+
+def test_part_that_crashes_engines_is_blocked(fleet):
+    """Guards against a part of a prompt that crashes one engine after the other.
+
+    Sound requests that share the first part with it are served on.
+    """
+    engines = [EndpointStandIn(f"i-decode-{n}", "decode") for n in range(8)]
+    for engine in engines:
+        engine.deadly_part = "bad0"
+        fleet.announce(engine, "llm")
+    fleet.store.put("keyed.servers", "i-decode", None)
+    fleet.wait_ready()
+    wait_until(
+        lambda: fleet.log.read_text().count("endpoint_changed") >= 11, READY_LIMIT_S
+    )
+    for _ in range(6):
+        assert fleet.caption(**prompt("5c1e")).status == 200
+    statuses = [fleet.caption(**prompt("5c1e", "bad0")).status for _ in range(8)]
+    crashed = sum(engine.has_crashed for engine in engines)
+    assert crashed <= 3, statuses
+    prefills = len(fleet.prefill.prefills)
+    refused = fleet.caption(**prompt("5c1e", "bad0"))
+    assert refused.status == 503 and float(refused.headers["Retry-After"]) > 10
+    assert len(fleet.prefill.prefills) == prefills
+    for _ in range(6):
+        assert fleet.caption(**prompt("5c1e")).status == 200
+        assert fleet.caption(**prompt("5c1e", "91bd")).status == 200
+
+
 def test_interrupted_stream_is_resumed(fleet):
     """Guards against missing, duplicate or truncated events after a resume."""
     fleet.wait_counted()
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -249,6 +249,9 @@
         self.orders: list[dict[str, Any]] = []
         self.open_streams = 0
         self.count = 0
+        # A part of a prompt that crashes the endpoint when it begins to answer it.
+        self.deadly_part = "no such part"
+        self.has_crashed = False
 
     def entry(self, service: str, domain: str = "lhr-a", **changes: Any) -> bytes:
         """Return the endpoint's entry for the store."""
@@ -376,6 +379,12 @@
         except OSError:
             return
 
+    def crash(self, request: Handler) -> None:
+        """Stop listening and close the connection, as a process that ends."""
+        self.has_crashed = True
+        self.stop()
+        request.cut()
+
     def stream(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
         self.leases.discard(headers.get("Poplarfold-Kv-Hold", ""))
         has_source = "Poplarfold-Kv-Source" in headers
@@ -390,6 +399,9 @@
         request.send_header("Transfer-Encoding", "chunked")
         request.end_headers()
         first = int(headers.get("Last-Event-Id", "0")) + 1
+        if self.deadly_part in headers.get("Poplarfold-Prompt-Prefix", ""):
+            self.crash(request)
+            return
         self.open_streams += 1
         time.sleep(self.first_event_s)
         next_at = time.monotonic()
--- a/tests/lib/relay_nodes.py
+++ b/tests/lib/relay_nodes.py
@@ -9,6 +9,8 @@
 from poplarfold._internal.daemon.endpoint_client import EndpointClient
 from poplarfold._internal.gateway.announcer import Announcer
 from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.part_guard import PartGuard
+from poplarfold._internal.gateway.part_writer import PartWriter
 from poplarfold._internal.gateway.relay_link import RelayLink
 from poplarfold._internal.gateway.settings import GatewaySettings
 from poplarfold._internal.gateway.store_reader import StoreReader
@@ -45,7 +47,11 @@
             lambda kind, is_ok: self.store_calls.append(kind),
         )
         self.state = TopicState(self.fleet, self.write_log)
-        self.link = RelayLink(self.fleet, self.state, 1, self.write_log)
+        self.guard = PartGuard(self.fleet.clock, self.write_log)
+        self.link = RelayLink(self.fleet, self.state, self.guard, 1, self.write_log)
+        self.part_writer = PartWriter(
+            self.guard, client, self.link, 0.8, self.write_log
+        )
         self.reader = StoreReader(self.state, client, self.link, self.write_log)
         self.announcer = Announcer(self.state, client, self.link, self.write_log)
         self.lock = threading.Lock()
@@ -57,12 +63,14 @@
         self.link.start()
         self.reader.start()
         self.announcer.start()
+        self.part_writer.start()
         return self
 
     def stop(self) -> None:
         """End the node as a kill does: its connections close, nothing is announced."""
         self.reader.stopping.set()
         self.announcer.stopping.set()
+        self.part_writer.stopping.set()
         self.link.stop()
 
     def routes_version(self) -> int:
