Treat a stream that ends inside an event as broken off

A caller got the first half of a stream that looked complete, if the engine's answer had neither a length nor chunks and its connection ended early.

Cause: the end of a body without framing is the end of its connection, and the rest after the last whole event was passed on as its last bytes. Such a rest now shows that the stream is broken; it is resumed after its last whole event.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -217,6 +217,8 @@
         self.headers: Any = response.headers
         self.decoder = ChunkDecoder() if response.chunked else None
         self.remaining_bytes = response.length
+        # Without a length and chunks, the body ends with the connection.
+        self.is_unframed = self.decoder is None and self.remaining_bytes is None
         self.ended = False
         # Set if the connection ended before the body was complete.
         self.is_truncated = False
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -248,6 +248,8 @@
                 context.remaining_s()
                 raise failure.error
             event_bytes = self.split_events(result.unwrap(), endpoint)
+            if stream.ended and stream.is_unframed and self.splitter.rest:
+                stream.is_truncated = True
             if stream.ended and not stream.is_truncated:
                 event_bytes += self.splitter.rest
                 self.splitter.restart()
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -251,6 +251,19 @@
     assert ids == [f"id: {n}" for n in range(1, 6)]
 
 
+@pytest.mark.parametrize("faults", [{"unframed"}, {"unframed", "cut_unframed"}])
+def test_stream_without_framing_that_ends_inside_an_event_is_resumed(fleet, faults):
+    """Guards against a broken stream that looks complete since its end has no mark."""
+    fleet.decode.faults |= faults
+    fleet.decode.events = 8
+    fleet.wait_ready()
+    fleet.wait_counted()
+    answer = fleet.caption()
+    assert answer.status == 200
+    assert answer.data.count(b"id: ") == 8 and answer.data.endswith(b"piece 8\n\n")
+    assert [answer.data.count(b"piece %d\n" % n) for n in range(1, 9)] == [1] * 8
+
+
 def test_stream_that_completes_no_event_is_resumed(fleet):
     """Guards against a stalled stream that never ends because it sends a byte now and
     then."""
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -226,6 +226,8 @@
     silent       does not answer
     no_room      refuses leases
     cut_stream   truncates the next stream half-way
+    unframed     sends streams with neither a length nor chunks
+    cut_unframed as unframed, and ends the next stream inside an event
     lost_handle  rejects streams that refer to the result of a prefill
     drip         sends a byte of the body now and then
     drip_stream  starts a stream and then sends bytes that complete no event
@@ -379,6 +381,18 @@
         except OSError:
             return
 
+    def stream_unframed(self, request: Handler, headers: dict[str, str]) -> None:
+        """Send a stream that ends with its connection."""
+        request.send_header("Connection", "close")
+        request.end_headers()
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        numbers = range(first, self.events + 1)
+        data = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in numbers).encode()
+        is_cut = "cut_unframed" in self.faults
+        self.faults.discard("cut_unframed")
+        request.wfile.write(data[: len(data) // 2 + 3] if is_cut else data)
+        request.close_connection = True
+
     def crash(self, request: Handler) -> None:
         """Stop listening and close the connection, as a process that ends."""
         self.has_crashed = True
@@ -396,6 +410,9 @@
         for name, value in self.proof(headers).items():
             request.send_header(name, value)
         request.send_header("Content-Type", "text/event-stream")
+        if self.faults & {"unframed", "cut_unframed"}:
+            self.stream_unframed(request, headers)
+            return
         request.send_header("Transfer-Encoding", "chunked")
         request.end_headers()
         first = int(headers.get("Last-Event-Id", "0")) + 1
