Give up a silent relay while there is time for another one

Cause: a limit of silence as long as the bound itself. A relay that the store refuses sends nothing, but its subscribers waited for it for the whole 2.5 to 4 s, and then for the next one that could not read either.

A relay is now given up after 0.6 of the bound.

Ruled out: a longer list of relays, which costs calls in calm times.

--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -40,6 +40,10 @@
 
 CONNECT_TIMEOUT_S = 0.7
 SUBSCRIBE_TIMEOUT_S = 2.0
+# A relay sends a message after each of its reads. If none comes for this share of the
+# time within which changes must be in force, the relay cannot read the store, or is
+# gone, and there is still time for another one to read it.
+SILENCE_SHARE = 0.6
 # How often the chosen relays are compared with the open connections.
 CHOICE_PERIOD_S = 0.25
 # Until the cost of a stream is known, reports are sent more often: the first orders to
@@ -85,8 +89,7 @@
         self.is_known = False
         self.sent_cost: CostReport | None = None
         bounds = host.bounds
-        # A relay sends a message after each of its reads, which are more frequent.
-        self.silence_s = min(bounds.apply_s, bounds.leaving_s)
+        self.silence_s = SILENCE_SHARE * min(bounds.apply_s, bounds.leaving_s)
         state.publish = self.publish
         state.update_members = self.update_members
         state.update_parts = guard.merge_stored
--- a/tests/functional/test_leaving_and_changes.py
+++ b/tests/functional/test_leaving_and_changes.py
@@ -3,6 +3,7 @@
 import time
 
 import pytest
+from result import Err
 from tests.lib.platform_standin import (
     EndpointStandIn,
     StoreStandIn,
@@ -12,6 +13,7 @@
 from tests.lib.relay_nodes import BOUNDS, RelayNode, wait_for
 
 from poplarfold._internal.core.fleet.directory import EXPIRY_GRACE_S
+from poplarfold._internal.exceptions import StoreUnavailableError
 from poplarfold._internal.gateway.settings import GatewaySettings
 
 NODES = 6
@@ -137,6 +139,31 @@
     wait_for(lambda: all(node.routes_version() == 8 for node in nodes), BOUNDS.apply_s)
 
 
+def refuse(node):
+    """Let the store refuse all reads of a node."""
+    refused = Err(StoreUnavailableError("the store refuses this node"))
+    node.reader.store.read_from = lambda *arguments: refused
+    node.reader.store.read_newest = lambda *arguments: refused
+
+
+def test_nodes_that_the_store_refuses_learn_from_others(store, nodes):
+    """Guards against nodes that stay with relays which cannot read the store either.
+
+    The store refuses both relays and the two nodes that would come next.
+    """
+    order = nodes[0].link.choice.order
+    for node in nodes:
+        if order.index(node.name) < 4:
+            refuse(node)
+    # Reads that wait for a record end first.
+    time.sleep(GatewaySettings().route_wait_share * BOUNDS.apply_s)
+    store.put("keyed.op", "config", configuration(version=8))
+    served = [node for node in nodes if order.index(node.name) >= 4]
+    wait_for(lambda: all(n.routes_version() == 8 for n in served), BOUNDS.apply_s)
+    # An unstable store stretches the bound of configurations.
+    wait_for(lambda: all(n.routes_version() == 8 for n in nodes), BOUNDS.apply_s)
+
+
 def test_configuration_that_takes_long_to_read_comes_into_force(store):
     """Guards against a time limit of a call below the time that its answer takes."""
     (node,) = started_nodes(store, 1)
