Count engines that crash together as one incident

Sound requests would have been rejected for a minute after a rack or failure domain with several engines had failed: the first part of their prompts is shared by many, some of whose streams were waiting at each of these engines.

Cause: crashes were counted, not causes. Three engines that die in one moment say no more about a part than one.

A crash is now a new incident only if its stream was sent after the incident before was known to the node. Crashes under one part that follow from each other still count one by one: the repeat of a broken stream, and the next request.

The test of the gateway still allows three engines.

--- a/src/poplarfold/_internal/core/fleet/prompt_suspects.py
+++ b/src/poplarfold/_internal/core/fleet/prompt_suspects.py
@@ -9,6 +9,10 @@
 answered clears its parts. A part under which several engines have crashed since then is
 blocked for a while. Afterwards one more crash is enough to block it again.
 
+Engines that crash at the same time have a common cause, such as a rack that fails, and
+count as one incident. A crash is a new incident only if its stream was sent after the
+one before was known. So parts that many prompts share are not blocked by one cause.
+
 States of two nodes merge to the same state in any order: a later round replaces an
 earlier one, and crashes of the same round are united.
 """
@@ -26,10 +30,10 @@
     "PromptSuspects",
 ]
 
-# Crashed engines under a part without any sound stream, from which on the part is
-# blocked for new requests, and for repeats of a request that has crashed an engine.
-BLOCKING_CRASHES = 3
-REPEAT_BLOCKING_CRASHES = 2
+# Incidents under a part without any sound stream, from which on the part is blocked for
+# new requests, and for repeats of a request that has crashed an engine.
+BLOCKING_INCIDENTS = 3
+REPEAT_BLOCKING_INCIDENTS = 2
 # A stream that has been answered for this long shows that its parts are sound.
 SOUND_AFTER_S = 0.5
 # A part is blocked for this long at first. The time doubles with each further block.
@@ -53,14 +57,15 @@
 
     ``depth`` is its position in the prompts. ``round`` increases when the part is
     cleared or when a block ends, and ``crashes`` are the engines that have crashed
-    under it in this round. ``blocks`` counts the blocks that have ended without the
-    part having been cleared.
+    under it in this round, in ``incidents`` incidents. ``blocks`` counts the blocks
+    that have ended without the part having been cleared.
     """
 
     part: str
     depth: int
     round: int
     blocks: int
+    incidents: int
     crashes: tuple[EngineKey, ...]
 
 
@@ -72,9 +77,13 @@
 
 
 class PartTimes(NamedTuple):
-    """When a state last changed here, and when its part was blocked, if it is."""
+    """When a state last changed here, and when its part was blocked, if it is.
+
+    The newest incident began at ``incident_at`` as far as this node knows.
+    """
 
     changed_at: float
+    incident_at: float
     blocked_at: float | None
 
 
@@ -84,7 +93,8 @@
     Methods that change states return the changed ones, to be sent to other nodes.
 
         suspects = PromptSuspects()
-        changed = suspects.record_crash(("5c1e", "91bd"), EngineKey("i-1", 7), now)
+        engine = EngineKey("i-1", 7)
+        changed = suspects.record_crash(("5c1e", "91bd"), engine, sent_at, now)
         suspects.blocked_part(("5c1e", "91bd"), now)
     """
 
@@ -93,15 +103,24 @@
         self.times: Table[str, PartTimes] = Table()
 
     def record_crash(
-        self, parts: Sequence[str], engine: EngineKey, now: float
+        self, parts: Sequence[str], engine: EngineKey, sent_at: float, now: float
     ) -> list[PartState]:
-        """Record that an engine crashed when it should have answered these parts."""
+        """Record that an engine crashed when it should have answered these parts.
+
+        The stream was sent to it at ``sent_at``.
+        """
         changed = []
         for depth, part in enumerate(parts):
-            state = self.states.get(part) or PartState(part, depth, 0, 0, ())
-            if engine not in state.crashes and len(state.crashes) < CRASHES_KEPT:
-                crashes = tuple(sorted((*state.crashes, engine)))
-                changed.append(state._replace(crashes=crashes))
+            state = self.states.get(part) or PartState(part, depth, 0, 0, 0, ())
+            if engine in state.crashes or len(state.crashes) >= CRASHES_KEPT:
+                continue
+            is_new = not state.incidents or sent_at >= self.times[part].incident_at
+            changed.append(
+                state._replace(
+                    incidents=state.incidents + is_new,
+                    crashes=tuple(sorted((*state.crashes, engine))),
+                )
+            )
         return self._put_all(changed, now)
 
     def record_sound(
@@ -117,9 +136,7 @@
             if state is None or not (state.crashes or state.blocks):
                 continue
             if began_at >= self.times[part].changed_at:
-                cleared.append(
-                    state._replace(round=state.round + 1, blocks=0, crashes=())
-                )
+                cleared.append(PartState(part, state.depth, state.round + 1, 0, 0, ()))
         return self._put_all(cleared, now)
 
     def merge(self, states: Iterable[PartState], now: float) -> list[PartState]:
@@ -146,8 +163,8 @@
     def may_repeat(self, parts: Sequence[str], now: float) -> bool:
         """Return whether a request whose engine has crashed may go to another one."""
         states = [self.states[part] for part in parts if part in self.states]
-        crashes = max((len(state.crashes) for state in states), default=0)
-        is_suspect = crashes >= REPEAT_BLOCKING_CRASHES
+        incidents = max((state.incidents for state in states), default=0)
+        is_suspect = incidents >= REPEAT_BLOCKING_INCIDENTS
         return not is_suspect and self.blocked_part(parts, now) is None
 
     def unexplained_crashes(self, state: PartState) -> bool:
@@ -164,7 +181,8 @@
             if specificity(other) > rank and is_blocking(other)
             for engine in other.crashes
         }
-        return is_blocking(state, set(state.crashes) - explained)
+        unexplained = set(state.crashes) - explained
+        return is_blocking(state) and len(unexplained) >= incidents_to_block(state)
 
     def expire(self, now: float) -> list[PartState]:
         """End the blocks whose time is over, and forget what has long been quiet."""
@@ -173,9 +191,10 @@
             state = self.states[part]
             if times.blocked_at is not None:
                 if now >= times.blocked_at + block_s(state):
-                    blocks = state.blocks + 1
                     ended.append(
-                        PartState(part, state.depth, state.round + 1, blocks, ())
+                        PartState(
+                            part, state.depth, state.round + 1, state.blocks + 1, 0, ()
+                        )
                     )
             elif now >= times.changed_at + FORGET_S:
                 self._forget(part)
@@ -189,12 +208,15 @@
     def _put(self, state: PartState, now: float) -> None:
         before = self.states.get(state.part)
         times = self.times.get(state.part)
-        was_blocked = before is not None and before.round == state.round
-        blocked_at = times.blocked_at if times is not None and was_blocked else None
+        incident_at, blocked_at = now, None
+        if before is not None and times is not None and before.round == state.round:
+            blocked_at = times.blocked_at
+            if before.incidents == state.incidents:
+                incident_at = times.incident_at
         if blocked_at is None and is_blocking(state):
             blocked_at = now
         self.states.put(state.part, state)
-        self.times.put(state.part, PartTimes(now, blocked_at))
+        self.times.put(state.part, PartTimes(now, incident_at, blocked_at))
         if len(self.states) > PARTS_MAX:
             self._forget(min(self.times.rows(), key=lambda row: row[1].changed_at)[0])
 
@@ -203,10 +225,14 @@
         self.times.pop(part, None)
 
 
-def is_blocking(state: PartState, crashes: Iterable[EngineKey] | None = None) -> bool:
-    """Return whether crashes, by default those of a state, are enough to block it."""
-    count = len(state.crashes if crashes is None else list(crashes))
-    return count >= (1 if state.blocks else BLOCKING_CRASHES)
+def incidents_to_block(state: PartState) -> int:
+    """Return the number of incidents from which on a part is blocked."""
+    return 1 if state.blocks else BLOCKING_INCIDENTS
+
+
+def is_blocking(state: PartState) -> bool:
+    """Return whether there were enough incidents to block a part."""
+    return state.incidents >= incidents_to_block(state)
 
 
 def specificity(state: PartState) -> tuple[int, int]:
@@ -229,5 +255,6 @@
         max(one.depth, other.depth),
         one.round,
         max(one.blocks, other.blocks),
+        max(one.incidents, other.incidents),
         tuple(crashes),
     )
--- a/src/poplarfold/_internal/gateway/part_guard.py
+++ b/src/poplarfold/_internal/gateway/part_guard.py
@@ -64,11 +64,14 @@
         with self.lock:
             return self.suspects.may_repeat(parts, self.clock())
 
-    def record_crash(self, parts: Sequence[str], engine: FleetEndpoint) -> None:
-        """Record that an engine crashed when it should have answered these parts."""
+    def record_crash(
+        self, parts: Sequence[str], engine: FleetEndpoint, sent_at: float
+    ) -> None:
+        """Record that an engine crashed under a stream that was sent at a time."""
         key = EngineKey(engine.endpoint_id, engine.incarnation)
         with self.lock:
-            self._share(self.suspects.record_crash(parts, key, self.clock()))
+            now = self.clock()
+            self._share(self.suspects.record_crash(parts, key, sent_at, now))
 
     def record_sound(self, parts: Sequence[str], began_at: float) -> None:
         """Clear the parts of a stream that an engine has answered since a time."""
@@ -107,11 +110,11 @@
         """Return the keys and values that the store should have; b"" for a deletion."""
         found = []
         with self.lock:
-            settled_at = self.clock() - SETTLED_S
+            now = self.clock()
             for part, state in self.suspects.states.items():
                 value = encode_part_state(state)
                 is_wanted = bool(state.crashes) or part in self.stored
-                is_settled = self.suspects.times[part].changed_at <= settled_at
+                is_settled = self.suspects.times[part].changed_at <= now - SETTLED_S
                 if is_wanted and is_settled and self.stored.get(part) != value:
                     found.append((part, value))
             forgotten = self.stored.keys() - self.suspects.states.keys()
@@ -130,7 +133,9 @@
                 continue
             fields = {
                 "part": state.part,
-                "crashes": [f"{row.endpoint_id}@{row.incarnation}" for row in state[4]],
+                "crashes": [
+                    f"{row.endpoint_id}@{row.incarnation}" for row in state.crashes
+                ],
                 "blocks": state.blocks,
             }
             if is_blocked:
@@ -147,6 +152,7 @@
         "depth": state.depth,
         "round": state.round,
         "blocks": state.blocks,
+        "incidents": state.incidents,
         "crashes": [list(key) for key in state.crashes],
     }
     return json.dumps(fields).encode()
@@ -162,6 +168,7 @@
             int(fields["depth"]),
             int(fields["round"]),
             int(fields["blocks"]),
+            int(fields["incidents"]),
             tuple(sorted(crashes)),
         )
     except (ValueError, KeyError, TypeError, RecursionError):
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -154,7 +154,7 @@
             is_reachable = context.caller_gone.is_set()
             self.setup.release(prepared, is_reachable)
             self.context.check_caller()
-            self.record_break(endpoint, failure)
+            self.record_break(endpoint, failure, started_at)
             self.fleet.record_unresponsive(endpoint)
             context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
             raise failure.error
@@ -177,7 +177,9 @@
             self.is_suspect = True
             raise EndpointError("engines have crashed under a part of the prompt")
 
-    def record_break(self, endpoint: FleetEndpoint, failure: Failure) -> None:
+    def record_break(
+        self, endpoint: FleetEndpoint, failure: Failure, sent_at: float
+    ) -> None:
         """Record a connection that broke before the stream was found to be sound.
 
         The parts of the prompt are suspect only if the engine's process has ended.
@@ -190,7 +192,7 @@
         if not self.services.engines.has_ended(endpoint.address, connect_s):
             return
         self.is_suspect = True
-        self.services.guard.record_crash(parts, endpoint)
+        self.services.guard.record_crash(parts, endpoint, sent_at)
         self.context.log(
             "PF1111",
             endpoint=endpoint.endpoint_id,
@@ -241,7 +243,7 @@
             self.context.check_caller()
             if result.is_err():
                 failure = result.unwrap_err()
-                self.record_break(endpoint, failure)
+                self.record_break(endpoint, failure, started_at)
                 self.fleet.record_unresponsive(endpoint)
                 context.log_failure(endpoint.endpoint_id, failure.error, True)
                 self.splitter.restart()
@@ -258,7 +260,7 @@
                 self.send_events(stream, event_bytes, prepared, started_at)
         if stream.is_truncated:
             truncated = EndpointError("the stream was truncated")
-            self.record_break(endpoint, Failure(truncated, sent=True))
+            self.record_break(endpoint, Failure(truncated, sent=True), started_at)
             self.fleet.record_answer(endpoint, started_at, ok=False)
             self.splitter.restart()
             context.log_failure(endpoint.endpoint_id, truncated, True)
--- a/src/poplarfold/_internal/gateway/topic_state.py
+++ b/src/poplarfold/_internal/gateway/topic_state.py
@@ -127,6 +127,8 @@
         """
         with self.fleet.lock:
             dropped = self.fleet.directory.remove_expired(self.fleet.clock())
+            if not dropped:
+                return
             self.fleet.remove_endpoint_stats(
                 [EndpointChange(row, None) for row in dropped]
             )
--- a/tests/unit/test_prompt_suspects.py
+++ b/tests/unit/test_prompt_suspects.py
@@ -8,7 +8,7 @@
 from poplarfold._internal.core.fleet.prompt_suspects import (
     BLOCK_MAX_S,
     BLOCK_S,
-    BLOCKING_CRASHES,
+    BLOCKING_INCIDENTS,
     CRASHES_KEPT,
     FORGET_S,
     PARTS_MAX,
@@ -34,9 +34,11 @@
     return None if found is None else found.part
 
 
-def crashed(suspects, *parts, count=BLOCKING_CRASHES, first=0, now=0.0):
+def crashed(suspects, *parts, count=BLOCKING_INCIDENTS, first=0, until=0.0):
+    """Let engines crash one by one, the last of them at the time ``until``."""
     for number in range(first, first + count):
-        suspects.record_crash(parts, engine(number), now)
+        at = until - (first + count - 1 - number)
+        suspects.record_crash(parts, engine(number), at - 0.1, at)
     return suspects
 
 
@@ -51,8 +53,8 @@
 def test_victims_at_the_same_engines_are_not_blocked():
     """Guards against parts that are rejected since their streams waited at engines
     which another prompt crashed."""
-    suspects = crashed(PromptSuspects(), "bad", count=BLOCKING_CRASHES + 1)
-    crashed(suspects, "victim", count=BLOCKING_CRASHES)
+    suspects = crashed(PromptSuspects(), "bad", count=BLOCKING_INCIDENTS + 1)
+    crashed(suspects, "victim", count=BLOCKING_INCIDENTS)
     assert blocked_by(suspects, "bad") == "bad"
     assert blocked_by(suspects, "victim") is None
 
@@ -61,23 +63,37 @@
     """Guards against one faulty engine that many nodes report."""
     suspects = PromptSuspects()
     for _ in range(10):
-        suspects.record_crash(("a",), engine(1), 0.0)
+        suspects.record_crash(("a",), engine(1), 0.0, 0.0)
     assert blocked_by(suspects, "a") is None
     assert suspects.may_repeat(("a",), 0.0)
 
 
+def test_engines_that_crash_together_block_no_part():
+    """Guards against a rack that fails, whose streams share the first part of their
+    prompts with a quarter of all others."""
+    suspects = PromptSuspects()
+    for number in range(20):
+        noticed_at = 0.01 * number
+        suspects.record_crash(("first",), engine(number), noticed_at - 0.4, noticed_at)
+    other = PromptSuspects()
+    other.merge(suspects.states.values(), 0.1)
+    for node in (suspects, other):
+        assert blocked_by(node, "first", now=0.3) is None
+        assert node.may_repeat(("first",), 0.3)
+
+
 def test_repeat_needs_fewer_crashes_than_a_new_request():
     """Guards against a request that crashes a second engine by being repeated."""
     suspects = crashed(PromptSuspects(), "a", count=1)
     assert suspects.may_repeat(("a",), 0.0)
-    crashed(suspects, "a", count=1, first=1)
+    crashed(suspects, "a", count=1, first=1, until=1.0)
     assert not suspects.may_repeat(("a",), 0.0)
-    assert blocked_by(suspects, "a") is None
+    assert blocked_by(suspects, "a", now=1.0) is None
 
 
 def test_sound_stream_clears_only_if_it_began_after_the_crash():
     """Guards against streams from before that hide a part which crashes engines."""
-    suspects = crashed(PromptSuspects(), "a", now=10.0)
+    suspects = crashed(PromptSuspects(), "a", until=10.0)
     assert suspects.record_sound(("a",), began_at=9.9, now=11.0) == []
     assert blocked_by(suspects, "a", now=11.0) == "a"
     (cleared,) = suspects.record_sound(("a",), began_at=10.5, now=11.0)
@@ -94,13 +110,13 @@
         suspects.expire(now)
         assert suspects.states["a"].blocks == blocks
         assert blocked_by(suspects, "a", now=now) is None
-        suspects.record_crash(("a",), engine(blocks), now)
+        suspects.record_crash(("a",), engine(blocks), now, now)
         found = suspects.blocked_part(("a",), now)
         assert found.remaining_s == min(BLOCK_MAX_S, BLOCK_S * 2**blocks)
         now += found.remaining_s
     suspects.expire(now)
     suspects.record_sound(("a",), now, now + SOUND_AFTER_S)
-    suspects.record_crash(("a",), engine(99), now + 1)
+    suspects.record_crash(("a",), engine(99), now, now + 1)
     assert blocked_by(suspects, "a", now=now + 1) is None
     suspects.expire(now + 1 + FORGET_S)
     assert not suspects.states
@@ -110,7 +126,7 @@
     """Guards against callers whose many parts fill the memory."""
     suspects = PromptSuspects()
     for number in range(PARTS_MAX + 50):
-        suspects.record_crash((f"p{number}",), engine(number), float(number))
+        suspects.record_crash((f"p{number}",), engine(number), 0.0, float(number))
     assert len(suspects.states) == len(suspects.times) == PARTS_MAX
     assert "p0" not in suspects.states
 
@@ -121,6 +137,7 @@
     st.integers(0, 2),
     st.integers(0, 2),
     st.integers(0, 2),
+    st.integers(0, 3),
     st.lists(st.integers(0, 2 * CRASHES_KEPT), unique=True, max_size=CRASHES_KEPT).map(
         lambda numbers: tuple(sorted(engine(number) for number in numbers))
     ),
@@ -174,9 +191,10 @@
     for guard in guards:
         with guard.lock:
             for number in range(3):
-                guard._share(
-                    guard.suspects.record_crash(("a",), engine(number), now[0])
+                changed = guard.suspects.record_crash(
+                    ("a",), engine(number), number, number
                 )
+                guard._share(changed)
     while pending:
         index, states = pending.pop(0)
         guards[index].merge(states)
@@ -226,8 +244,8 @@
         key = EngineKey(f"i-{at}", incarnations[at])
         incarnations[at] += 1
         for row in [row for row in running if row[3] == at]:
-            changed = nodes[row[1]].record_crash(row[2], key, now)
+            changed = nodes[row[1]].record_crash(row[2], key, row[0], now)
             mail.append((now + 0.05, changed))
             running.remove(row)
-    assert deadly_sent <= BLOCKING_CRASHES + 2
+    assert deadly_sent <= BLOCKING_INCIDENTS + 2
     assert sound_rejected == 0
