Ignore parts of prompts with very long ids

A caller could fill the memory of all nodes with long ids of parts, and a key of more than 255 bytes would be written to the store again and again, since the store has it under a shorter key. Ids of more than 64 characters, which the platform does not use, are not looked at.

Evidence: the test of decoded parts fails on the parent for the long id.

--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -30,8 +30,9 @@
 SERVER_LOAD = "Poplarfold-Server-Load"
 NOT_EXECUTED = "Poplarfold-Not-Executed"
 
-# Further parts of a prompt are not looked at.
+# Further parts of a prompt, and those with longer ids, are not looked at.
 SHARED_PARTS_MAX = 32
+PART_MAX_CHARS = 64
 
 # Only the router may set these headers; those that a caller sends are removed.
 ROUTER_HEADERS = frozenset(
@@ -175,7 +176,8 @@
     That one belongs to the call itself or to its session.
     """
     parts = [part.partition(":")[0].strip() for part in value.split(",")]
-    return tuple(part for part in parts[:-1] if part)[:SHARED_PARTS_MAX]
+    known = [part for part in parts[:-1] if 0 < len(part) <= PART_MAX_CHARS]
+    return tuple(known[:SHARED_PARTS_MAX])
 
 
 def connection_names(value: str) -> frozenset[str]:
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -21,6 +21,24 @@
 )
 from poplarfold._internal.platform.store import decode_read
 
+
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        ("5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        ("e4402b7d:250", ()),
+        ("", ()),
+        (f"{'a' * 65}:1, 91bd:2,,:3,own:4", ("91bd",)),
+        (",".join(f"p{n}:1" for n in range(100)), tuple(f"p{n}" for n in range(32))),
+    ],
+)
+def test_last_part_of_a_prompt_is_its_own(value, parts):
+    """Guards against a part that is blocked although no other prompt can share it, and
+    against ids of any length and number in the memory of all nodes."""
+    call = decode_call("POST", "/a/", {"Poplarfold-Prompt-Prefix": value})
+    assert call.shared_parts == parts
+
+
 ENTRY = {
     "service": "llm",
     "address": "10.128.0.9:8080",
