Split the subscription and the evidence of a call into modules of their own

relay_link.py served subscribers and subscribed to relays in 400 lines, and stream_calls.py had grown by what a call shows about its prompt. No decision changes; messages of subscribers may now be as large as all suspected parts are (1 MB instead of 64 kB, which a thousand states could have exceeded).

--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -7,14 +7,12 @@
 
 import asyncio
 import threading
-from typing import Any
+from typing import NamedTuple
 
-from websockets.asyncio.client import connect
 from websockets.asyncio.server import Server, ServerConnection, broadcast, serve
-from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.exceptions import ConnectionClosed
 
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch
-from poplarfold._internal.core.fleet.peer_clock import PeerClock
 from poplarfold._internal.core.fleet.prompt_suspects import PartState
 from poplarfold._internal.core.fleet.relay_messages import (
     ClockProbe,
@@ -25,36 +23,37 @@
     Subscribe,
     TopicRecords,
     pack,
-    unpack,
 )
 from poplarfold._internal.core.fleet.relays import Member, RelayChoice
-from poplarfold._internal.core.message_codec import MESSAGE_MAX_BYTES
-from poplarfold._internal.exceptions import PeerProtocolError, RecordGapError
+from poplarfold._internal.exceptions import PeerProtocolError
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.part_guard import PartGuard
+from poplarfold._internal.gateway.subscription import (
+    NodeParts,
+    Subscription,
+    cost_period_s,
+    decode,
+)
 from poplarfold._internal.gateway.topic_state import TopicState
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import StoreTopic
 
 __all__ = ["RelayLink"]
 
-CONNECT_TIMEOUT_S = 0.7
 SUBSCRIBE_TIMEOUT_S = 2.0
-# A relay sends a message after each of its reads. If none comes for this share of the
-# time within which changes must be in force, the relay cannot read the store, or is
-# gone, and there is still time for another one to read it.
-SILENCE_SHARE = 0.6
 # How often the chosen relays are compared with the open connections.
 CHOICE_PERIOD_S = 0.25
-# Until the cost of a stream is known, reports are sent more often: the first orders to
-# engines wait for it.
-COST_PERIOD_S = 2.0
-FIRST_COST_PERIOD_S = 0.3
-# How often a subscriber compares its clock with that of a relay.
-CLOCK_PERIOD_S = 10.0
 # A subscriber with more unsent bytes than this is disconnected.
 UNSENT_MAX_BYTES = 2_000_000
-SUBSCRIBER_MESSAGE_MAX_BYTES = 65_536
+# The largest message of a subscriber has the states of all suspected parts.
+SUBSCRIBER_MESSAGE_MAX_BYTES = 1_000_000
+
+
+class Source(NamedTuple):
+    """A relay that this node subscribes to, and the task that does so."""
+
+    subscription: Subscription
+    task: asyncio.Task[None]
 
 
 class RelayLink:
@@ -79,17 +78,13 @@
         self.me = Member(host.host, incarnation, host.region, None, host.link_mbps)
         self.choice = RelayChoice(host.host, host.region)
         self.subscribers: dict[ServerConnection, CostReport | None] = {}
-        self.sources: dict[str, asyncio.Task[None]] = {}
-        # The open connections to relays.
-        self.upstream: set[Any] = set()
+        self.sources: dict[str, Source] = {}
         self.loop = asyncio.new_event_loop()
         self.started = threading.Event()
         self.stopping = asyncio.Event()
         self.stopped = threading.Event()
         self.is_known = False
         self.sent_cost: CostReport | None = None
-        bounds = host.bounds
-        self.silence_s = SILENCE_SHARE * min(bounds.apply_s, bounds.leaving_s)
         state.publish = self.publish
         state.update_members = self.update_members
         state.update_parts = guard.merge_stored
@@ -126,7 +121,7 @@
 
     def share_parts(self, states: tuple[PartState, ...]) -> None:
         """Send changed states of parts to all relays and subscribers."""
-        if self.subscribers or self.upstream:
+        if self.subscribers or self.sources:
             data = pack(PartStates(states))
             self.loop.call_soon_threadsafe(self._send_parts, data)
 
@@ -151,7 +146,7 @@
             self._update_sources()
             self.state.drop_expired()
             now = self.fleet.clock()
-            if now - cost_at >= self._cost_period_s():
+            if now - cost_at >= cost_period_s(self.fleet):
                 cost_at = now
                 self._send_fleet_cost()
             try:
@@ -159,9 +154,10 @@
                     await self.stopping.wait()
             except TimeoutError:
                 continue
-        for task in self.sources.values():
+        tasks = [source.task for source in self.sources.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.sources.values(), return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         if server is not None:
             server.close()
             await server.wait_closed()
@@ -242,13 +238,8 @@
 
     def _send_parts(self, data: bytes) -> None:
         self._broadcast(data)
-        broadcast(self.upstream, data)
-
-    def _cost_period_s(self) -> float:
-        """Return the time between two reports of learned costs."""
-        with self.fleet.lock:
-            is_learned = self.fleet.cost.is_learned
-        return COST_PERIOD_S if is_learned else FIRST_COST_PERIOD_S
+        for source in self.sources.values():
+            source.subscription.send(data)
 
     def _send_fleet_cost(self) -> None:
         """Send the costs learned by this node and its subscribers to all of these."""
@@ -267,124 +258,27 @@
         chosen = {
             member.host: member for member in self.choice.sources(self.fleet.clock())
         }
-        for host, task in list(self.sources.items()):
-            if task.done():
+        for host, source in list(self.sources.items()):
+            if source.task.done():
                 del self.sources[host]
             elif host not in chosen:
-                task.cancel()
+                source.task.cancel()
         for host, member in chosen.items():
             if host not in self.sources:
-                self.sources[host] = self.loop.create_task(self._subscribe(member))
-
-    async def _subscribe(self, relay: Member) -> None:
-        """Receive a relay's records until it fails or falls silent."""
-        problem = "the connection was closed"
-        waits_for = "connection"
-        reporter: asyncio.Task[None] | None = None
-        upstream: Any = None
-        try:
-            async with connect(
-                f"ws://{relay.address}/",
-                max_size=MESSAGE_MAX_BYTES,
-                compression=None,
-                proxy=None,
-                open_timeout=CONNECT_TIMEOUT_S,
-                close_timeout=CONNECT_TIMEOUT_S,
-                ping_interval=None,
-            ) as connection:
-                hello = Subscribe(
-                    self.me.host,
-                    self.me.incarnation,
-                    relay.host,
-                    self.fleet.clock(),
-                    self.state.known_topics(),
-                )
-                await connection.send(pack(hello))
-                await connection.send(pack(PartStates(self.guard.states())))
-                upstream = connection
-                self.upstream.add(connection)
-                reporter = self.loop.create_task(self._send_reports(connection))
-                self.write_log("PF6404", None, {"relay": relay.host})
-                waits_for = "message"
-                clock = PeerClock()
-                while True:
-                    async with asyncio.timeout(self.silence_s):
-                        await self._receive(connection, relay.host, clock)
-                    self.choice.record_success(relay.host)
-        except TimeoutError:
-            problem = f"no {waits_for} in time"
-        except (ConnectionClosed, OSError, WebSocketException) as error:
-            problem = str(error) or problem
-        except (PeerProtocolError, RecordGapError) as error:
-            problem = str(error)
-        finally:
-            self.upstream.discard(upstream)
-            if reporter is not None:
-                reporter.cancel()
-        self.choice.record_failure(relay.host, self.fleet.clock())
-        self.write_log("PF6402", None, {"relay": relay.host, "problem": problem})
-
-    async def _receive(self, connection: Any, relay: str, clock: PeerClock) -> None:
-        """Receive and apply messages up to the next recent records of a topic."""
-        while True:
-            message = decode(await connection.recv())
-            if isinstance(message, FleetCost):
-                self.fleet.set_fleet_cost(message.cost)
-            elif isinstance(message, PartStates):
-                self.guard.merge(message.states)
-            elif isinstance(message, ClockReply):
-                clock.measure(message.sent_at, message.relay_at)
-            elif isinstance(message, TopicRecords):
-                if self._apply(message, relay, clock):
-                    return
-
-    def _apply(self, message: TopicRecords, relay: str, clock: PeerClock) -> bool:
-        """Apply a relay's records; return whether they are recent.
-
-        Raises RecordGapError if records are missing before them.
-        """
-        topic = topic_of_name(message.topic)
-        read_at = clock.local_time(message.read_at)
-        if topic is None or read_at is None:
-            return False
-        if not self.state.apply(topic, message.batch(), read_at, relay):
-            raise RecordGapError(
-                f"records of {topic.value} are missing before offset {message.start}"
-            )
-        return self.state.is_recent(topic, read_at)
-
-    async def _send_reports(self, connection: Any) -> None:
-        """Send clock probes, and this node's learned costs when they have changed."""
-        sent: CostReport | None = None
-        probe_at = self.fleet.clock() + CLOCK_PERIOD_S
-        try:
-            while True:
-                now = self.fleet.clock()
-                if now >= probe_at:
-                    probe_at = now + CLOCK_PERIOD_S
-                    await connection.send(pack(ClockProbe(now)))
-                report = self.fleet.own_cost_report()
-                if report != sent:
-                    sent = report
-                    await connection.send(pack(report))
-                await asyncio.sleep(self._cost_period_s())
-        except ConnectionClosed:
-            return
-
-
-def decode(data: bytes | str) -> Any:
-    """Decode a message; None if its type is unknown. Raises PeerProtocolError."""
-    if isinstance(data, str):
-        raise PeerProtocolError("expected a binary message, got text")
-    result = unpack(data)
-    if result.is_err():
-        raise result.unwrap_err()
-    return result.unwrap()
-
-
-def topic_of_name(name: str) -> StoreTopic | None:
-    """Return a topic by its name, or None for a topic of a later release."""
-    try:
-        return StoreTopic(name)
-    except ValueError:
-        return None
+                self.sources[host] = self._subscribe(member)
+
+    def _subscribe(self, relay: Member) -> Source:
+        """Begin to subscribe to a relay."""
+        node = NodeParts(self.fleet, self.state, self.guard, self.write_log)
+        subscription = Subscription(
+            node, self.me, relay, lambda: self.choice.record_success(relay.host)
+        )
+        task = self.loop.create_task(self._follow(subscription))
+        return Source(subscription, task)
+
+    async def _follow(self, subscription: Subscription) -> None:
+        """Receive a relay's records until it fails, and record that."""
+        problem = await subscription.run()
+        host = subscription.relay.host
+        self.choice.record_failure(host, self.fleet.clock())
+        self.write_log("PF6402", None, {"relay": host, "problem": problem})
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -2,7 +2,6 @@
 
 from result import Err, Result
 
-from poplarfold._internal.core.fleet.prompt_suspects import SOUND_AFTER_S
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.fleet.stream_cost import expected_stream_s
 from poplarfold._internal.core.model import EndpointRole
@@ -25,6 +24,7 @@
 )
 from poplarfold._internal.gateway.context import CallContext
 from poplarfold._internal.gateway.events import EventSplitter
+from poplarfold._internal.gateway.part_evidence import PartEvidence
 from poplarfold._internal.gateway.stream_setup import PreparedDecode, StreamSetup
 from poplarfold._internal.platform import (
     CallTarget,
@@ -60,11 +60,7 @@
         self.first_sent_at = 0.0
         self.first_events = 0
         self.is_pace_recorded = False
-        # When the current attempt was first answered, or None before that.
-        self.answered_at: float | None = None
-        self.is_sound = False
-        # Whether a part of this call's prompt may have crashed an engine.
-        self.is_suspect = False
+        self.evidence = PartEvidence(context)
 
     def run(self) -> None:
         """Serve the stream. Raises PoplarfoldError or OSError."""
@@ -88,8 +84,7 @@
         """Return whether another attempt is allowed; may take a retry."""
         context = self.context
         self.context.check_caller()
-        parts = context.call.shared_parts
-        if self.is_suspect and not self.services.guard.may_repeat(parts):
+        if not self.evidence.may_repeat():
             return False
         if self.attempts >= max(context.route.max_attempts, 1 + self.is_unexecuted):
             return False
@@ -107,9 +102,9 @@
         prepared = PreparedDecode(reservation)
         used = False
         try:
-            self.check_parts()
+            self.evidence.check(self.is_unexecuted)
             prepared = self.setup.prefill(reservation, is_first=self.attempts == 0)
-            self.check_parts()
+            self.evidence.check(self.is_unexecuted)
             remaining_s = self.context.remaining_s()
             used = True
             return self.decode(prepared, remaining_s)
@@ -127,9 +122,8 @@
             self.attempts += 1
             raise EndpointRefusedError("the decode engine is leaving")
         self.attempts += 1
-        self.answered_at = None
-        self.is_sound = False
         started_at = boot_time()
+        self.evidence.begin(started_at)
         abort = context.abort
         target = CallTarget(
             endpoint.endpoint_id,
@@ -154,7 +148,7 @@
             is_reachable = context.caller_gone.is_set()
             self.setup.release(prepared, is_reachable)
             self.context.check_caller()
-            self.record_break(endpoint, failure, started_at)
+            self.evidence.record_break(endpoint, failure)
             self.fleet.record_unresponsive(endpoint)
             context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
             raise failure.error
@@ -165,49 +159,6 @@
             abort.attach(None)
             stream.close()
 
-    def check_parts(self) -> None:
-        """Raise an error if requests with a part of this prompt are rejected now.
-
-        Raises PromptBlockedError only if nothing has run.
-        """
-        parts = self.context.call.shared_parts
-        if self.is_unexecuted:
-            self.services.guard.check(parts)
-        elif self.services.guard.blocked_part(parts) is not None:
-            self.is_suspect = True
-            raise EndpointError("engines have crashed under a part of the prompt")
-
-    def record_break(
-        self, endpoint: FleetEndpoint, failure: Failure, sent_at: float
-    ) -> None:
-        """Record a connection that broke before the stream was found to be sound.
-
-        The parts of the prompt are suspect only if the engine's process has ended.
-        """
-        is_stalled = isinstance(failure.error, EndpointStalledError)
-        parts = self.context.call.shared_parts
-        if self.is_sound or is_stalled or not failure.sent or not parts:
-            return
-        connect_s = self.settings.connect_s
-        if not self.services.engines.has_ended(endpoint.address, connect_s):
-            return
-        self.is_suspect = True
-        self.services.guard.record_crash(parts, endpoint, sent_at)
-        self.context.log(
-            "PF1111",
-            endpoint=endpoint.endpoint_id,
-            born=endpoint.incarnation,
-            parts=list(parts),
-            events=self.splitter.events,
-        )
-
-    def record_sound(self, started_at: float) -> None:
-        """Record that an engine has answered the prompt for long enough."""
-        if not self.is_sound:
-            self.is_sound = True
-            parts = self.context.call.shared_parts
-            self.services.guard.record_sound(parts, started_at)
-
     def read_timeout_s(self, usual_s: float) -> float:
         """Return a read's timeout; ``usual_s`` limits resumable streams only."""
         left = self.context.remaining_s()
@@ -243,7 +194,7 @@
             self.context.check_caller()
             if result.is_err():
                 failure = result.unwrap_err()
-                self.record_break(endpoint, failure, started_at)
+                self.evidence.record_break(endpoint, failure)
                 self.fleet.record_unresponsive(endpoint)
                 context.log_failure(endpoint.endpoint_id, failure.error, True)
                 self.splitter.restart()
@@ -260,7 +211,7 @@
                 self.send_events(stream, event_bytes, prepared, started_at)
         if stream.is_truncated:
             truncated = EndpointError("the stream was truncated")
-            self.record_break(endpoint, Failure(truncated, sent=True), started_at)
+            self.evidence.record_break(endpoint, Failure(truncated, sent=True))
             self.fleet.record_answer(endpoint, started_at, ok=False)
             self.splitter.restart()
             context.log_failure(endpoint.endpoint_id, truncated, True)
@@ -268,7 +219,7 @@
         if not self.has_started:
             raise EndpointError("the stream ended without an event")
         context.exchange.end_stream()
-        self.record_sound(started_at)
+        self.evidence.record_sound()
         self.services.metrics.observe_pause(self.longest_pause_s)
         self.record_end(boot_time() - started_at)
         context.log(
@@ -351,10 +302,7 @@
         """Send complete events, and before the first ones the head of the answer."""
         context = self.context
         now = boot_time()
-        if self.answered_at is None:
-            self.answered_at = now
-        elif now - self.answered_at >= SOUND_AFTER_S:
-            self.record_sound(started_at)
+        self.evidence.record_events()
         if self.has_started:
             self.longest_pause_s = max(self.longest_pause_s, now - self.last_sent_at)
             self.last_sent_at = now
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -376,7 +376,7 @@
     EventKind(
         "PF1111",
         "engine_crashed",
-        ("endpoint", "born", "parts", "events"),
+        ("endpoint", "born", "parts", "was_answered"),
         "an engine's process ended before it had answered a stream for long; the "
         "parts of its prompt are suspect",
     ),
