Guard the stored states of parts by the lock, and log malformed ones

The reader of the store changed the table of stored states while the writer's thread iterated over it, which can end that thread's round with an exception (found by reading; it did not show in a run). A malformed record was ignored without a line in the log.

--- a/src/poplarfold/_internal/gateway/part_guard.py
+++ b/src/poplarfold/_internal/gateway/part_guard.py
@@ -84,17 +84,21 @@
             self._share(self.suspects.merge(states, self.clock()))
 
     def merge_stored(self, records: Iterable[ViewRecord]) -> None:
-        """Merge the states that were read from the store."""
+        """Merge the states that were read from the store; malformed ones are ignored."""
         states = []
-        for record in records:
-            if record.value is None:
-                self.stored.pop(record.key, None)
-                continue
-            self.stored[record.key] = record.value
-            state = decode_part_state(record.key, record.value)
-            if state is not None:
-                states.append(state)
-        self.merge(states)
+        with self.lock:
+            for record in records:
+                if record.value is None:
+                    self.stored.pop(record.key, None)
+                    continue
+                self.stored[record.key] = record.value
+                state = decode_part_state(record.key, record.value)
+                if state is not None:
+                    states.append(state)
+                else:
+                    problem = f"state of part {record.key}: {record.value[:80]!r}"
+                    self.write_log("PF7105", None, {"problem": problem})
+            self._share(self.suspects.merge(states, self.clock()))
 
     def expire(self) -> None:
         """End the blocks whose time is over. To be called periodically."""
--- a/src/poplarfold/_internal/gateway/topic_state.py
+++ b/src/poplarfold/_internal/gateway/topic_state.py
@@ -33,11 +33,11 @@
 class TopicState:
     """The topics as this node knows them. Thread-safe.
 
-    ``publish`` passes the records of the store to the subscribers of this node, and
-    ``update_members`` passes on the members of the fleet, and ``update_parts`` the
-    suspected parts of prompts. Records are passed on at
-    once, also those that have no effect on this node yet: each node decides by its
-    own knowledge of the store how long it holds back the deletion of an endpoint.
+    ``publish`` passes the records of the store to the subscribers of this node,
+    ``update_members`` takes the members of the fleet, and ``update_parts`` the records
+    of suspected parts of prompts. Records are passed on at once, also those that have
+    no effect on this node yet: each node decides by its own knowledge of the store how
+    long it holds back the deletion of an endpoint.
     """
 
     def __init__(self, fleet: Fleet, write_log: WriteLog) -> None:
--- a/tests/unit/test_prompt_suspects.py
+++ b/tests/unit/test_prompt_suspects.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from poplarfold._internal.core.fleet.keyed_view import ViewRecord
 from poplarfold._internal.core.fleet.prompt_suspects import (
     BLOCK_MAX_S,
     BLOCK_S,
@@ -171,6 +172,18 @@
     assert decode_part_state("a", value) is None
 
 
+def test_malformed_record_of_a_part_is_logged_and_replaced():
+    """Guards against an error that nobody sees, and against a part whose malformed
+    record stays in the store."""
+    logged = []
+    guard = PartGuard(lambda: 0.0, lambda *row: logged.append(row[0]))
+    guard.merge_stored([ViewRecord("a", b"{", 1)])
+    assert logged == ["PF7105"]
+    assert guard.unstored() == [("a", b"")]
+    guard.merge_stored([ViewRecord("a", None, 2)])
+    assert guard.unstored() == []
+
+
 def test_states_of_a_whole_round_end_reach_equal_nodes():
     """Guards against two nodes that pass the same states to each other forever."""
     now = [0.0]
