--- a/src/poplarfold/_internal/gateway/part_guard.py
+++ b/src/poplarfold/_internal/gateway/part_guard.py
@@ -84,7 +84,7 @@
             self._share(self.suspects.merge(states, self.clock()))
 
     def merge_stored(self, records: Iterable[ViewRecord]) -> None:
-        """Merge the states that were read from the store; malformed ones are ignored."""
+        """Merge the states that were read from the store, but for malformed ones."""
         states = []
         with self.lock:
             for record in records:
