Send a change that comes while a node subscribes

A change that a relay read just while its first subscriber was being served was not sent to it; the subscriber noticed with the next message that records were missing and connected anew, up to 2 s later.

Cause: the subscriber was entered after its first records had been put together, and a change is not published without subscribers.

Evidence: the new test fails on the parent and passes now.

--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -192,8 +192,8 @@
             if not isinstance(message, Subscribe) or message.relay != self.me.host:
                 await connection.close(1008)
                 return
-            self._send_known(connection, message)
             self.subscribers[connection] = None
+            self._send_known(connection, message)
             async for data in connection:
                 message = decode(data)
                 if isinstance(message, CostReport):
@@ -213,8 +213,8 @@
     def _send_known(self, connection: ServerConnection, hello: Subscribe) -> None:
         """Send a new subscriber what it does not know yet.
 
-        Nothing is awaited between this and the subscription, so that no later change
-        is sent before the records that it follows.
+        Nothing is awaited meanwhile. Changes that are published now are sent after
+        this, since only the thread of the event loop sends.
         """
         self._answer_probe(connection, hello.sent_at)
         known = {row.topic: row.end for row in hello.known}
--- a/tests/functional/test_leaving_and_changes.py
+++ b/tests/functional/test_leaving_and_changes.py
@@ -1,5 +1,7 @@
 """Tests of changes that must be in force on all nodes in time, whatever relays do."""
 
+import asyncio
+import contextlib
 import time
 
 import pytest
@@ -11,10 +13,19 @@
     route,
 )
 from tests.lib.relay_nodes import BOUNDS, RelayNode, wait_for
+from websockets.asyncio.client import connect
 
 from poplarfold._internal.core.fleet.directory import EXPIRY_GRACE_S
+from poplarfold._internal.core.fleet.keyed_view import TopicBatch, ViewRecord
+from poplarfold._internal.core.fleet.relay_messages import (
+    Subscribe,
+    TopicRecords,
+    pack,
+    unpack,
+)
 from poplarfold._internal.exceptions import StoreUnavailableError
 from poplarfold._internal.gateway.settings import GatewaySettings
+from poplarfold._internal.platform import StoreTopic
 
 NODES = 6
 START_LIMIT_S = 10.0
@@ -60,6 +71,38 @@
     return [node for node in nodes if not node.link.is_relay()]
 
 
+def test_change_that_comes_during_a_subscription_is_sent(store):
+    """Guards against a change between the first records and the subscription."""
+    (node,) = started_nodes(store, 1)
+    added = ViewRecord("i-9", b"{}", 900)
+    message_for = node.state.message_for
+
+    def message_before_a_change(topic, known_end):
+        message = message_for(topic, known_end)
+        if topic is StoreTopic.ENDPOINTS and known_end is None:
+            batch = TopicBatch((added,), message.end, 901)
+            node.state.apply(topic, batch, node.fleet.clock())
+        return message
+
+    async def received_keys():
+        found = []
+        async with connect(f"ws://{node.link.me.address}/", proxy=None) as connection:
+            await connection.send(pack(Subscribe("node-9", 1, node.name, 0.0)))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(NOTICE_S):
+                    while True:
+                        message = unpack(await connection.recv()).unwrap()
+                        if isinstance(message, TopicRecords):
+                            found += [record.key for record in message.records]
+        return found
+
+    node.state.message_for = message_before_a_change
+    try:
+        assert "i-9" in asyncio.run(received_keys())
+    finally:
+        node.stop()
+
+
 def lose_store(node):
     """Make a node believe that the store did not answer until now."""
     with node.fleet.lock:
