--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
 import tempfile
@@ -270,6 +271,11 @@
 
     The exit code is 2 if the case could not run.
     """
+
+    def stop_early(number, frame):
+        raise TimeoutError(f"signal {number}")
+
+    signal.signal(signal.SIGTERM, stop_early)
     deployment = None
     try:
         deployment = Deployment(folder / "record.txt")
