Drop bytes that follow a stream with a Content-Length

Cause: EndpointStream counted the bytes of a body with a length, but returned all bytes that had arrived with the last one. StreamCall forwarded them as events, or as the rest of the stream.

Change: the body ends at its length. Streams already use a connection of their own, which is closed after the body, so the bytes are never read as the next answer. Bodies in chunks already ended at the last chunk. The error answers that StreamCall forwards and the daemon's stream pump read through the same method.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -274,8 +274,10 @@
             data = self.decoder.feed(data)
             self.ended = self.decoder.ended
         elif self.remaining_bytes is not None:
+            # Bytes after the body belong to no request.
+            data = data[: self.remaining_bytes]
             self.remaining_bytes -= len(data)
-            self.ended = self.remaining_bytes <= 0
+            self.ended = self.remaining_bytes == 0
         return data
 
 
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -264,6 +264,14 @@
     assert [answer.data.count(b"piece %d\n" % n) for n in range(1, 9)] == [1] * 8
 
 
+def test_bytes_after_a_stream_are_not_forwarded(fleet):
+    """Guards against a stream whose caller also gets the answer to another call."""
+    fleet.decode.faults.add("excess")
+    answer = fleet.caption()
+    assert answer.status == 200
+    assert answer.data == fleet.decode.all_events({})
+
+
 def test_stream_that_completes_no_event_is_resumed(fleet):
     """Guards against a stalled stream that never ends because it sends a byte now and
     then."""
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -228,6 +228,7 @@
     cut_stream   truncates the next stream half-way
     unframed     sends streams with neither a length nor chunks
     cut_unframed as unframed, and ends the next stream inside an event
+    excess       sends streams with a length, and another answer after them
     lost_handle  rejects streams that refer to the result of a prefill
     drip         sends a byte of the body now and then
     drip_stream  starts a stream and then sends bytes that complete no event
@@ -381,13 +382,25 @@
         except OSError:
             return
 
+    def all_events(self, headers: dict[str, str]) -> bytes:
+        """Return the events of a stream from the one on that the request asks for."""
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        numbers = range(first, self.events + 1)
+        return "".join(f"id: {n}\ndata: piece {n}\n\n" for n in numbers).encode()
+
+    def stream_with_excess(self, request: Handler, headers: dict[str, str]) -> None:
+        """Send a stream with a length, and then another answer."""
+        data = self.all_events(headers)
+        request.send_header("Content-Length", str(len(data)))
+        request.end_headers()
+        other = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(data), data)
+        request.wfile.write(data + other)
+
     def stream_unframed(self, request: Handler, headers: dict[str, str]) -> None:
         """Send a stream that ends with its connection."""
         request.send_header("Connection", "close")
         request.end_headers()
-        first = int(headers.get("Last-Event-Id", "0")) + 1
-        numbers = range(first, self.events + 1)
-        data = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in numbers).encode()
+        data = self.all_events(headers)
         is_cut = "cut_unframed" in self.faults
         self.faults.discard("cut_unframed")
         request.wfile.write(data[: len(data) // 2 + 3] if is_cut else data)
@@ -413,6 +426,9 @@
         if self.faults & {"unframed", "cut_unframed"}:
             self.stream_unframed(request, headers)
             return
+        if "excess" in self.faults:
+            self.stream_with_excess(request, headers)
+            return
         request.send_header("Transfer-Encoding", "chunked")
         request.end_headers()
         first = int(headers.get("Last-Event-Id", "0")) + 1
--- /dev/null
+++ b/tests/unit/test_excess_bytes.py
@@ -0,0 +1,102 @@
+"""Tests of bytes that an endpoint sends after a complete answer."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
+
+TIMEOUT_S = 1.0
+EVENTS = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+STREAM = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(EVENTS), EVENTS)
+OTHER_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+
+
+class Server:
+    """Answers each request with the given parts, and counts the connections.
+
+    Each part waits for a release of ``next_part``, the first one of all excepted.
+    """
+
+    def __init__(self, *parts):
+        self.parts = parts
+        self.connections = 0
+        self.next_part = threading.Semaphore(1)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self.serve, args=[connection], daemon=True).start()
+
+    def serve(self, connection):
+        # The client may reset the connection while it is sending.
+        with connection, contextlib.suppress(OSError):
+            while connection.recv(65536):
+                for part in self.parts:
+                    self.next_part.acquire()
+                    connection.sendall(part)
+
+    def stop(self):
+        self.listener.close()
+
+
+@pytest.fixture
+def start():
+    servers = []
+
+    def start_server(*parts):
+        servers.append(Server(*parts))
+        return servers[-1]
+
+    yield start_server
+    for server in servers:
+        server.stop()
+
+
+def open_stream(server):
+    target = Target(server.address, "POST", "/")
+    return EndpointClient(TIMEOUT_S).open_stream(target, b"", {}, TIMEOUT_S).unwrap()
+
+
+def read_all(server, stream):
+    """Return the body of a stream, and let the server send each part after a read."""
+    body = b""
+    while not stream.ended:
+        body += stream.read().unwrap()
+        server.next_part.release()
+    stream.close()
+    return body
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [STREAM + OTHER_ANSWER],
+        [STREAM[:-1], STREAM[-1:] + OTHER_ANSWER],
+        [STREAM[: -len(EVENTS)], EVENTS + b"x"],
+    ],
+    ids=["with the head", "with the last byte", "with the body"],
+)
+def test_bytes_after_a_stream_with_a_length_are_dropped(start, parts):
+    """Guards against callers that get another answer as events of their stream."""
+    server = start(*parts)
+    server.next_part.release()
+    assert read_all(server, open_stream(server)) == EVENTS
+
+
+def test_bytes_after_a_stream_are_dropped_without_waiting(start):
+    """Guards against the same fault in reads of the stream pump."""
+    stream = open_stream(start(STREAM + OTHER_ANSWER))
+    stream.sock.settimeout(0)
+    assert stream.read_now().unwrap() == EVENTS
+    assert stream.ended and not stream.is_truncated
+    stream.close()
