End an endpoint's answer with an empty body at once

Callers saw: an error answer of an engine with Content-Length: 0 (a 500, say) was forwarded only after the idle timeout, as a failure of the engine.

Cause: EndpointStream set ``ended`` only while it read bytes of the body, so that it waited for the first byte of a body that has none.

Change: a body with length 0 is complete with the head.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -219,9 +219,10 @@
         self.remaining_bytes = response.length
         # Without a length and chunks, the body ends with the connection.
         self.is_unframed = self.decoder is None and self.remaining_bytes is None
-        self.ended = False
         # Set if the connection ended before the body was complete.
         self.is_truncated = False
+        # An empty body is complete with the head.
+        self.ended = self.remaining_bytes == 0
         # The response has buffered the body bytes that arrived together with the
         # head. They are read without waiting for more.
         sock.settimeout(0)
--- a/tests/unit/test_excess_bytes.py
+++ b/tests/unit/test_excess_bytes.py
@@ -100,3 +100,17 @@
     assert stream.read_now().unwrap() == EVENTS
     assert stream.ended and not stream.is_truncated
     stream.close()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 204 No Content\r\n\r\n",
+    ],
+)
+def test_stream_with_an_empty_body_ends_at_once(start, answer):
+    """Guards against a wait for bytes after an answer that has none."""
+    stream = open_stream(start(answer))
+    assert stream.ended and not stream.is_truncated
+    stream.close()
