Do not reuse a connection on which bytes followed an answer

Callers saw: nothing yet; by reading, a call on a kept connection could fail or get the rest of an earlier answer. Calls that carry no request id (leases, reports, the store) have no other check that an answer is their own.

The standard library reads up to 8 KB beyond an answer into the buffer of that answer's reader, and drops the buffer with the reader. The pool looks only at the socket, where nothing is left to be seen, and the rest of the bytes may come after that look.

Evidence: nine cases of test_connection_with_bytes_after_an_answer_is_not_reused (an answer with a length, in chunks or without a body; one byte, an answer, and 100 kB after it) failed before, and pass now.

Change: the reader of an answer looks into its buffer when the answer is complete, without reading from the socket, and the connection is closed instead of kept if bytes are left. Bytes that come later are seen by the check of the socket before the connection is used again, or by the request id.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -5,7 +5,9 @@
 executed it.
 """
 
+import errno
 import http.client
+import io
 import json
 import math
 import socket
@@ -157,6 +159,27 @@
                 self.fp = reader.source
 
 
+class AnswerReader(io.BufferedReader):
+    """The buffered reader of one answer, which notices the bytes after it.
+
+    The standard library closes the reader as soon as the answer is complete. Bytes
+    that are still buffered then belong to no request. If the connection were reused,
+    they would be lost, and what follows them would be read as the next answer.
+    """
+
+    def __init__(self, raw: Any, sock: "DeadlineSocket") -> None:
+        super().__init__(raw)
+        self.sock = sock
+
+    def close(self) -> None:
+        """Close the reader, and record whether bytes are left in its buffer."""
+        if not self.closed:
+            self.sock.is_peeking = True
+            self.sock.has_excess = bool(self.peek(1))
+            self.sock.is_peeking = False
+        super().close()
+
+
 class DeadlineSocket(socket.socket):
     """A socket whose buffered reads end at a deadline.
 
@@ -164,13 +187,26 @@
     byte now and then, or a head without end, would never exceed it. ``deadline`` is in
     monotonic seconds, or None without one. Received bytes extend it by the time that
     they take at ``bytes_per_s_min``, by default not at all.
+
+    ``has_excess`` is true if bytes were left in the buffer of the last reader. While
+    ``is_peeking`` is set, nothing is read from the socket.
     """
 
     deadline: float | None = None
     bytes_per_s_min: float = math.inf
+    has_excess = False
+    is_peeking = False
+
+    def makefile(self, mode: str = "r", *options: Any, **keywords: Any) -> Any:
+        """Return a file for the socket; an AnswerReader for the mode ``rb``."""
+        if mode != "rb":
+            return super().makefile(mode, *options, **keywords)  # type: ignore[call-overload]
+        return AnswerReader(super().makefile("rb", buffering=0), self)
 
     def recv_into(self, *arguments: Any) -> int:
         """Read like ``socket.recv_into``. Raises TimeoutError at the deadline."""
+        if self.is_peeking:
+            raise BlockingIOError(errno.EAGAIN, "nothing is read while peeking")
         if self.deadline is not None:
             left_s = self.deadline - time.monotonic()
             if left_s <= 0:
@@ -484,7 +520,7 @@
             connection.close()
             message = f"{target.address} returned the response to another request"
             return Err(Failure(ResponseMismatchError(message), sent=True))
-        if is_aborted(handle) or will_close(response):
+        if is_aborted(handle) or will_close(response) or has_excess(connection):
             connection.close()
         else:
             response.close()
@@ -552,6 +588,11 @@
     return response.headers.get("Connection", "").lower() == "close"
 
 
+def has_excess(connection: HTTPConnection) -> bool:
+    """Return whether bytes that belong to no request followed the last response."""
+    return isinstance(connection.sock, DeadlineSocket) and connection.sock.has_excess
+
+
 def is_aborted(handle: AbortHandle | None) -> bool:
     """Return whether the core aborted the attempt."""
     return handle is not None and handle.aborted.is_set()
--- a/tests/unit/test_excess_bytes.py
+++ b/tests/unit/test_excess_bytes.py
@@ -102,6 +102,45 @@
     stream.close()
 
 
+ANSWERS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmine\r\n"
+    b"0\r\n\r\n",
+    "no body": b"HTTP/1.1 204 No Content\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("answer", ANSWERS.values(), ids=ANSWERS)
+@pytest.mark.parametrize("extra", [b"x", OTHER_ANSWER, b"x" * 100_000])
+def test_connection_with_bytes_after_an_answer_is_not_reused(start, answer, extra):
+    """Guards against the rest of one answer that is read as the next one.
+
+    The extra bytes lie in the buffer of the first answer's reader, where a check of
+    the socket does not see them.
+    """
+    server = start(answer + extra)
+    client = EndpointClient(TIMEOUT_S)
+    for _ in range(2):
+        server.next_part.release()
+        target = Target(server.address, "GET", "/")
+        result = client.exchange(target, None, {}, TIMEOUT_S)
+        assert result.unwrap().body in (b"mine", b"")
+    assert server.connections == 2
+    client.close()
+
+
+def test_connection_without_extra_bytes_is_reused(start):
+    """Guards against a check that closes each connection."""
+    server = start(ANSWERS["chunks"])
+    client = EndpointClient(TIMEOUT_S)
+    for _ in range(3):
+        server.next_part.release()
+        target = Target(server.address, "GET", "/")
+        assert client.exchange(target, None, {}, TIMEOUT_S).unwrap().body == b"mine"
+    assert server.connections == 1
+    client.close()
+
+
 @pytest.mark.parametrize(
     "answer",
     [
