Reject deeply nested documents before they are parsed

Operators of a similar system saw machines that ended again and again after another writer had left a deeply nested entry in the list of servers.

Cause: the parser of the standard library recurses on the C stack. The threads of the gateway have stacks of 512 KiB. Python 3.11 stops such a document with RecursionError, but Python 3.12 and 3.13 allow more levels than fit, and the process ends by SIGSEGV.

Change: parse_json counts the nesting before it parses (only if a document has more opening brackets than the limit of 64 levels), and rejects NaN and Infinity. It is used for documents that other programs write: records, host lists, answers, events of engines. Bodies of the daemon's callers keep the standard parser, in threads with usual stacks.

--- a/src/poplarfold/_internal/core/catalogue_codec.py
+++ b/src/poplarfold/_internal/core/catalogue_codec.py
@@ -12,6 +12,7 @@
     EntryInvalidError,
     PoplarfoldError,
 )
+from poplarfold._internal.utils.json_documents import parse_json
 
 __all__ = [
     "CatalogueSnapshot",
@@ -63,8 +64,8 @@
 def decode_change(data: bytes) -> Result[Change, PoplarfoldError]:
     """Decode a change from the data of a log record."""
     try:
-        fields = json.loads(data)
-    except (ValueError, RecursionError) as error:
+        fields = parse_json(data)
+    except ValueError as error:
         return Err(EntryInvalidError(f"the record is not valid JSON: {error}"))
     if not isinstance(fields, dict) or fields.get("v") != FORMAT_VERSION:
         return Err(
@@ -97,8 +98,8 @@
 def decode_state(data: bytes) -> Result[CatalogueSnapshot, CheckpointError]:
     """Decode a catalogue snapshot from a peer or a checkpoint."""
     try:
-        fields: Any = json.loads(data)
-    except (ValueError, RecursionError) as error:
+        fields: Any = parse_json(data)
+    except ValueError as error:
         return Err(CheckpointError(f"the catalogue is not valid JSON: {error}"))
     if not isinstance(fields, dict) or fields.get("v") != FORMAT_VERSION:
         return Err(CheckpointError("v: unsupported format version of a catalogue"))
--- a/src/poplarfold/_internal/core/entry_codec.py
+++ b/src/poplarfold/_internal/core/entry_codec.py
@@ -25,6 +25,7 @@
     LatencyTargets,
 )
 from poplarfold._internal.exceptions import EntryInvalidError
+from poplarfold._internal.utils.json_documents import parse_json
 
 __all__ = ["decode_entry", "encode_entry", "entry_fields", "entry_from_fields"]
 
@@ -60,8 +61,8 @@
     if len(data) > ENTRY_MAX_BYTES:
         return Err(EntryInvalidError(f"the entry is over {ENTRY_MAX_BYTES} bytes"))
     try:
-        fields = json.loads(data, parse_constant=reject_constant)
-    except (ValueError, RecursionError) as error:
+        fields = parse_json(data)
+    except ValueError as error:
         return Err(EntryInvalidError(f"the entry is not valid JSON: {error}"))
     return entry_from_fields(fields)
 
@@ -143,10 +144,6 @@
     raise EntryInvalidError(f"{field}: {problem}")
 
 
-def reject_constant(text: str) -> NoReturn:
-    raise ValueError(f"{text} is not a JSON number")
-
-
 def read_object(value: object, field: str, known: set[str]) -> dict[str, Any]:
     if not isinstance(value, dict):
         fail(field, "must be an object")
--- a/src/poplarfold/_internal/core/systems/orders.py
+++ b/src/poplarfold/_internal/core/systems/orders.py
@@ -26,6 +26,8 @@
 from poplarfold._internal.core.systems import health, leaving
 from poplarfold._internal.core.systems.admission import AdmissionState
 from poplarfold._internal.core.systems.health import EndpointRow, HealthState
+from poplarfold._internal.utils.json_documents import parse_json
+from poplarfold._internal.utils.malformed import MALFORMED_DOCUMENT_ERRORS
 
 __all__ = ["OrderState", "next_wakeup", "on_event", "on_tick"]
 
@@ -160,10 +162,10 @@
 def fold_order_record(part: OrderState, offset: int, data: bytes, first: int) -> None:
     """Make a lease record current if it replaces the current one."""
     try:
-        body = json.loads(data)
+        body = parse_json(data)
         name, host = str(body["name"]), str(body["host"])
         incarnation, replaces = int(body["incarnation"]), int(body["replaces"])
-    except (ValueError, KeyError, TypeError):
+    except MALFORMED_DOCUMENT_ERRORS:
         return
     current = part.leases.get(name)
     expected = current.offset if current else -1
--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -8,7 +8,6 @@
 import errno
 import http.client
 import io
-import json
 import math
 import socket
 import threading
@@ -28,6 +27,7 @@
     EndpointUnreachableError,
     ResponseMismatchError,
 )
+from poplarfold._internal.utils.json_documents import parse_json
 
 __all__ = [
     "ANSWER_LIMIT_BYTES",
@@ -71,8 +71,8 @@
     def json(self) -> dict[str, Any]:
         """Return the body as a JSON object, or an empty dict if it is none."""
         try:
-            found = json.loads(self.body)
-        except (ValueError, RecursionError):
+            found = parse_json(self.body)
+        except ValueError:
             return {}
         return found if isinstance(found, dict) else {}
 
--- a/src/poplarfold/_internal/daemon/host_list_client.py
+++ b/src/poplarfold/_internal/daemon/host_list_client.py
@@ -1,7 +1,5 @@
 """HTTP client for the platform's list of live and leaving hosts."""
 
-import json
-
 from result import Err, Ok, Result
 
 from poplarfold._internal.core.events import HostListReceived, HostListRow
@@ -11,6 +9,7 @@
 )
 from poplarfold._internal.daemon.log_client import address_of
 from poplarfold._internal.exceptions import EndpointError
+from poplarfold._internal.utils.json_documents import parse_json
 from poplarfold._internal.utils.malformed import MALFORMED_DOCUMENT_ERRORS
 
 __all__ = ["HostListClient", "parse_hosts"]
@@ -43,7 +42,7 @@
 def parse_hosts(body: bytes) -> Result[HostListReceived, EndpointError]:
     """Parse the body of a host list response."""
     try:
-        found = json.loads(body)
+        found = parse_json(body)
         rows = tuple(
             HostListRow(
                 host=str(row["host"]),
--- a/src/poplarfold/_internal/daemon/log_client.py
+++ b/src/poplarfold/_internal/daemon/log_client.py
@@ -1,7 +1,6 @@
 """HTTP client for the platform's log: reads, long polls and appends."""
 
 import base64
-import json
 from urllib.parse import quote
 
 from urllib3.util import parse_url
@@ -19,6 +18,7 @@
     EndpointClient,
     Target,
 )
+from poplarfold._internal.utils.json_documents import parse_json
 from poplarfold._internal.utils.malformed import MALFORMED_DOCUMENT_ERRORS
 
 __all__ = ["LogClient", "address_of"]
@@ -96,7 +96,7 @@
     """Return the event for a read response, which may be malformed."""
     failed = LogReadFailed(command.stream, command.start, False, 0)
     try:
-        body = json.loads(answer.body)
+        body = parse_json(answer.body)
         if answer.status == STATUS_GONE:
             return failed._replace(expired=True, first=int(body["first"]))
         if answer.status != 200:
--- a/src/poplarfold/_internal/daemon/stream_assembler.py
+++ b/src/poplarfold/_internal/daemon/stream_assembler.py
@@ -1,10 +1,9 @@
 """Joins the outputs of a call's attempts into one gapless sequence."""
 
-import json
-
 from result import Err, Ok, Result
 
 from poplarfold._internal.exceptions import EndpointError
+from poplarfold._internal.utils.json_documents import parse_json
 from poplarfold._internal.utils.malformed import MALFORMED_DOCUMENT_ERRORS
 
 __all__ = ["StreamAssembler"]
@@ -55,8 +54,7 @@
         for event in events:
             if event.startswith(b"data: "):
                 try:
-                    # Decoding here avoids the encoding detection of json.loads.
-                    self._accept(json.loads(event[6:].decode()), ready)
+                    self._accept(parse_json(event[6:]), ready)
                 except EndpointError as error:
                     return Err(error)
                 except MALFORMED_DOCUMENT_ERRORS as error:
