Keep the relay link running after an unexpected error

- A number beyond 64 bits in a message raised OverflowError instead of a protocol error (math.isfinite of a huge integer), also between daemons.
- An unexpected error in a subscription ended its task without a record of the relay's failure, so that the same relay was chosen and connected to again every 0.25 s.
A member record whose relay has a port out of range did that.
- An unexpected error in the periodic work ended the event loop's thread, and with it all subscriptions and subscribers, for good.

Evidence: test_odd_messages_of_relays_are_rejected failed with OverflowError. test_unexpected_error_leaves_the_link_running did not end on the old sources: the loop was gone, so that even stopping the node hung (ended by hand). Both pass now.

Change: messages check the range first; a failed subscription counts as a failure of its relay, whatever the error; the loop logs an unexpected error (PF9002) and goes on.

--- a/src/poplarfold/_internal/core/message_codec.py
+++ b/src/poplarfold/_internal/core/message_codec.py
@@ -5,7 +5,6 @@
 Any other mismatch with the message type is a protocol error.
 """
 
-import math
 import types
 import typing
 from collections.abc import Callable, Iterable
@@ -150,7 +149,8 @@
 def build_number(value: Any) -> float:
     if type(value) not in (int, float):
         raise FieldError("not a number")
-    if not math.isfinite(value) or abs(value) > INTEGER_MAX:
+    # False for NaN, too.
+    if not -INTEGER_MAX <= value <= INTEGER_MAX:
         raise FieldError("not a finite number")
     return float(value)
 
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import threading
+import traceback
 from typing import NamedTuple
 
 from websockets.asyncio.server import Server, ServerConnection, broadcast, serve
@@ -85,6 +86,7 @@
         self.stopped = threading.Event()
         self.is_known = False
         self.sent_cost: CostReport | None = None
+        self.cost_sent_at = 0.0
         state.publish = self.publish
         state.updates.update_members = self.update_members
         state.updates.update_parts = guard.merge_stored
@@ -141,14 +143,12 @@
             port = next(iter(server.sockets)).getsockname()[1]
             self.me = self.me._replace(address=f"{self.fleet.host.ip}:{port}")
         self.started.set()
-        cost_at = 0.0
         while not self.stopping.is_set():
-            self._update_sources()
-            self.state.drop_expired()
-            now = self.fleet.clock()
-            if now - cost_at >= cost_period_s(self.fleet):
-                cost_at = now
-                self._send_fleet_cost()
+            try:
+                self._run_periodic_work()
+            except Exception:
+                # Without the loop, all subscriptions and subscribers would be lost.
+                self._log_unexpected("periodic work")
             try:
                 async with asyncio.timeout(CHOICE_PERIOD_S):
                     await self.stopping.wait()
@@ -162,6 +162,20 @@
             server.close()
             await server.wait_closed()
 
+    def _run_periodic_work(self) -> None:
+        """Follow the choice of relays, and send what is due."""
+        self._update_sources()
+        self.state.drop_expired()
+        now = self.fleet.clock()
+        if now - self.cost_sent_at >= cost_period_s(self.fleet):
+            self.cost_sent_at = now
+            self._send_fleet_cost()
+
+    def _log_unexpected(self, task: str) -> None:
+        """Log the exception that is being handled."""
+        trace = f"relay link, {task}: {traceback.format_exc()}"
+        self.write_log("PF9002", None, {"traceback": trace})
+
     async def _listen(self) -> Server | None:
         """Listen on the first free port; return None without one."""
         host = self.fleet.host
@@ -278,7 +292,12 @@
 
     async def _follow(self, subscription: Subscription) -> None:
         """Receive a relay's records until it fails, and record that."""
-        problem = await subscription.run()
         host = subscription.relay.host
+        try:
+            problem = await subscription.run()
+        except Exception as error:
+            # The relay must not be chosen again at once, whatever the error.
+            problem = repr(error)
+            self._log_unexpected(f"subscription to {host}")
         self.choice.record_failure(host, self.fleet.clock())
         self.write_log("PF6402", None, {"relay": host, "problem": problem})
--- a/tests/functional/test_relay_link.py
+++ b/tests/functional/test_relay_link.py
@@ -157,6 +157,35 @@
     )
 
 
+def test_unexpected_error_leaves_the_link_running(store, nodes):
+    """Guards against a node that follows nothing any more after one error, or that
+    connects to the same relay again and again."""
+    follower = followers(nodes)[0]
+    failing = [follower.state, "drop_expired"], [follower.guard, "merge"]
+    usual = [getattr(*row) for row in failing]
+
+    def fail(*arguments):
+        raise RuntimeError("unexpected")
+
+    for row in failing:
+        setattr(*row, fail)
+    for row in follower.link.choice.order:
+        # Ends the subscriptions, so that new ones begin with the states of parts.
+        follower.link.choice.record_failure(row, follower.fleet.clock())
+    wait_for(lambda: count_logged(follower, "PF9002") >= 2, 5.0)
+    time.sleep(2.0)
+    lost = count_logged(follower, "PF6402")
+    for row, method in zip(failing, usual, strict=True):
+        setattr(*row, method)
+    assert lost < 8
+    store.put("keyed.op", "config", configuration(version=8))
+    wait_for(lambda: follower.routes_version() == 8, BOUNDS.apply_s)
+
+
+def count_logged(node, number):
+    return [row[0] for row in node.logged].count(number)
+
+
 def test_nodes_learn_the_cost_of_streams_from_each_other(nodes):
     """Guards against large fleets in which no node sees enough streams to learn."""
     for node in nodes:
--- a/tests/unit/test_odd_records.py
+++ b/tests/unit/test_odd_records.py
@@ -11,6 +11,7 @@
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch, ViewRecord
 from poplarfold._internal.core.fleet.relay_messages import (
     PartStates,
+    TopicRecords,
     pack,
     unpack,
 )
@@ -157,6 +158,16 @@
     node.check_in_use(topic)
 
 
+@settings(max_examples=300)
+@given(st.binary(max_size=60), st.integers(-(2**80), 2**80), st.floats())
+def test_odd_messages_of_relays_are_rejected(data, number, time_s):
+    """Guards against a relay link that ends on a message it cannot decode."""
+    unpack(data)
+    records = TopicRecords("keyed.servers", 0, number, time_s, False, ())
+    unpack(pack(records))
+    unpack(pack(records._replace(read_at=HUGE)))
+
+
 def test_malformed_record_is_logged():
     """Guards against an ignored record that nobody sees."""
     for topic in (StoreTopic.ROUTES, StoreTopic.ENDPOINTS, StoreTopic.PARTS):
