Let removals take effect at once after a start, and malformed entries always

Callers saw: by reading and in test_part_that_crashes_engines_is_blocked, calls to a server whose entry had been removed just after the start of a node, or whose newest entry names no server (DRAIN).

Cause: the node held back every deletion while it took the store for lost, or had read it for less than 2.2 s. It did so just after each start as well, where nothing speaks for an outage; and a malformed entry under the id of a known server was handled as its deletion, although entries that expire are deleted and do not become malformed.

Change: deletions are held back only after the node itself has missed the store. A malformed entry takes its server out of use at once, until the next valid entry.

--- a/src/poplarfold/_internal/core/fleet/directory.py
+++ b/src/poplarfold/_internal/core/fleet/directory.py
@@ -45,9 +45,13 @@
         ] = {}
         self.store_changed_at = 0.0
         self.is_store_up = False
+        # Whether the store has failed to answer while this process ran. Before that,
+        # nothing speaks for an outage in which entries may have expired.
+        self.has_lost_store = False
 
     def set_store_status(self, is_up: bool, now: float) -> bool:
         """Record whether the store answers; return whether that has changed."""
+        self.has_lost_store |= not is_up
         if is_up == self.is_store_up:
             return False
         self.is_store_up = is_up
@@ -84,11 +88,25 @@
             self.usable_cache.clear()
         return EndpointChange(before, after)
 
+    def withdraw_endpoint(self, endpoint_id: str) -> EndpointChange:
+        """Remove an endpoint at once, because its newest entry is malformed.
+
+        Expired entries are deleted, so this one was written now, whatever the state of
+        the store. The endpoint is back in use with its next valid entry.
+        """
+        self.expired_ids.discard(endpoint_id)
+        before = self.endpoints.pop(endpoint_id, None)
+        self.usable_cache.clear()
+        return EndpointChange(before, None)
+
     def is_expiry_grace_over(self, now: float) -> bool:
         """Return whether living endpoints have had time to announce themselves again.
 
-        That is so when the store has answered without a break for EXPIRY_GRACE_S.
+        That is so when the store has answered without a break for EXPIRY_GRACE_S, or
+        since the start of the process.
         """
+        if not self.has_lost_store:
+            return self.is_store_up
         return self.is_store_up and now - self.store_changed_at >= EXPIRY_GRACE_S
 
     def is_store_settled(self, now: float) -> bool:
--- a/src/poplarfold/_internal/gateway/topic_updates.py
+++ b/src/poplarfold/_internal/gateway/topic_updates.py
@@ -90,6 +90,8 @@
         """Apply one entry. The fleet's lock must be held."""
         directory = self.fleet.directory
         endpoint_id = found.record.key
+        if found.error is not None:
+            return directory.withdraw_endpoint(endpoint_id)
         return directory.apply_endpoint(endpoint_id, found.row, now)
 
     def _apply_members(self, records: Sequence[DecodedRecord]) -> list[Effect]:
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -490,7 +490,8 @@
         "PF7105",
         "malformed_record",
         ("topic", "key", "offset", "problem"),
-        "a record of the store cannot be decoded and is ignored",
+        "a record cannot be decoded; an endpoint with its key is not used until its "
+        "next valid entry, any other record is ignored",
     ),
     EventKind(
         "PF7106",
--- a/tests/unit/test_fleet_decisions.py
+++ b/tests/unit/test_fleet_decisions.py
@@ -628,3 +628,33 @@
     assert other.may_claim(9.5)
     assert winner.may_order(claimed_at=0.0, now=0.9)
     assert not winner.may_order(claimed_at=0.0, now=1.1)
+
+
+def test_deletion_takes_effect_at_once_unless_the_store_was_lost():
+    """Guards against calls to a removed endpoint by a node that has just started."""
+    directory = Directory()
+    directory.set_store_status(True, 10.0)
+    directory.apply_endpoint("a", endpoint("a"), 10.0)
+    directory.apply_endpoint("a", None, 10.1)
+    assert not directory.endpoints
+    lost_first = Directory()
+    lost_first.set_store_status(False, 9.0)
+    lost_first.set_store_status(True, 10.0)
+    lost_first.apply_endpoint("a", endpoint("a"), 10.0)
+    lost_first.apply_endpoint("a", None, 10.1)
+    assert set(lost_first.endpoints) == {"a"}
+
+
+def test_malformed_entry_takes_an_endpoint_out_of_use_during_an_outage():
+    """Guards against calls to an endpoint whose newest entry names none.
+
+    Entries that expire in an outage are deleted, and do not become malformed.
+    """
+    directory = Directory()
+    directory.set_store_status(True, 0.0)
+    directory.apply_endpoint("a", endpoint("a"), 10.0)
+    directory.set_store_status(False, 11.0)
+    change = directory.withdraw_endpoint("a")
+    assert change.before is not None and change.after is None
+    assert not directory.endpoints
+    assert directory.withdraw_endpoint("a") == (None, None)
--- a/tests/unit/test_odd_records.py
+++ b/tests/unit/test_odd_records.py
@@ -168,6 +168,19 @@
     unpack(pack(records._replace(read_at=HUGE)))
 
 
+@pytest.mark.parametrize("value", ODD_DOCUMENTS[:4])
+def test_malformed_entry_takes_its_endpoint_out_of_use(value):
+    """Guards against calls to an endpoint whose newest entry names none, also while
+    deletions are held back."""
+    node = Node()
+    node.put(StoreTopic.ENDPOINTS, ("i-good", json.dumps(ENTRY).encode()))
+    node.fleet.directory.set_store_status(False, node.now)
+    node.put(StoreTopic.ENDPOINTS, ("i-good", value))
+    assert not node.fleet.directory.endpoints
+    node.put(StoreTopic.ENDPOINTS, ("i-good", json.dumps(ENTRY).encode()))
+    assert node.knows(StoreTopic.ENDPOINTS)
+
+
 def test_malformed_record_is_logged():
     """Guards against an ignored record that nobody sees."""
     for topic in (StoreTopic.ROUTES, StoreTopic.ENDPOINTS, StoreTopic.PARTS):
