--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -1,6 +1,5 @@
 """Tests of the router process against stand-ins of the platform, over loopback."""
 
-import http.client
 import json
 import os
 import signal
@@ -12,117 +11,17 @@
 from pathlib import Path
 
 import pytest
+from tests.lib.gateway_process import (
+    CONFIG_APPLY_LIMIT_S,
+    READY_LIMIT_S,
+    ROOT,
+    Fleet,
+    wait_until,
+)
 from tests.lib.platform_standin import (
     EndpointStandIn,
-    StoreStandIn,
-    boot_fields,
     configuration,
 )
-from tests.lib.ports import free_port
-
-ROOT = Path(__file__).resolve().parents[2]
-READY_LIMIT_S = 15.0
-CONFIG_APPLY_LIMIT_S = 4.0
-
-
-class Fleet:
-    """A router process, a store, two engines and two endpoints of a plain service."""
-
-    def __init__(self, folder):
-        self.store = StoreStandIn()
-        self.plain = [EndpointStandIn("i-plain-1"), EndpointStandIn("i-plain-2")]
-        self.prefill = EndpointStandIn("i-prefill", "prefill")
-        self.decode = EndpointStandIn("i-decode", "decode")
-        self.ports = {name: free_port() for name in ("front", "ready", "metrics")}
-        self.boot = folder / "boot.json"
-        self.boot.write_text(json.dumps(self.boot_fields()))
-        self.settings = folder / "gateway.toml"
-        self.settings.write_text(f"metrics_port = {self.ports['metrics']}\n")
-        self.log = folder / "log"
-        self.store.put("keyed.op", "config", configuration())
-        for endpoint in self.plain:
-            self.announce(endpoint, "registry")
-        self.announce(self.prefill, "llm")
-        self.announce(self.decode, "llm")
-        self.start()
-
-    def boot_fields(self):
-        return boot_fields(
-            "front-lhr-a-1", self.ports, self.store.address, {"grace_s": 6}
-        )
-
-    def announce(self, endpoint, service, **changes):
-        entry = endpoint.entry(service, **changes)
-        self.store.put("keyed.servers", endpoint.endpoint_id, entry)
-
-    def start(self):
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "poplarfold_gateway.py")]
-                + ["--settings", str(self.settings)],
-                env={**os.environ, "POPLARFOLD_BOOT": str(self.boot)},
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
-
-    def wait_ready(self):
-        wait_until(lambda: self.ready_status() == 200, READY_LIMIT_S)
-        return self
-
-    def wait_counted(self):
-        """Wait until the process has counted the nodes and may use all the slack."""
-        wait_until(lambda: b"nodes_counted" in self.log.read_bytes(), READY_LIMIT_S)
-
-    def ready_status(self):
-        try:
-            return self.get("ready", "/v1/readyz").status
-        except OSError:
-            return None
-
-    def get(self, listener, path):
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self.ports[listener], timeout=5
-        )
-        connection.request("GET", path)
-        answer = connection.getresponse()
-        answer.data = answer.read()
-        connection.close()
-        return answer
-
-    def open(self, method, path, headers=None, body=None):
-        """Send one call and return its connection."""
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self.ports["front"], timeout=5
-        )
-        sent = {"Host": "entry.example", "Poplarfold-Request-Id": "9c41d07be2a35f68"}
-        connection.request(method, path, body, {**sent, **(headers or {})})
-        return connection
-
-    def call(self, method, path, headers=None, body=None):
-        """Make one call and return its complete answer."""
-        connection = self.open(method, path, headers, body)
-        answer = connection.getresponse()
-        answer.data = answer.read()
-        connection.close()
-        return answer
-
-    def caption(self, **headers):
-        given = {"Poplarfold-Token-Count": "1000,200", **headers}
-        return self.call("POST", "/caption/1", given, b"prompt")
-
-    def stop(self):
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-        for standin in (self.store, self.prefill, self.decode, *self.plain):
-            standin.stop()
-
-
-def wait_until(condition, limit_s):
-    deadline = time.monotonic() + limit_s
-    while not condition():
-        assert time.monotonic() < deadline, "the condition was not met in time"
-        time.sleep(0.02)
 
 
 @pytest.fixture
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -245,6 +245,8 @@
         self.events = 5
         self.event_period_s = EVENT_PERIOD_S
         self.first_event_s = 0.0
+        # How long a plain call takes.
+        self.work_s = 0.0
         self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
         self.prefills: list[str] = []
         self.leases: set[str] = set()
@@ -344,6 +346,7 @@
             request.answer(503, b"", {"Poplarfold-Not-Executed": "1"})
             return
         self.runs.append((request.command, request.path, headers, body))
+        time.sleep(self.work_s)
         if "silent" in faults:
             time.sleep(2.0)
             request.close_connection = True
