Answer each call that a planned stop has taken before the process ends

Cause: a stop took calls until 2.0 s before its end, whatever their timeouts, and ended the process with all calls that were still open. Nothing said that a call which was taken can end in the time that is left.

Change: during a stop a plain call is taken only if its deadline comes before the stop's end; any other is rejected at once with a true 503, and another node serves it. stop_answers_s (0.3 s) before the end, the calls that are still open (taken before the stop, with longer timeouts) are ended and get a complete 504. The rule follows from each call's own deadline, so stop_calls_s is gone.

--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -66,6 +66,15 @@
     def on_caller_gone(self) -> None:
         """Interrupt the call's I/O; called from the socket watcher's thread."""
         self.caller_gone.set()
+        self.interrupt()
+
+    def end(self) -> None:
+        """End the call now, as if its deadline had come, and interrupt its I/O."""
+        self.deadline_at = min(self.deadline_at, boot_time())
+        self.interrupt()
+
+    def interrupt(self) -> None:
+        """Interrupt the call's blocking I/O, and its wait for a slot."""
         self.abort.abort()
         fleet = self.services.fleet
         with fleet.lock:
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -104,10 +104,10 @@
         self.own_cost = StreamCost()
         self.region_cost = StreamCost()
         self.output_forecast = OutputForecast()
-        # A planned stop sets the times after which new streams, and then all new
-        # calls, are rejected.
+        # A planned stop sets the time after which new streams are rejected, and the
+        # one at which all calls must have been answered.
         self.reject_streams_after = float("inf")
-        self.reject_calls_after = float("inf")
+        self.stop_ends_at = float("inf")
 
     @property
     def cost(self) -> StreamCost:
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -34,6 +34,8 @@
         self.services = services
         self.lock = threading.Lock()
         self.open_calls = 0
+        # The open calls whose requests have been read.
+        self.contexts: set[CallContext] = set()
 
     def __call__(self, exchange: CallerExchange) -> None:
         """Serve one request. Raises OSError if the caller has disconnected."""
@@ -66,8 +68,7 @@
             raise RequestError(str(error)) from None
         matched = fleet.match(call.host, call.path.partition("?")[0])
         context = CallContext(self.services, exchange, call, matched, body)
-        if context.arrived_at >= fleet.reject_calls_after:
-            raise StoppingError("the node is shutting down")
+        self.check_stop(context)
         fleet.record_request(context.service)
         context.log(
             "PF1101",
@@ -81,6 +82,8 @@
         )
         sock = exchange.connection.socket
         descriptor = self.services.watcher.watch(sock, context.on_caller_gone)
+        with self.lock:
+            self.contexts.add(context)
         try:
             if context.route.kind is CallKind.STREAM and context.route.uses_engine:
                 self.services.guard.check(call.shared_parts)
@@ -88,8 +91,26 @@
             else:
                 PlainCall(context).run()
         finally:
+            with self.lock:
+                self.contexts.discard(context)
             self.services.watcher.unwatch(descriptor)
 
+    def check_stop(self, context: CallContext) -> None:
+        """Raise StoppingError if a planned stop might end before a plain call does.
+
+        Another node can serve it. Streams are checked when they are about to be sent.
+        """
+        is_stream = context.route.kind is CallKind.STREAM and context.route.uses_engine
+        if not is_stream and context.deadline_at > self.services.fleet.stop_ends_at:
+            raise StoppingError("the node is shutting down before the call's deadline")
+
+    def end_open_calls(self) -> None:
+        """End the open calls, so that each gets a whole answer before a stop ends."""
+        with self.lock:
+            contexts = list(self.contexts)
+        for context in contexts:
+            context.end()
+
     def reject(
         self, exchange: CallerExchange, call: CallerCall, error: PoplarfoldError
     ) -> None:
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -178,19 +178,24 @@
         """Report the node as not ready and wait until the open calls have ended.
 
         Requests that still arrive on open connections are served, and their
-        answers close these connections.
+        answers close these connections. Calls that are open at the end are ended and
+        answered, so that no caller of a plain call is left without an answer.
         """
         started_at = boot_time()
         limit_s = self.host.bounds.grace_s - self.settings.stop_margin_s
         with self.fleet.lock:
             self.fleet.reject_streams_after = started_at + self.settings.stop_streams_s
-            last_s = max(0.0, limit_s - self.settings.stop_calls_s)
-            self.fleet.reject_calls_after = started_at + last_s
+            ends_s = max(0.0, limit_s - self.settings.stop_answers_s)
+            self.fleet.stop_ends_at = started_at + ends_s
         self.stopping.set()
         self.writer.write_event("PF2102", None, {"open_calls": self.handler.open_calls})
         idle_polls = 0
+        has_ended_calls = False
         while boot_time() - started_at < limit_s:
             time.sleep(STOP_POLL_S)
+            if not has_ended_calls and boot_time() >= self.fleet.stop_ends_at:
+                has_ended_calls = True
+                self.handler.end_open_calls()
             # Polls several times, because a request that was just read may not be
             # counted as open yet.
             idle_polls = 0 if self.handler.open_calls else idle_polls + 1
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -33,7 +33,8 @@
     A planned stop serves requests for at least ``stop_linger_s`` and ends
     ``stop_margin_s`` before the platform's grace time does. Streams that arrive
     more than ``stop_streams_s`` after the stop began are rejected, because they might
-    not end in time, and so are all calls in the last ``stop_calls_s``.
+    not end in time, and so are calls whose deadline comes after it. In the last
+    ``stop_answers_s`` the calls that are still open are ended and answered.
 
     The slack of the retry budget is divided among ``unknown_nodes`` until the
     number of nodes has been read from the store.
@@ -55,7 +56,7 @@
     stop_linger_s: float = 3.0
     stop_margin_s: float = 0.3
     stop_streams_s: float = 0.3
-    stop_calls_s: float = 2.0
+    stop_answers_s: float = 0.3
     log_queue_lines: int = 2000
     door: AdmissionPolicy = AdmissionPolicy()
 
