Read chunked request bodies to their end, and keep their connections

Callers saw (users' record, suspected): no whole answer around SIGTERM to a stream whose request had its body in chunks (LOST).

Cause: cheroot does not read the trailer of a chunked body. The gateway closed the connection after each such request instead. If the last line break came in a packet of its own, the socket was closed with unread bytes, or before they came, and the kernel's reset could overtake the answer. Sizes such as 0x4 or -1 were accepted.

A lost answer was not reproduced: on loopback the reset does not overtake it.

Change: a body in chunks is read strictly and whole, with its trailer, before the request is handled. What follows is the next request, so the connection is kept.

--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -21,6 +21,7 @@
     RequestError,
     RequestTimeoutError,
 )
+from poplarfold._internal.http.chunked_body import read_chunked_body
 
 __all__ = ["CONNECTION_KEY", "CallerConnection", "CallerServer"]
 
@@ -39,6 +40,7 @@
 
 FORBIDDEN_IN_HEADER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+LAST_CHUNK = b"0\r\n\r\n"
 CONTENT_LENGTH = re.compile(rb"[0-9]{1,15}")
 
 
@@ -174,11 +176,29 @@
             pass
 
     def respond(self) -> None:
-        """Handle the request. After a chunked request the connection is closed."""
-        if self.chunked_read:
-            # cheroot does not read the trailer, which could contain a smuggled request.
-            self.close_connection = True
-        super().respond()
+        """Handle the request. A chunked body is read to its end before that.
+
+        cheroot reads no trailer, so that the rest of the body would be taken for the
+        next request.
+        """
+        if not self.chunked_read:
+            super().respond()
+            return
+        limit_bytes = self.server.max_request_body_size
+        try:
+            body = read_chunked_body(self.conn.rfile, limit_bytes)
+        except PromptTooLargeError as error:
+            self.simple_response("413 Request Entity Too Large", str(error))
+            return
+        except RequestError as error:
+            self.simple_response("400 Bad Request", str(error))
+            return
+        self.rfile = io.BytesIO(body)
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(LAST_CHUNK)
 
     def send_headers(self) -> None:
         """Read the rest of the request body, then send the response head.
--- /dev/null
+++ b/src/poplarfold/_internal/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP parts that the daemon and the gateway share."""
