Close callers' connections in two steps

Cause: cheroot shuts both directions down and closes the socket. Bytes that are unread then, or come later (a request that crosses the close, the rest of a body that was rejected), make the kernel reset the connection.

Evidence: test_answer_before_a_close_is_not_reset failed before (broken pipe at the caller) and passes now; test_connection_whose_caller_never_closes guards the bound.

Change: the sending side is closed, and what still comes is read and dropped in one thread until the caller closes, for 2 s and 1,000 sockets at most. A socket whose caller has already closed is closed at once.

--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -22,6 +22,7 @@
     RequestTimeoutError,
 )
 from poplarfold._internal.http.chunked_body import read_chunked_body
+from poplarfold._internal.http.closing_sockets import ClosingSockets
 
 __all__ = ["CONNECTION_KEY", "CallerConnection", "CallerServer"]
 
@@ -226,6 +227,11 @@
         super().__init__(server, sock, make_file)
         self.request: CallerRequest | None = None
 
+    def close(self) -> None:
+        """Close the connection, without a reset that the answer could be lost by."""
+        self.rfile.close()
+        self.server.closing_sockets.add(self.socket)
+
     def encode_body_part(self, data: bytes) -> bytes:
         """Encode a part of the current response's body in its transfer coding."""
         if self.request is not None and self.request.chunked_write:
@@ -276,6 +282,7 @@
         self.max_request_body_size = body_limit_bytes
         self.max_request_header_size = HEADER_LIMIT_BYTES
         self.request_read_s = request_read_s
+        self.closing_sockets = ClosingSockets()
         self.on_error = on_error
 
     # A subclass sets 0 if its callers open connections before they have requests, so
--- a/tests/functional/test_connection_ends.py
+++ b/tests/functional/test_connection_ends.py
@@ -2,11 +2,13 @@
 
 import http.client
 import json
+import signal
 import socket
+import struct
 import time
 
 import pytest
-from tests.lib.gateway_process import Fleet
+from tests.lib.gateway_process import Fleet, wait_until
 
 
 @pytest.fixture
@@ -74,3 +76,40 @@
         assert (answer.status, answer.headers["Connection"]) == (400, "close")
         assert json.loads(answer.read())["error"]["code"]
     assert not any(endpoint.runs for endpoint in fleet.plain)
+
+
+def test_answer_before_a_close_is_not_reset(fleet):
+    """Guards against a reset that overtakes an answer, if more bytes of the caller are
+    on their way when the connection is closed."""
+    fleet.process.send_signal(signal.SIGTERM)
+    with socket.create_connection(("127.0.0.1", fleet.ports["front"]), 5) as sock:
+        sock.sendall(b"GET /lookup/1 HTTP/1.1\r\nHost: entry.example\r\n\r\n")
+        # As late as on a slow link: the answer and the close have come, unread.
+        time.sleep(0.5)
+        for _ in range(3):
+            sock.sendall(b"GET /lookup/2 HTTP/1.1\r\nHost: entry.example\r\n\r\n")
+            time.sleep(0.1)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        assert error == 0
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        assert (answer.status, answer.read()) == (200, b"whole answer")
+        assert sock.recv(1) == b""
+
+
+def test_connection_whose_caller_never_closes_is_closed(fleet):
+    """Guards against descriptors that leak to callers who do not close."""
+    fleet.process.send_signal(signal.SIGTERM)
+    with socket.create_connection(("127.0.0.1", fleet.ports["front"]), 5) as sock:
+        sock.sendall(b"GET /lookup/1 HTTP/1.1\r\nHost: entry.example\r\n\r\n")
+        wait_until(lambda: is_closed(sock), 2.5)
+
+
+def is_closed(sock):
+    """Return whether the peer has closed its socket: it answers bytes with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
+    try:
+        sock.sendall(b"x")
+    except OSError:
+        return True
+    return False
