Bound the memory of all unfinished answers together

Another operator's report: bytes without end, in a head or a body, made a machine run out of memory, and the calls of other clients ended with it.

Cause: each answer had a limit of its own (16 MB, about 6 MB for a head, 1 MB for an event or chunk), but not the sum over up to 96 calls.

Change: unfinished answers share a tenth of the process's memory. Each may grow to what the others leave free, so that an endless one leaves some to others, and small ones are always accepted. A head ends at 64 KiB, an event at 128 KiB, and chunks are passed on as they arrive, with strict framing.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -20,17 +20,18 @@
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
 
-from poplarfold._internal.daemon.chunked import ChunkDecoder
 from poplarfold._internal.exceptions import (
+    AnswerTooLargeError,
     EndpointError,
     EndpointStalledError,
     EndpointUnreachableError,
     ResponseMismatchError,
 )
+from poplarfold._internal.http.answer_memory import AnswerMemory, HeldBytes
+from poplarfold._internal.http.chunked import ChunkDecoder
 from poplarfold._internal.utils.json_documents import parse_json
 
 __all__ = [
-    "ANSWER_LIMIT_BYTES",
     "AbortHandle",
     "Answer",
     "EndpointClient",
@@ -44,7 +45,8 @@
 # Less than the 10 s after which common HTTP servers close an idle connection.
 IDLE_TIMEOUT_S = 5.0
 READ_BYTES = 65536
-ANSWER_LIMIT_BYTES = 16_000_000
+# The largest head of an answer, those of interim answers included.
+HEAD_LIMIT_BYTES = 65_536
 
 NETWORK_ERRORS = (OSError, http.client.HTTPException, HTTPError)
 
@@ -188,12 +190,15 @@
     monotonic seconds, or None without one. Received bytes extend it by the time that
     they take at ``bytes_per_s_min``, by default not at all.
 
+    At most ``head_bytes_left`` more are received while it is not None.
+
     ``has_excess`` is true if bytes were left in the buffer of the last reader. While
     ``is_peeking`` is set, nothing is read from the socket.
     """
 
     deadline: float | None = None
     bytes_per_s_min: float = math.inf
+    head_bytes_left: int | None = None
     has_excess = False
     is_peeking = False
 
@@ -212,9 +217,13 @@
             if left_s <= 0:
                 raise TimeoutError("timed out")
             self.settimeout(left_s)
+        if self.head_bytes_left is not None and self.head_bytes_left <= 0:
+            raise http.client.HTTPException("the head of the answer is too large")
         received = super().recv_into(*arguments)
         if self.deadline is not None:
             self.deadline += received / self.bytes_per_s_min
+        if self.head_bytes_left is not None:
+            self.head_bytes_left -= received
         return received
 
 
@@ -319,10 +328,16 @@
 
 
 class EndpointClient:
-    """The connections to all endpoints of one daemon. Thread-safe."""
+    """The connections to all endpoints of one daemon. Thread-safe.
+
+    ``memory`` bounds what the answers that are being read take.
+    """
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(
+        self, connect_timeout_s: float, memory: AnswerMemory | None = None
+    ) -> None:
         self.connect_timeout_s = connect_timeout_s
+        self.memory = memory or AnswerMemory()
         # Per address: connections and the time of their last use, oldest first.
         self.idle: dict[str, list[tuple[HTTPConnection, float]]] = {}
         self.next_sweep_at = 0.0
@@ -411,6 +426,7 @@
             return Err(failure_of(error, target.address, sent=True))
         if isinstance(sock, DeadlineSocket):
             sock.deadline = None
+            sock.head_bytes_left = None
         stream = EndpointStream(
             connection, sock, response, target.address, idle_timeout_s
         )
@@ -501,17 +517,20 @@
             return Err(failure)
         if isinstance(connection.sock, DeadlineSocket):
             connection.sock.bytes_per_s_min = bytes_per_s_min
+        held = self.memory.hold()
         try:
             response = connection.getresponse()
-            data = read_response_body(response)
-            if len(data) > ANSWER_LIMIT_BYTES:
-                connection.close()
-                message = f"{target.address} sent over {ANSWER_LIMIT_BYTES} bytes"
-                return Err(Failure(EndpointError(message), sent=True))
+            if isinstance(connection.sock, DeadlineSocket):
+                connection.sock.head_bytes_left = None
+            data = read_response_body(response, held)
+        except AnswerTooLargeError as error:
+            connection.close()
+            return Err(Failure(error, sent=True))
         except NETWORK_ERRORS as error:
             connection.close()
             return Err(failure_of(error, target.address, sent=True))
         finally:
+            held.release()
             if handle is not None:
                 handle.attach(None)
         if belongs_to_request is not None and not belongs_to_request(
@@ -550,6 +569,7 @@
                 sock.settimeout(timeout_s)
             if isinstance(sock, DeadlineSocket):
                 sock.deadline = time.monotonic() + timeout_s
+                sock.head_bytes_left = HEAD_LIMIT_BYTES
             connection.timeout = timeout_s
             sent = True
             connection.request(
@@ -566,21 +586,20 @@
         return None
 
 
-def read_response_body(response: BaseHTTPResponse) -> bytes:
-    """Read a body to its end, or to slightly over the size limit.
+def read_response_body(response: BaseHTTPResponse, held: HeldBytes) -> bytes:
+    """Read a body to its end.
 
     The loop ends only with an empty read, because urllib3 reports a truncated body
-    in the read that follows the last bytes. Raises HTTPError or OSError.
+    in the read that follows the last bytes. Raises HTTPError, OSError or
+    AnswerTooLargeError.
     """
     parts: list[bytes] = []
-    size = 0
-    while size <= ANSWER_LIMIT_BYTES:
+    while True:
         part = response.read(READ_BYTES, decode_content=False)
         if not part:
-            break
+            return b"".join(parts)
+        held.resize(held.size + len(part))
         parts.append(part)
-        size += len(part)
-    return b"".join(parts)
 
 
 def will_close(response: BaseHTTPResponse) -> bool:
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -406,6 +406,12 @@
     code = "platform_format"
 
 
+class AnswerTooLargeError(EndpointError):
+    """An endpoint sent more bytes of an answer than there is memory for."""
+
+    code = "answer_too_large"
+
+
 class EventTooLongError(EndpointError):
     """An endpoint sent bytes that contain no end of an event."""
 
--- a/src/poplarfold/_internal/gateway/events.py
+++ b/src/poplarfold/_internal/gateway/events.py
@@ -10,7 +10,7 @@
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 # The longest end of an event, without its last byte.
 EVENT_END_OVERLAP_BYTES = 3
-EVENT_MAX_BYTES = 1_000_000
+EVENT_MAX_BYTES = 131_072
 
 
 class EventSplitter:
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -32,6 +32,7 @@
 )
 from poplarfold._internal.gateway.store_reader import StoreReader
 from poplarfold._internal.gateway.topic_state import TopicState
+from poplarfold._internal.http.answer_memory import AnswerMemory
 from poplarfold._internal.logs.queued import QueuedStream
 from poplarfold._internal.logs.writer import EventWriter
 from poplarfold._internal.platform import (
@@ -51,6 +52,9 @@
 BODY_LIMIT_BYTES = 16_000_000
 REQUEST_READ_TIMEOUT_S = 5.0
 SMALL_BODY_LIMIT_BYTES = 65_536
+# The share of the process's memory for unfinished answers. An answer needs twice its
+# size for a moment, when its parts are joined.
+ANSWER_MEMORY_SHARE = 0.1
 # How often a planned stop checks whether all open calls have ended.
 STOP_POLL_S = 0.05
 STOP_IDLE_POLLS = 6
@@ -73,7 +77,7 @@
         self.settings = settings
         self.writer = writer
         self.stopping = threading.Event()
-        client = EndpointClient(settings.connect_s)
+        client = EndpointClient(settings.connect_s, answer_memory(host.memory_mb))
         seed = int.from_bytes(os.urandom(8), "big")
         self.fleet = Fleet(host, settings, seed)
         self.watcher = SocketWatcher()
@@ -216,6 +220,13 @@
         self.writer.write_event("PF2104", None, {"problem": ""})
 
 
+def answer_memory(memory_mb: float) -> AnswerMemory:
+    """Return the memory for unfinished answers of a process with a limit in MB."""
+    if memory_mb <= 0:
+        return AnswerMemory()
+    return AnswerMemory(int(ANSWER_MEMORY_SHARE * memory_mb * 1_000_000))
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the router on the platform until SIGTERM and return the exit code."""
     parser = argparse.ArgumentParser(prog="poplarfold-gateway", description=__doc__)
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -6,13 +6,13 @@
 from poplarfold._internal.core.fleet.stream_cost import expected_stream_s
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.daemon.endpoint_client import (
-    ANSWER_LIMIT_BYTES,
     AbortHandle,
     EndpointStream,
     Failure,
     Target,
 )
 from poplarfold._internal.exceptions import (
+    AnswerTooLargeError,
     EndpointError,
     EndpointRefusedError,
     EndpointStalledError,
@@ -61,6 +61,8 @@
         self.first_events = 0
         self.is_pace_recorded = False
         self.evidence = PartEvidence(context)
+        # What this node keeps of the answer that is being read.
+        self.held = context.services.client.memory.hold()
 
     def run(self) -> None:
         """Serve the stream. Raises PoplarfoldError or OSError."""
@@ -158,6 +160,7 @@
         finally:
             abort.attach(None)
             stream.close()
+            self.held.release()
 
     def read_timeout_s(self, usual_s: float) -> float:
         """Return a read's timeout; ``usual_s`` limits resumable streams only."""
@@ -251,10 +254,16 @@
         return stream.read()
 
     def split_events(self, data: bytes, endpoint: FleetEndpoint) -> bytes:
-        """Return the events that are complete now. Raises EventTooLongError."""
+        """Return the events that are complete now.
+
+        Raises EventTooLongError, or AnswerTooLargeError if there is no memory for the
+        incomplete one.
+        """
         try:
-            return self.splitter.feed(data)
-        except EventTooLongError as error:
+            complete = self.splitter.feed(data)
+            self.held.resize(len(self.splitter.rest))
+            return complete
+        except (AnswerTooLargeError, EventTooLongError) as error:
             self.fleet.record_unresponsive(endpoint)
             self.context.log_failure(endpoint.endpoint_id, error, True)
             raise
@@ -346,16 +355,13 @@
         ok = stream.status < 500
         self.fleet.record_answer(endpoint, started_at, ok, metadata.load)
         parts = []
-        size = 0
         while not stream.ended:
             result = stream.read()
             self.context.check_caller()
             if result.is_err():
                 raise result.unwrap_err().error
             parts.append(result.unwrap())
-            size += len(parts[-1])
-            if size > ANSWER_LIMIT_BYTES:
-                raise EndpointError(f"the answer exceeds {ANSWER_LIMIT_BYTES} bytes")
+            self.held.resize(self.held.size + len(parts[-1]))
         if stream.is_truncated or self.has_started:
             raise EndpointError("the answer was truncated")
         if stream.status >= 500 and context.route.resumable:
--- a/src/poplarfold/_internal/http/chunked_body.py
+++ b/src/poplarfold/_internal/http/chunked_body.py
@@ -1,13 +1,12 @@
 """Reads a caller's request body in the chunked transfer coding, to its very end."""
 
-import re
 from typing import BinaryIO
 
 from poplarfold._internal.exceptions import PromptTooLargeError, RequestError
+from poplarfold._internal.http.chunked import parse_chunk_size
 
 __all__ = ["read_chunked_body"]
 
-CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,8}")
 CRLF = b"\r\n"
 LINE_MAX_BYTES = 8192
 TRAILER_MAX_LINES = 64
@@ -40,10 +39,10 @@
 
 def read_chunk_size(reader: BinaryIO) -> int:
     """Read the line before a chunk and return the chunk's size in bytes."""
-    digits = read_line(reader).partition(b";")[0].strip(b" \t")
-    if not CHUNK_SIZE.fullmatch(digits):
-        raise RequestError("the size of a chunk is not a hexadecimal number")
-    return int(digits, 16)
+    try:
+        return parse_chunk_size(read_line(reader))
+    except ValueError as error:
+        raise RequestError(str(error)) from None
 
 
 def read_trailer(reader: BinaryIO) -> None:
--- a/src/poplarfold/_internal/platform/boot.py
+++ b/src/poplarfold/_internal/platform/boot.py
@@ -44,7 +44,8 @@
 
     ``regions`` maps each failure domain to its region. On ``peer_ports`` the
     router's own nodes may listen for each other. ``link_mbps`` is the rate of the
-    host's network link in Mbit/s, or 0 if it is not given.
+    host's network link in Mbit/s, and ``memory_mb`` the limit of this process's memory.
+    Both are 0 if they are not given.
     """
 
     host: str
@@ -58,6 +59,7 @@
     bounds: Bounds
     peer_ports: tuple[int, ...] = ()
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 def read_boot_file(path: str | None = None) -> HostSettings:
@@ -79,6 +81,7 @@
 def decode_boot(fields: dict[str, Any]) -> HostSettings:
     """Decode the fields of the platform's settings file."""
     listen = fields["listen"]
+    limits = fields.get("limits") or {}
     return HostSettings(
         host=str(fields["node_name"]),
         failure_domain=str(fields["zone"]),
@@ -90,7 +93,8 @@
         ip=str(fields["ip"]),
         bounds=decode_bounds(fields.get("bounds") or {}),
         peer_ports=decode_port_range(fields.get("port_range")),
-        link_mbps=float((fields.get("limits") or {}).get("link_mbps") or 0.0),
+        link_mbps=float(limits.get("link_mbps") or 0.0),
+        memory_mb=float(limits.get("memory_mb") or 0.0),
     )
 
 
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -19,6 +19,8 @@
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 EVENT_PERIOD_S = 0.02
 PART_BYTES = 16_384
+# As many bytes as fit into one header line for the standard library.
+FLOOD_HEADERS = b"X-A: " + b"x" * 65_000 + b"\r\n"
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -233,6 +235,10 @@
     drip         sends a byte of the body now and then
     drip_stream  starts a stream and then sends bytes that complete no event
     endless_head sends headers without end
+    flood_head   as endless_head, as fast as possible
+    flood_body   sends a body without end, as fast as possible
+    flood_stream starts a stream, and then sends an event without end
+    flood_chunk  as flood_stream, in a chunk without end
     reset_kept   resets requests on a connection that was used before
     """
 
@@ -360,6 +366,13 @@
             self.send_without_end(request, b"HTTP/1.1 200 OK\r\n\r\n", b"x", 0.1)
         elif "endless_head" in faults:
             self.send_without_end(request, b"HTTP/1.1 200 OK\r\nX-A: ", b"x" * 20, 0.01)
+        elif "flood_head" in faults:
+            self.send_without_end(request, b"HTTP/1.1 200 OK\r\n", FLOOD_HEADERS, 0.0)
+        elif "flood_body" in faults:
+            own = headers["Poplarfold-Request-Id"]
+            head = f"HTTP/1.1 200 OK\r\nPoplarfold-Request-Id: {own}\r\n"
+            head += f"Poplarfold-Server-Stamp: {STAMP}\r\n\r\n"
+            self.send_without_end(request, head.encode(), b"x" * 65536, 0.0)
         elif "cut_body" in faults:
             own = headers["Poplarfold-Request-Id"]
             head = f"HTTP/1.1 200 OK\r\nPoplarfold-Request-Id: {own}\r\n"
@@ -429,6 +442,15 @@
         if self.faults & {"unframed", "cut_unframed"}:
             self.stream_unframed(request, headers)
             return
+        if "flood_stream" in self.faults:
+            request.end_headers()
+            self.send_without_end(request, b"id: 1\ndata: ", b"x" * 65536, 0.0)
+            return
+        if "flood_chunk" in self.faults:
+            request.send_header("Transfer-Encoding", "chunked")
+            request.end_headers()
+            self.send_without_end(request, b"7fffffff\r\n", b"x" * 65536, 0.0)
+            return
         if "excess" in self.faults:
             self.stream_with_excess(request, headers)
             return
--- a/tests/unit/test_streams.py
+++ b/tests/unit/test_streams.py
@@ -5,9 +5,9 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from poplarfold._internal.daemon.chunked import ChunkDecoder
 from poplarfold._internal.daemon.request_body import prefix_digests, token_count
 from poplarfold._internal.daemon.stream_assembler import StreamAssembler
+from poplarfold._internal.http.chunked import ChunkDecoder
 
 
 def event(attempt, seq, text):
