Require each field that endpoints write into their entries

Cause: decode_endpoint took default values for missing fields, and did not look at two fields at all, so that an entry which no endpoint wrote named one to use.

Seven cases of test_malformed_entry_is_rejected failed before.

Change: one table of the fields with their checks; each is required.

--- a/src/poplarfold/_internal/platform/records.py
+++ b/src/poplarfold/_internal/platform/records.py
@@ -1,7 +1,7 @@
 """Decodes the configuration and the endpoint entries of the platform's store."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from poplarfold._internal.core.fleet.rows import (
@@ -36,6 +36,19 @@
     "decode": EndpointRole.DECODE,
     None: EndpointRole.SERVICE,
 }
+# The fields that each endpoint writes into its entry, and their checks. An entry
+# without one of them comes from another writer. Engines also write ``stage``.
+ENTRY_FIELDS: Mapping[str, Callable[[object, str], Any]] = {
+    "service": check_text,
+    "address": check_address,
+    "zone": check_text,
+    "version": check_text,
+    "slots": check_integer,
+    "state": check_text,
+    "cold_left_ms": check_number,
+    "seq": check_integer,
+    "born": check_integer,
+}
 # The longest description of a problem, in characters: an error may quote the value.
 PROBLEM_MAX = 300
 # Whether an endpoint in this state is draining.
@@ -123,17 +136,19 @@
         fields = parse_json(value)
         if not isinstance(fields, dict):
             raise TypeError("entry is not a JSON object")
-        cold_ms = fields.get("cold_left_ms", 0)
+        entry = {
+            name: check(fields[name], name) for name, check in ENTRY_FIELDS.items()
+        }
         return FleetEndpoint(
             endpoint_id=endpoint_id,
-            incarnation=check_integer(fields.get("born", 0), "born"),
-            service=check_text(fields["service"], "service"),
-            address=check_address(fields["address"], "address"),
-            failure_domain=check_text(fields["zone"], "zone"),
+            incarnation=entry["born"],
+            service=entry["service"],
+            address=entry["address"],
+            failure_domain=entry["zone"],
             role=ROLES[fields.get("stage")],
-            slots=check_integer(fields["slots"], "slots"),
-            is_leaving=STATES[fields["state"]],
-            cold_start_left_s=check_number(cold_ms, "cold_left_ms") / 1000,
+            slots=entry["slots"],
+            is_leaving=STATES[entry["state"]],
+            cold_start_left_s=entry["cold_left_ms"] / 1000,
         )
     except MALFORMED_DOCUMENT_ERRORS as error:
         problem = f"endpoint {endpoint_id}: {error!r}"
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -67,6 +67,10 @@
     return json.dumps({**ENTRY, **changes}).encode()
 
 
+def without(name):
+    return json.dumps({key: ENTRY[key] for key in ENTRY if key != name}).encode()
+
+
 def test_endpoint_entry():
     """Guards against fields that are decoded with a wrong meaning."""
     row = decode_endpoint("i-1", entry())
@@ -100,6 +104,10 @@
         entry(born="1"),
         entry(cold_left_ms=None),
         json.dumps({"service": "llm"}).encode(),
+        entry(seq=None),
+        entry(seq=1.5),
+        entry(version=1),
+        *(without(name) for name in ENTRY if name not in ("stage", "a_new_field")),
     ],
 )
 def test_malformed_entry_is_rejected(value):
