Charge the prefill of a repeated stream to the retry budget

Cause: a repeat of a stream sends a prefill and the stream, and one retry was charged. Only the first prefill of a request that an engine accepts is free.

Change: a prefill after the first accepted one takes a retry before it is sent. Without one, the decode engine prefills the prompt itself, so that the stream still goes on. A prefill that was paid for is not charged again when it fails.

--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -65,6 +65,9 @@
         )
         # False after a prefilled KV cache was lost on the way to its decode engine.
         self.may_prefill = True
+        # The first prefill of a request that an engine accepts is not counted as an
+        # arrival by the retry budget; each further one is.
+        self.has_prefilled = False
 
     def reserve(self) -> Reservation:
         """Wait for a decode slot. Raises DecodePoolFullError if all stay full."""
@@ -166,6 +169,9 @@
             )
             if endpoint is None:
                 break
+            if self.has_prefilled and not self.context.try_spend_retry():
+                self.fleet.finish_call(endpoint)
+                break
             started_at = boot_time()
             prepared = self.request_prefill(reservation, endpoint, is_first)
             if prepared is not None:
@@ -202,11 +208,13 @@
         if result.is_err():
             failure = result.unwrap_err()
             self.fleet.record_unresponsive(endpoint)
-            if not isinstance(failure.error, EndpointUnreachableError):
+            is_unreachable = isinstance(failure.error, EndpointUnreachableError)
+            if not is_unreachable and not self.has_prefilled:
                 self.fleet.charge_failed_prefill(context.service)
             context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
             return None
         done = result.unwrap()
+        self.has_prefilled = True
         prefill_s = boot_time() - started_at
         self.fleet.record_answer(endpoint, started_at, True, done.load)
         if is_first:
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -228,6 +228,7 @@
     silent       does not answer
     no_room      refuses leases
     cut_stream   truncates the next stream half-way
+    cut_streams  truncates each stream half-way
     unframed     sends streams with neither a length nor chunks
     cut_unframed as unframed, and ends the next stream inside an event
     excess       sends streams with a length, and another answer after them
@@ -465,7 +466,8 @@
         next_at = time.monotonic()
         try:
             for number in range(first, self.events + 1):
-                if "cut_stream" in self.faults and number > self.events // 2:
+                is_cut = bool(self.faults & {"cut_stream", "cut_streams"})
+                if is_cut and number > self.events // 2:
                     self.faults.discard("cut_stream")
                     request.cut(b"7\r\nid: 3\n")
                     return
