Heed endpoints that say they leave or ask for a pause

The new rules: an endpoint that leaves says so in all of its answers, and one that turns a call away with 503 may say for how long it wants no calls.

Without it, a node goes on sending to an endpoint whose entry does not tell that it leaves, and keeps an overloaded one overloaded.

The choice of an endpoint leaves these out, and the last check before a stream is sent as well. A lease that is granted by an engine which says that it leaves is given back before the prompt is prefilled. The answer of another endpoint at the address (421) says nothing of the one called.

Not built: telling other nodes, the daemon's own interface, the soak's checks.

--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -478,6 +478,20 @@
         self.remaining_s = remaining_s
 
 
+class EndpointsAwayError(PoplarfoldError):
+    """All endpoints of the service have asked for a pause. The call has not run.
+
+    The first of them wants calls again in ``remaining_s``.
+    """
+
+    code = "endpoints_away"
+    status = 503
+
+    def __init__(self, message: str, remaining_s: float) -> None:
+        super().__init__(message)
+        self.remaining_s = remaining_s
+
+
 class DecodePoolFullError(PoplarfoldError):
     """All decode engines are full. The call has not run."""
 
--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -1,8 +1,11 @@
 """The services shared by all calls of a process, and the context of one call."""
 
 import threading
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from poplarfold._internal.core.fleet.rows import FleetEndpoint
+from poplarfold._internal.core.fleet.server_signals import ServerSignal
 from poplarfold._internal.daemon.endpoint_client import AbortHandle, EndpointClient
 from poplarfold._internal.daemon.socket_watcher import SocketWatcher
 from poplarfold._internal.exceptions import (
@@ -21,12 +24,16 @@
 __all__ = ["CallContext", "Services"]
 
 
+RecordSignal = Callable[[FleetEndpoint, ServerSignal], None]
+
+
 class Services(NamedTuple):
     """Objects shared by all calls of one process."""
 
     fleet: Fleet
     client: EndpointClient
     engines: EngineClient
+    record_signal: RecordSignal
     guard: PartGuard
     watcher: SocketWatcher
     metrics: GatewayMetrics
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -2,7 +2,7 @@
 
 import random
 import threading
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import NamedTuple, TypedDict
 
 from poplarfold._internal.core.fleet.admission_queue import (
@@ -30,13 +30,22 @@
     Route,
     Service,
 )
+from poplarfold._internal.core.fleet.server_signals import (
+    RETURN_SPREAD,
+    ServerSignal,
+    ServerSignals,
+)
 from poplarfold._internal.core.fleet.stream_cost import (
     OWN_PREFILL_SLOWDOWN,
     StreamCost,
     merge_costs,
 )
 from poplarfold._internal.core.model import EndpointRole
-from poplarfold._internal.exceptions import NoRouteTableError, RouteNotFoundError
+from poplarfold._internal.exceptions import (
+    EndpointsAwayError,
+    NoRouteTableError,
+    RouteNotFoundError,
+)
 from poplarfold._internal.gateway.metrics import GatewayGauges
 from poplarfold._internal.gateway.settings import GatewaySettings
 from poplarfold._internal.platform import HostSettings
@@ -92,6 +101,7 @@
         self.rng = random.Random(seed)
         self.directory = Directory()
         self.endpoint_stats = EndpointStatsTable()
+        self.signals = ServerSignals()
         self.own_prefill_policy = OwnPrefillPolicy(
             settings.prefill_wait_share, settings.own_prefill_pause_share
         )
@@ -349,7 +359,42 @@
     def is_usable(self, endpoint: FleetEndpoint) -> bool:
         """Return whether an endpoint that was chosen earlier may still get work."""
         with self.lock:
-            return self.directory.is_usable(endpoint)
+            may_use = self.signals.may_use(endpoint, self.clock())
+            return may_use and self.directory.is_usable(endpoint)
+
+    def record_signal(self, endpoint: FleetEndpoint, signal: ServerSignal) -> bool:
+        """Record what an answer says of its endpoint; return whether that was new."""
+        if not signal.is_leaving and signal.retry_after_s is None:
+            return False
+        with self.lock:
+            now = self.clock()
+            return self.signals.record(endpoint, signal, now, self.rng.random())
+
+    def callable_endpoints(
+        self, service: str, role: EndpointRole
+    ) -> Sequence[FleetEndpoint]:
+        """Return the endpoints that may get work now. The lock must be held."""
+        found = self.directory.usable_endpoints(service, role)
+        if not self.signals.rows:
+            return found
+        now = self.clock()
+        return [row for row in found if self.signals.may_use(row, now)]
+
+    def check_pool(self, service: str, role: EndpointRole) -> None:
+        """Raise EndpointsAwayError if all endpoints of a role have asked for a pause.
+
+        Such a call cannot be served before the first of them wants calls again.
+        """
+        with self.lock:
+            now = self.clock()
+            found = self.directory.usable_endpoints(service, role)
+            waits = [self.signals.away_s(row, now) for row in found]
+            known = [wait_s for wait_s in waits if wait_s is not None]
+            if known and min(known) > 0.0:
+                remaining_s = min(known) * (1.0 + RETURN_SPREAD * self.rng.random())
+                raise EndpointsAwayError(
+                    "all endpoints of the service have asked for a pause", remaining_s
+                )
 
     def remove_endpoint_stats(self, changes: list[EndpointChange]) -> None:
         """Delete the statistics of removed endpoints. The lock must be held."""
@@ -370,7 +415,7 @@
         domain: str | None = None,
     ) -> FleetEndpoint | None:
         return choose_endpoint(
-            sample_candidates(self.directory.usable_endpoints(service, role), self.rng),
+            sample_candidates(self.callable_endpoints(service, role), self.rng),
             self.endpoint_stats,
             domain or self.host.failure_domain,
             self.host.regions,
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -5,6 +5,7 @@
 from poplarfold._internal.core.fleet.rows import CallKind
 from poplarfold._internal.exceptions import (
     CallerDisconnectedError,
+    EndpointsAwayError,
     NoRouteTableError,
     NotRunError,
     PoplarfoldError,
@@ -125,7 +126,7 @@
             retry_after_s = SHORT_RETRY_AFTER_S
         elif isinstance(error, StoppingError):
             retry_after_s = OTHER_NODE_RETRY_AFTER_S
-        elif isinstance(error, PromptBlockedError):
+        elif isinstance(error, EndpointsAwayError | PromptBlockedError):
             retry_after_s = error.remaining_s
         send_error(exchange, call.request_id, error, retry_after_s)
 
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -9,6 +9,8 @@
 import time
 from pathlib import Path
 
+from poplarfold._internal.core.fleet.rows import FleetEndpoint
+from poplarfold._internal.core.fleet.server_signals import ServerSignal
 from poplarfold._internal.daemon.endpoint_client import EndpointClient
 from poplarfold._internal.daemon.socket_watcher import SocketWatcher
 from poplarfold._internal.exceptions import (
@@ -86,7 +88,8 @@
         services = Services(
             self.fleet,
             client,
-            EngineClient(client),
+            EngineClient(client, self.record_signal),
+            self.record_signal,
             self.guard,
             self.watcher,
             self.metrics,
@@ -136,6 +139,17 @@
             self.log_server_error,
         )
 
+    def record_signal(self, endpoint: FleetEndpoint, signal: ServerSignal) -> None:
+        """Record what an answer says of its endpoint, and log what is new."""
+        if self.fleet.record_signal(endpoint, signal):
+            fields = {
+                "endpoint": endpoint.endpoint_id,
+                "born": endpoint.incarnation,
+                "is_leaving": signal.is_leaving,
+                "retry_after_s": signal.retry_after_s,
+            }
+            self.writer.write_event("PF7112", None, fields)
+
     def log_server_error(self, message: str) -> None:
         """Log an error that the HTTP server reports."""
         self.writer.write_event("PF9003", None, {"message": message, "traceback": None})
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -56,6 +56,8 @@
                 self.context.service, EndpointRole.SERVICE, self.tried
             )
             if endpoint is None:
+                if not self.tried:
+                    self.fleet.check_pool(self.context.service, EndpointRole.SERVICE)
                 break
             self.tried.add(endpoint.endpoint_id)
             try:
@@ -115,6 +117,7 @@
             return None, self.error_for_caller(failure)
         answer = result.unwrap()
         metadata = decode_answer_metadata(answer.status, answer.headers)
+        context.services.record_signal(endpoint, metadata.signal)
         self.sent_attempts += 1
         self.is_unexecuted = self.is_unexecuted and metadata.not_run
         ok = answer.status < SERVER_ERROR
--- a/src/poplarfold/_internal/gateway/role_orders.py
+++ b/src/poplarfold/_internal/gateway/role_orders.py
@@ -122,7 +122,7 @@
         engines = [
             row
             for role in (EndpointRole.PREFILL, EndpointRole.DECODE)
-            for row in self.fleet.directory.usable_endpoints(service.name, role)
+            for row in self.fleet.callable_endpoints(service.name, role)
         ]
         return plan_role_changes(engines, service, self.fleet.cost)
 
@@ -158,17 +158,13 @@
     def send_order(self, change: RoleChange, fence: int, claimed_at: float) -> None:
         """Send one order if the claim is still valid and the engine answers."""
         endpoint = change.endpoint
-        seen = self.engines.accepted_orders(
-            endpoint.address, endpoint.endpoint_id, ORDER_TIMEOUT_S
-        )
+        seen = self.engines.accepted_orders(endpoint, ORDER_TIMEOUT_S)
         if seen is None or not self.lease.may_order(claimed_at, self.fleet.clock()):
             problem = f"{endpoint.endpoint_id} is busy, or the claim has expired"
             self.write_log("PF3502", None, {"problem": problem})
             return
         request = OrderRequest(change.role, self.fleet.host.host, fence, seen)
-        status = self.engines.order_role(
-            endpoint.address, endpoint.endpoint_id, request, ORDER_TIMEOUT_S
-        )
+        status = self.engines.order_role(endpoint, request, ORDER_TIMEOUT_S)
         self.write_log(
             "PF3501",
             None,
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -181,6 +181,7 @@
         if not metadata.belongs_to(context.call):
             self.is_unexecuted = False
             raise ResponseMismatchError("the answer does not belong to the request")
+        context.services.record_signal(endpoint, metadata.signal)
         self.is_unexecuted = self.is_unexecuted and metadata.not_run
         context.log_answer(
             endpoint.endpoint_id, stream.status, metadata.not_run, started_at
--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -8,6 +8,7 @@
 
 from poplarfold._internal.core.fleet.admission_queue import WaitingStream, is_retry_call
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
+from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.exceptions import (
     DecodePoolFullError,
     EndpointRefusedError,
@@ -109,6 +110,8 @@
                     return reservation
                 fleet.requeue(row)
             now = boot_time()
+            if endpoint is None:
+                fleet.check_pool(row.service, EndpointRole.DECODE)
             if now >= rejection_time:
                 raise DecodePoolFullError("all decode engines are full")
             if endpoint is None:
@@ -124,8 +127,7 @@
         tokens = self.lease_tokens
         lease_max_s = context.details.lease_max_s if context.details else 0.0
         result = self.services.engines.take_lease(
-            endpoint.address,
-            endpoint.endpoint_id,
+            endpoint,
             tokens,
             lease_max_s or self.settings.prefill_s + LEASE_MARGIN_S,
             self.settings.lease_call_s,
@@ -141,7 +143,13 @@
                 tokens=tokens,
                 waited_s=round(boot_time() - context.arrived_at, 4),
             )
-            return Reservation(endpoint, lease.lease_id)
+            reservation = Reservation(endpoint, lease.lease_id)
+            if self.fleet.is_usable(endpoint):
+                return reservation
+            # The engine granted it and said that it leaves, or has left meanwhile.
+            self.fleet.finish_call(endpoint)
+            self.release(PreparedDecode(reservation))
+            return None
         self.fleet.finish_call(endpoint)
         failure = result.unwrap_err()
         is_refused = isinstance(failure.error, EndpointRefusedError)
@@ -192,10 +200,9 @@
         started_at = boot_time()
         try:
             result = self.services.engines.prefill(
-                endpoint.address,
+                endpoint,
                 context.call,
                 context.body,
-                endpoint.endpoint_id,
                 context.remaining_s(),
                 min(self.settings.prefill_s, context.remaining_s()),
                 context.abort,
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -541,6 +541,13 @@
         "records of a topic were read or received, up to the offset end; newer of them "
         "were not known, and of these some were malformed, or are deletions held back",
     ),
+    EventKind(
+        "PF7112",
+        "endpoint_signal",
+        ("endpoint", "born", "is_leaving", "retry_after_s"),
+        "an endpoint said in an answer that it leaves, or for how long it wants no "
+        "calls; this incarnation gets none meanwhile",
+    ),
     EventKind(
         "PF7201",
         "part_blocked",
--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from poplarfold._internal.core.fleet.rows import EndpointLoad
+from poplarfold._internal.core.fleet.server_signals import ServerSignal
 from poplarfold._internal.core.model import EndpointRole
 
 __all__ = [
@@ -29,6 +30,9 @@
 SERVER_STAMP = "Poplarfold-Server-Stamp"
 SERVER_LOAD = "Poplarfold-Server-Load"
 NOT_EXECUTED = "Poplarfold-Not-Executed"
+SERVER_LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
+TOO_BUSY_STATUS = 503
 
 # Further parts of a prompt, and those with longer ids, are not looked at.
 SHARED_PARTS_MAX = 32
@@ -62,6 +66,8 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
+        # What an endpoint tells the router of itself.
+        SERVER_LEAVING.lower(),
         "expect",
         "content-length",
     )
@@ -108,7 +114,7 @@
 
 
 class AnswerMetadata(NamedTuple):
-    """What an answer says about its origin, execution, encoding and load.
+    """What an answer says about its origin, execution, encoding and endpoint.
 
     ``not_run`` is the endpoint's assurance that the call has not run and will not
     run. ``is_other_endpoint`` means that the address now belongs to another
@@ -121,6 +127,7 @@
     is_other_endpoint: bool
     is_encoded: bool
     load: EndpointLoad | None
+    signal: ServerSignal = ServerSignal()
 
     def belongs_to(self, call: CallerCall) -> bool:
         """Return whether the answer may be forwarded to the caller of ``call``.
@@ -227,8 +234,12 @@
 
 
 def decode_answer_metadata(status: int, headers: Mapping[str, str]) -> AnswerMetadata:
-    """Decode what an answer says about its origin, execution, encoding and load."""
+    """Decode what an answer says about its origin, execution, encoding and endpoint."""
     is_other = status == 421
+    # The answer of another endpoint at the address says nothing of the one called.
+    is_leaving = headers.get(SERVER_LEAVING) == "1" and not is_other
+    is_busy = status == TOO_BUSY_STATUS
+    retry_after_s = decode_number(headers.get(RETRY_AFTER)) if is_busy else None
     return AnswerMetadata(
         request_id=headers.get(REQUEST_ID),
         is_stamped=SERVER_STAMP in headers,
@@ -236,6 +247,7 @@
         is_other_endpoint=is_other,
         is_encoded="Content-Encoding" in headers,
         load=decode_load(headers.get(SERVER_LOAD)),
+        signal=ServerSignal(is_leaving, retry_after_s),
     )
 
 
--- a/src/poplarfold/_internal/platform/engines.py
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -2,14 +2,17 @@
 
 import json
 import socket
+from collections.abc import Callable
 from typing import NamedTuple
 
 from result import Err, Ok, Result
 
-from poplarfold._internal.core.fleet.rows import EndpointLoad
+from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
+from poplarfold._internal.core.fleet.server_signals import ServerSignal
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.daemon.endpoint_client import (
     AbortHandle,
+    Answer,
     EndpointClient,
     Failure,
     Target,
@@ -17,6 +20,7 @@
 from poplarfold._internal.exceptions import EndpointError, EndpointRefusedError
 from poplarfold._internal.platform.calls import (
     TARGET_INSTANCE,
+    AnswerMetadata,
     CallerCall,
     CallTarget,
     decode_answer_metadata,
@@ -57,15 +61,22 @@
 
 
 class EngineClient:
-    """Client for the router's own calls to engines. Thread-safe."""
+    """Client for the router's own calls to engines. Thread-safe.
 
-    def __init__(self, endpoint_client: EndpointClient) -> None:
+    ``on_signal`` gets what each answer says of its engine.
+    """
+
+    def __init__(
+        self,
+        endpoint_client: EndpointClient,
+        on_signal: Callable[[FleetEndpoint, ServerSignal], None],
+    ) -> None:
         self.endpoint_client = endpoint_client
+        self.on_signal = on_signal
 
     def take_lease(
         self,
-        address: str,
-        endpoint_id: str,
+        engine: FleetEndpoint,
         tokens: int,
         ttl_s: float,
         timeout_s: float,
@@ -77,9 +88,9 @@
         may still hold the lease until it expires after ``ttl_s``.
         """
         body = json.dumps({"tokens": tokens, "ttl_ms": int(ttl_s * 1000)}).encode()
-        headers = {**JSON_HEADERS, TARGET_INSTANCE: endpoint_id}
+        headers = {**JSON_HEADERS, TARGET_INSTANCE: engine.endpoint_id}
         result = self.endpoint_client.exchange(
-            Target(address, "POST", "/v1/hold-take"),
+            Target(engine.address, "POST", "/v1/hold-take"),
             body,
             headers,
             timeout_s,
@@ -88,11 +99,11 @@
         if result.is_err():
             return Err(result.unwrap_err())
         answer = result.unwrap()
-        metadata = decode_answer_metadata(answer.status, answer.headers)
+        metadata = self._decode_metadata(engine, answer)
         lease_id = answer.json().get("hold")
         if answer.status == 200 and isinstance(lease_id, str):
             return Ok(Lease(lease_id, metadata.load))
-        message = f"{address} refused a lease with status {answer.status}"
+        message = f"{engine.address} refused a lease with status {answer.status}"
         return Err(Failure(EndpointRefusedError(message), sent=False))
 
     def release_lease(self, address: str, lease_id: str, timeout_s: float) -> bool:
@@ -105,18 +116,17 @@
 
     def prefill(
         self,
-        address: str,
+        engine: FleetEndpoint,
         call: CallerCall,
         body: bytes,
-        endpoint_id: str,
         remaining_s: float,
         timeout_s: float,
         handle: AbortHandle,
     ) -> Result[PrefillResult, Failure]:
         """Have an engine prefill the prompt of a call, without running the call."""
-        target = CallTarget(endpoint_id, remaining_s, EndpointRole.PREFILL)
+        target = CallTarget(engine.endpoint_id, remaining_s, EndpointRole.PREFILL)
         result = self.endpoint_client.exchange(
-            Target(address, call.method, call.path),
+            Target(engine.address, call.method, call.path),
             body,
             endpoint_headers(call, target),
             timeout_s,
@@ -126,7 +136,7 @@
         if result.is_err():
             return Err(result.unwrap_err())
         answer = result.unwrap()
-        metadata = decode_answer_metadata(answer.status, answer.headers)
+        metadata = self._decode_metadata(engine, answer)
         found = answer.json()
         kv_handle = found.get("handle")
         is_own = metadata.request_id in (None, call.request_id)
@@ -134,25 +144,26 @@
             tokens = found.get("tokens")
             count = tokens if type(tokens) is int else 0
             return Ok(PrefillResult(kv_handle, count, metadata.load))
-        message = f"{address} answered a prefill with status {answer.status}"
+        message = f"{engine.address} answered a prefill with status {answer.status}"
         kind = EndpointRefusedError if metadata.not_run else EndpointError
         return Err(Failure(kind(message), sent=not metadata.not_run))
 
-    def accepted_orders(
-        self, address: str, endpoint_id: str, timeout_s: float
-    ) -> int | None:
+    def accepted_orders(self, engine: FleetEndpoint, timeout_s: float) -> int | None:
         """Return how many orders an engine has accepted.
 
         Returns None if the engine does not report that, or while it is carrying out
         an order.
         """
         result = self.endpoint_client.exchange(
-            Target(address, "GET", "/v1/report"),
+            Target(engine.address, "GET", "/v1/report"),
             None,
-            {TARGET_INSTANCE: endpoint_id},
+            {TARGET_INSTANCE: engine.endpoint_id},
             timeout_s,
         )
-        if result.is_err() or result.unwrap().status != 200:
+        if result.is_err():
+            return None
+        metadata = self._decode_metadata(engine, result.unwrap())
+        if metadata.signal.is_leaving or result.unwrap().status != 200:
             return None
         report = result.unwrap().json()
         accepted = report.get("seq")
@@ -161,7 +172,7 @@
         return accepted
 
     def order_role(
-        self, address: str, endpoint_id: str, request: OrderRequest, timeout_s: float
+        self, engine: FleetEndpoint, request: OrderRequest, timeout_s: float
     ) -> int | None:
         """Order an engine to change its role.
 
@@ -175,13 +186,16 @@
             "expect": request.accepted,
         }
         result = self.endpoint_client.exchange(
-            Target(address, "POST", "/v1/order"),
+            Target(engine.address, "POST", "/v1/order"),
             json.dumps(body).encode(),
-            {**JSON_HEADERS, TARGET_INSTANCE: endpoint_id},
+            {**JSON_HEADERS, TARGET_INSTANCE: engine.endpoint_id},
             timeout_s,
             use_new_connection=True,
         )
-        return result.unwrap().status if result.is_ok() else None
+        if result.is_err():
+            return None
+        self._decode_metadata(engine, result.unwrap())
+        return result.unwrap().status
 
     def has_ended(self, address: str, timeout_s: float) -> bool:
         """Return whether no process listens at an engine's address any more."""
@@ -194,6 +208,12 @@
             return False
         return False
 
+    def _decode_metadata(self, engine: FleetEndpoint, answer: Answer) -> AnswerMetadata:
+        """Decode an answer's metadata, and pass on what it says of its engine."""
+        metadata = decode_answer_metadata(answer.status, answer.headers)
+        self.on_signal(engine, metadata.signal)
+        return metadata
+
     def _delete(self, address: str, path: str, timeout_s: float) -> bool:
         result = self.endpoint_client.exchange(
             Target(address, "DELETE", path), None, {}, timeout_s
--- /dev/null
+++ b/tests/functional/test_leaving_and_pauses.py
@@ -0,0 +1,123 @@
+"""Tests of endpoints that say in their answers that they leave or are overloaded."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from tests.lib.gateway_process import Fleet
+
+RETRY_AFTER_S = 2.0
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    found = Fleet(tmp_path)
+    try:
+        yield found.wait_ready()
+    finally:
+        found.stop()
+
+
+def arrivals(endpoint):
+    """Return how many calls have reached an endpoint, rejected ones included."""
+    return endpoint.count
+
+
+def call_at_once(fleet, method, path, count):
+    """Make calls at the same time; return the statuses of their answers."""
+    with ThreadPoolExecutor(count) as pool:
+        calls = [
+            pool.submit(fleet.call, method, path, None, b"x") for _ in range(count)
+        ]
+        return {call.result().status for call in calls}
+
+
+@pytest.mark.parametrize("path", ["/lookup/1", "/filing/1"])
+def test_endpoint_that_says_it_leaves_gets_no_new_calls(fleet, path):
+    """Guards against calls to an endpoint whose entry does not tell that it leaves."""
+    leaving, other = fleet.plain
+    leaving.answer_headers = {"Server-Leaving": "1"}
+    method = "GET" if path == "/lookup/1" else "POST"
+    while not leaving.count:
+        answer = fleet.call(method, path, None, b"x")
+        assert answer.status == 200 and answer.headers["Server-Leaving"] is None
+    before = arrivals(leaving)
+    # An entry of the same incarnation ends nothing.
+    fleet.announce(leaving, "registry", seq=2)
+    time.sleep(1.5)
+    for _ in range(20):
+        assert fleet.call(method, path, None, b"x").status == 200
+    assert arrivals(leaving) == before
+    leaving.answer_headers = {}
+    fleet.announce(leaving, "registry", born=1788179299999)
+    fleet.store.put("keyed.servers", other.endpoint_id, None)
+    time.sleep(1.5)
+    assert fleet.call(method, path, None, b"x").status == 200
+    assert arrivals(leaving) == before + 1
+
+
+@pytest.mark.parametrize("stage", ["prefill", "decode"])
+def test_engine_that_says_it_leaves_gets_no_new_streams(fleet, stage):
+    """Guards against streams, leases and prefills at an engine that leaves."""
+    leaving = fleet.prefill if stage == "prefill" else fleet.decode
+    leaving.answer_headers = {"Server-Leaving": "1"}
+    # The decode engine says so when it grants a lease, before it gets a stream.
+    expected = 200 if stage == "prefill" else 503
+    assert fleet.caption().status == expected
+    before = arrivals(leaving)
+    assert [fleet.caption().status for _ in range(3)] == [expected] * 3
+    assert arrivals(leaving) == before
+    assert leaving.runs == []
+
+
+@pytest.mark.parametrize("path", ["/lookup/1", "/filing/1"])
+def test_endpoint_that_asks_for_a_pause_is_not_called(fleet, path):
+    """Guards against calls to an overloaded endpoint, which keep it overloaded."""
+    away, other = fleet.plain
+    away.faults.add("not_run")
+    away.answer_headers = {"Retry-After": str(RETRY_AFTER_S)}
+    method = "GET" if path == "/lookup/1" else "POST"
+    while not away.count:
+        # A filing is sent to one endpoint only.
+        assert fleet.call(method, path, None, b"x").status in (200, 503)
+    rejected_at = time.monotonic()
+    before = arrivals(away)
+    # So slow that calls would rather go to the other one, which has failed once.
+    other.work_s = 0.3
+    while time.monotonic() < rejected_at + RETRY_AFTER_S - 0.8:
+        assert call_at_once(fleet, method, path, 12) == {200}
+    assert arrivals(away) == before
+    other.work_s = 0.0
+    time.sleep(0.8)
+    away.faults.clear()
+    away.answer_headers = {}
+    fleet.store.put("keyed.servers", other.endpoint_id, None)
+    time.sleep(1.5)
+    assert fleet.call(method, path, None, b"x").status == 200
+    assert arrivals(away) == before + 1
+
+
+def test_callers_are_told_when_all_endpoints_ask_for_a_pause(fleet):
+    """Guards against calls that wait, or come back too early, for nothing."""
+    for endpoint in fleet.plain:
+        endpoint.faults.add("not_run")
+        endpoint.answer_headers = {"Retry-After": "3"}
+    assert fleet.call("GET", "/lookup/1").status == 503
+    started_at = time.monotonic()
+    answer = fleet.call("GET", "/lookup/1")
+    assert time.monotonic() - started_at < 0.3
+    assert answer.status == 503 and 2.0 < float(answer.headers["Retry-After"]) < 4.0
+    assert sum(arrivals(endpoint) for endpoint in fleet.plain) <= 2
+
+
+def test_streams_are_rejected_at_once_if_all_engines_ask_for_a_pause(fleet):
+    """Guards against streams that wait for engines which will not take them."""
+    fleet.decode.faults.add("no_room")
+    fleet.decode.answer_headers = {"Retry-After": "3"}
+    assert fleet.caption().status == 503
+    before = arrivals(fleet.decode)
+    started_at = time.monotonic()
+    answer = fleet.caption()
+    assert time.monotonic() - started_at < 0.3
+    assert answer.status == 503 and 2.0 < float(answer.headers["Retry-After"]) < 4.0
+    assert arrivals(fleet.decode) == before <= 2
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -45,7 +45,7 @@
         self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
     ) -> None:
         self.send_response(status)
-        for name, value in (headers or {}).items():
+        for name, value in {**(headers or {}), **self.own_headers()}.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -54,6 +54,11 @@
             self.wfile.write(part)
             time.sleep(len(part) / self.server.standin.bytes_per_s)
 
+    def own_headers(self) -> dict[str, str]:
+        """Return the headers that the stand-in adds to all of its answers."""
+        found: dict[str, str] = getattr(self.server.standin, "answer_headers", {})
+        return found
+
     def answer_json(self, fields: object, status: int = 200) -> None:
         self.answer(
             status, json.dumps(fields).encode(), {"Content-Type": "application/json"}
@@ -252,6 +257,8 @@
         self.events = 5
         self.event_period_s = EVENT_PERIOD_S
         self.first_event_s = 0.0
+        # Headers that are added to all answers.
+        self.answer_headers: dict[str, str] = {}
         # How long a plain call takes.
         self.work_s = 0.0
         self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
@@ -437,7 +444,7 @@
             return
         self.runs.append((request.command, request.path, headers, body))
         request.send_response(200)
-        for name, value in self.proof(headers).items():
+        for name, value in {**self.proof(headers), **request.own_headers()}.items():
             request.send_header(name, value)
         request.send_header("Content-Type", "text/event-stream")
         if self.faults & {"unframed", "cut_unframed"}:
--- a/tests/unit/test_background_threads.py
+++ b/tests/unit/test_background_threads.py
@@ -76,7 +76,7 @@
     fleet = Fleet(host_settings("a", "127.0.0.1:1"), GatewaySettings(), seed=1)
     sent, logged = [], []
 
-    def accepted_orders(address, endpoint_id, timeout_s):
+    def accepted_orders(engine, timeout_s):
         clocks[time.CLOCK_BOOTTIME] += 5.0
         return 0
 
