Take a reset just after the head of a stream for the endpoint's failure

Cause: EndpointStream reads the bytes that came with the head when it is made, outside of the handling of network errors. The OSError was taken for one of the caller's connection.

Change: the error is a failure of the endpoint, and the stream is repeated if it may be.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -427,10 +427,17 @@
         if isinstance(sock, DeadlineSocket):
             sock.deadline = None
             sock.head_bytes_left = None
-        stream = EndpointStream(
-            connection, sock, response, target.address, idle_timeout_s
-        )
-        return Ok(stream)
+        try:
+            return Ok(
+                EndpointStream(
+                    connection, sock, response, target.address, idle_timeout_s
+                )
+            )
+        except OSError as error:
+            # The endpoint has reset the connection just after the head.
+            connection.close()
+            sock.close()
+            return Err(failure_of(error, target.address, sent=True))
 
     def take_idle(self, address: str) -> HTTPConnection | None:
         """Return a pooled connection that is still open, or None."""
--- a/tests/unit/test_excess_bytes.py
+++ b/tests/unit/test_excess_bytes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 
 import pytest
@@ -9,6 +10,7 @@
 from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
 
 TIMEOUT_S = 1.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 EVENTS = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
 STREAM = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(EVENTS), EVENTS)
 OTHER_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
@@ -23,6 +25,8 @@
     def __init__(self, *parts):
         self.parts = parts
         self.connections = 0
+        # Whether the connection is reset after the parts.
+        self.resets = False
         self.next_part = threading.Semaphore(1)
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
@@ -44,6 +48,11 @@
                 for part in self.parts:
                     self.next_part.acquire()
                     connection.sendall(part)
+                if self.resets:
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                    )
+                    return
 
     def stop(self):
         self.listener.close()
@@ -153,3 +162,16 @@
     stream = open_stream(start(answer))
     assert stream.ended and not stream.is_truncated
     stream.close()
+
+
+def test_reset_after_the_head_of_a_stream_is_a_failure_of_the_endpoint(start):
+    """Guards against a caller whose connection is closed because an engine reset its
+    own, although another engine could serve the stream."""
+    server = start(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    server.resets = True
+    target = Target(server.address, "POST", "/")
+    for _ in range(20):
+        opened = EndpointClient(TIMEOUT_S).open_stream(target, b"", {}, TIMEOUT_S)
+        server.next_part.release()
+        if opened.is_ok():
+            assert opened.unwrap().read().is_err()
