Split the endpoint client by job into the shared HTTP folder

The reading of answers (answer_socket), the body of a stream (endpoint_stream) and the typed failures (failures) are moved as they are; the client keeps the pool and the calls.

--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -1,34 +1,32 @@
-"""HTTP client for endpoints, with pooled connections, streams and typed failures.
+"""HTTP client for endpoints, with pooled connections, streams and typed failures."""
 
-A refused connection proves that nothing was sent. After any other failure that
-follows the first byte of the request, it is unknown whether the endpoint has
-executed it.
-"""
-
-import errno
 import http.client
-import io
 import math
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
 
 from poplarfold._internal.exceptions import (
     AnswerTooLargeError,
     EndpointError,
     EndpointStalledError,
-    EndpointUnreachableError,
     ResponseMismatchError,
 )
 from poplarfold._internal.http.answer_memory import AnswerMemory, HeldBytes
-from poplarfold._internal.http.chunked import ChunkDecoder
+from poplarfold._internal.http.answer_socket import (
+    HEAD_LIMIT_BYTES,
+    DeadlineSocket,
+    EndpointConnection,
+    has_excess,
+)
+from poplarfold._internal.http.endpoint_stream import READ_BYTES, EndpointStream
+from poplarfold._internal.http.failures import NETWORK_ERRORS, Failure, failure_of
 from poplarfold._internal.utils.json_documents import parse_json
 
 __all__ = [
@@ -44,12 +42,6 @@
 IDLE_CONNECTIONS_PER_ADDRESS = 64
 # Less than the 10 s after which common HTTP servers close an idle connection.
 IDLE_TIMEOUT_S = 5.0
-READ_BYTES = 65536
-# The largest head of an answer, those of interim answers included.
-HEAD_LIMIT_BYTES = 65_536
-
-NETWORK_ERRORS = (OSError, http.client.HTTPException, HTTPError)
-
 
 OwnAnswerCheck = Callable[[int, Mapping[str, str]], bool]
 """Returns, by status and headers, whether a response belongs to the request."""
@@ -79,20 +71,6 @@
         return found if isinstance(found, dict) else {}
 
 
-class Failure(NamedTuple):
-    """A request without a complete response.
-
-    ``sent`` is true if any byte may have reached the endpoint, ``refused`` if no
-    process listens at the address, ``on_reused_connection`` if a reused connection
-    broke.
-    """
-
-    error: EndpointError
-    sent: bool
-    refused: bool = False
-    on_reused_connection: bool = False
-
-
 class AbortHandle:
     """Lets the core thread interrupt the blocking I/O of an attempt."""
 
@@ -125,208 +103,6 @@
         pass
 
 
-class HeadReader:
-    """Reads the lines of a response head and raises an error if it is truncated.
-
-    The standard library treats the end of the connection as the end of the head:
-    a response would lose its Content-Length and look complete without its body.
-    """
-
-    def __init__(self, source: Any) -> None:
-        self.source = source
-
-    def readline(self, limit: int = -1) -> bytes:
-        """Return a complete line. Raises IncompleteRead if the input ends early."""
-        line: bytes = self.source.readline(limit)
-        if not line.endswith(b"\n") and len(line) != limit:
-            raise http.client.IncompleteRead(line)
-        return line
-
-    def close(self) -> None:
-        """Close the source. The standard library calls this for some responses."""
-        self.source.close()
-
-
-class StrictHeadResponse(http.client.HTTPResponse):
-    """A response whose head must be complete."""
-
-    def begin(self) -> None:
-        """Read the head. Raises IncompleteRead if it is truncated."""
-        reader = HeadReader(self.fp)
-        self.fp = reader  # type: ignore[assignment]
-        try:
-            super().begin()
-        finally:
-            if self.fp is reader:
-                self.fp = reader.source
-
-
-class AnswerReader(io.BufferedReader):
-    """The buffered reader of one answer, which notices the bytes after it.
-
-    The standard library closes the reader as soon as the answer is complete. Bytes
-    that are still buffered then belong to no request. If the connection were reused,
-    they would be lost, and what follows them would be read as the next answer.
-    """
-
-    def __init__(self, raw: Any, sock: "DeadlineSocket") -> None:
-        super().__init__(raw)
-        self.sock = sock
-
-    def close(self) -> None:
-        """Close the reader, and record whether bytes are left in its buffer."""
-        if not self.closed:
-            self.sock.is_peeking = True
-            self.sock.has_excess = bool(self.peek(1))
-            self.sock.is_peeking = False
-        super().close()
-
-
-class DeadlineSocket(socket.socket):
-    """A socket whose buffered reads end at a deadline.
-
-    A timeout of a socket starts anew with each byte, so that an endpoint which sends a
-    byte now and then, or a head without end, would never exceed it. ``deadline`` is in
-    monotonic seconds, or None without one. Received bytes extend it by the time that
-    they take at ``bytes_per_s_min``, by default not at all.
-
-    At most ``head_bytes_left`` more are received while it is not None.
-
-    ``has_excess`` is true if bytes were left in the buffer of the last reader. While
-    ``is_peeking`` is set, nothing is read from the socket.
-    """
-
-    deadline: float | None = None
-    bytes_per_s_min: float = math.inf
-    head_bytes_left: int | None = None
-    has_excess = False
-    is_peeking = False
-
-    def makefile(self, mode: str = "r", *options: Any, **keywords: Any) -> Any:
-        """Return a file for the socket; an AnswerReader for the mode ``rb``."""
-        if mode != "rb":
-            return super().makefile(mode, *options, **keywords)  # type: ignore[call-overload]
-        return AnswerReader(super().makefile("rb", buffering=0), self)
-
-    def recv_into(self, *arguments: Any) -> int:
-        """Read like ``socket.recv_into``. Raises TimeoutError at the deadline."""
-        if self.is_peeking:
-            raise BlockingIOError(errno.EAGAIN, "nothing is read while peeking")
-        if self.deadline is not None:
-            left_s = self.deadline - time.monotonic()
-            if left_s <= 0:
-                raise TimeoutError("timed out")
-            self.settimeout(left_s)
-        if self.head_bytes_left is not None and self.head_bytes_left <= 0:
-            raise http.client.HTTPException("the head of the answer is too large")
-        received = super().recv_into(*arguments)
-        if self.deadline is not None:
-            self.deadline += received / self.bytes_per_s_min
-        if self.head_bytes_left is not None:
-            self.head_bytes_left -= received
-        return received
-
-
-class EndpointConnection(HTTPConnection):
-    """A connection whose responses must have complete heads, before a deadline."""
-
-    response_class = StrictHeadResponse
-
-    def _new_conn(self) -> socket.socket:
-        sock = super()._new_conn()
-        return DeadlineSocket(sock.family, sock.type, sock.proto, sock.detach())
-
-
-class EndpointStream:
-    """The body of a response, read as it arrives.
-
-    The body is read directly from the socket, so that the stream pump can read it
-    without blocking. ``ended`` is true when the whole body has been read.
-    ``idle_timeout_s`` bounds each wait for bytes.
-    """
-
-    def __init__(
-        self,
-        connection: HTTPConnection,
-        sock: socket.socket,
-        response: http.client.HTTPResponse,
-        address: str,
-        idle_timeout_s: float,
-    ) -> None:
-        self.connection = connection
-        self.sock = sock
-        self.response = response
-        self.address = address
-        self.idle_timeout_s = idle_timeout_s
-        self.status = response.status
-        self.headers: Any = response.headers
-        self.decoder = ChunkDecoder() if response.chunked else None
-        self.remaining_bytes = response.length
-        # Without a length and chunks, the body ends with the connection.
-        self.is_unframed = self.decoder is None and self.remaining_bytes is None
-        # Set if the connection ended before the body was complete.
-        self.is_truncated = False
-        # An empty body is complete with the head.
-        self.ended = self.remaining_bytes == 0
-        # The response has buffered the body bytes that arrived together with the
-        # head. They are read without waiting for more.
-        sock.settimeout(0)
-        self.buffered = response.fp.read1(READ_BYTES) or b""
-
-    def read(self) -> Result[bytes, Failure]:
-        """Wait for bytes and return them; empty at the end of the body.
-
-        The framing of chunks counts as no bytes.
-        """
-        deadline = time.monotonic() + self.idle_timeout_s
-        while not self.ended:
-            try:
-                self.sock.settimeout(max(0.001, deadline - time.monotonic()))
-                data = self._decode_body(self.buffered or self.sock.recv(READ_BYTES))
-            except (OSError, ValueError) as error:
-                return Err(failure_of(error, self.address, sent=True))
-            if data:
-                return Ok(data)
-        return Ok(b"")
-
-    def read_now(self) -> Result[bytes | None, Failure]:
-        """Return the bytes that have arrived, or None if there are none yet.
-
-        The socket must be non-blocking. An empty result means an incomplete chunk
-        or the end of the body.
-        """
-        try:
-            return Ok(self._decode_body(self.buffered or self.sock.recv(READ_BYTES)))
-        except BlockingIOError:
-            return Ok(None)
-        except (OSError, ValueError) as error:
-            return Err(failure_of(error, self.address, sent=True))
-
-    def close(self) -> None:
-        """Close the connection, which tells the endpoint that nobody reads any more."""
-        self.response.close()
-        self.connection.close()
-        self.sock.close()
-
-    def _decode_body(self, data: bytes) -> bytes:
-        """Return the body bytes of data from the socket, and detect the body's end."""
-        self.buffered = b""
-        if not data:
-            self.ended = True
-            self.is_truncated = (
-                self.decoder is not None or self.remaining_bytes is not None
-            )
-        elif self.decoder is not None:
-            data = self.decoder.feed(data)
-            self.ended = self.decoder.ended
-        elif self.remaining_bytes is not None:
-            # Bytes after the body belong to no request.
-            data = data[: self.remaining_bytes]
-            self.remaining_bytes -= len(data)
-            self.ended = self.remaining_bytes == 0
-        return data
-
-
 class EndpointClient:
     """The connections to all endpoints of one daemon. Thread-safe.
 
@@ -614,40 +390,6 @@
     return response.headers.get("Connection", "").lower() == "close"
 
 
-def has_excess(connection: HTTPConnection) -> bool:
-    """Return whether bytes that belong to no request followed the last response."""
-    return isinstance(connection.sock, DeadlineSocket) and connection.sock.has_excess
-
-
 def is_aborted(handle: AbortHandle | None) -> bool:
     """Return whether the core aborted the attempt."""
     return handle is not None and handle.aborted.is_set()
-
-
-def failure_of(error: Exception, address: str, sent: bool) -> Failure:
-    """Return the typed failure for a network exception."""
-    refused = is_connection_refused(error)
-    if not sent:
-        message = f"no connection to {address}: {error}"
-        return Failure(EndpointUnreachableError(message), False, refused)
-    if is_timeout(error):
-        return Failure(EndpointStalledError(f"{address} did not respond in time"), True)
-    return Failure(EndpointError(f"connection to {address} failed: {error}"), True)
-
-
-def is_connection_refused(error: BaseException) -> bool:
-    """Return whether the error or one of its causes is a refused connection."""
-    return any(isinstance(cause, ConnectionRefusedError) for cause in causes(error))
-
-
-def is_timeout(error: BaseException) -> bool:
-    """Return whether the error or one of its causes is a timeout."""
-    return any(isinstance(cause, TimeoutError) for cause in causes(error))
-
-
-def causes(error: BaseException) -> Iterator[BaseException]:
-    """Yield an error and its chain of causes, the outermost first."""
-    found: BaseException | None = error
-    while found is not None:
-        yield found
-        found = found.__cause__ or found.__context__
--- /dev/null
+++ b/src/poplarfold/_internal/http/answer_socket.py
@@ -0,0 +1,137 @@
+"""Connections to endpoints that read answers strictly and within limits.
+
+Heads must be complete and of a limited size, reads end at a deadline, and bytes that
+follow an answer are noticed.
+"""
+
+import errno
+import http.client
+import io
+import math
+import socket
+import time
+from typing import Any
+
+from urllib3.connection import HTTPConnection
+
+__all__ = ["HEAD_LIMIT_BYTES", "DeadlineSocket", "EndpointConnection", "has_excess"]
+
+# The largest head of an answer, those of interim answers included.
+HEAD_LIMIT_BYTES = 65_536
+
+
+class HeadReader:
+    """Reads the lines of a response head and raises an error if it is truncated.
+
+    The standard library treats the end of the connection as the end of the head:
+    a response would lose its Content-Length and look complete without its body.
+    """
+
+    def __init__(self, source: Any) -> None:
+        self.source = source
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return a complete line. Raises IncompleteRead if the input ends early."""
+        line: bytes = self.source.readline(limit)
+        if not line.endswith(b"\n") and len(line) != limit:
+            raise http.client.IncompleteRead(line)
+        return line
+
+    def close(self) -> None:
+        """Close the source. The standard library calls this for some responses."""
+        self.source.close()
+
+
+class StrictHeadResponse(http.client.HTTPResponse):
+    """A response whose head must be complete."""
+
+    def begin(self) -> None:
+        """Read the head. Raises IncompleteRead if it is truncated."""
+        reader = HeadReader(self.fp)
+        self.fp = reader  # type: ignore[assignment]
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = reader.source
+
+
+class AnswerReader(io.BufferedReader):
+    """The buffered reader of one answer, which notices the bytes after it.
+
+    The standard library closes the reader as soon as the answer is complete. Bytes
+    that are still buffered then belong to no request. If the connection were reused,
+    they would be lost, and what follows them would be read as the next answer.
+    """
+
+    def __init__(self, raw: Any, sock: "DeadlineSocket") -> None:
+        super().__init__(raw)
+        self.sock = sock
+
+    def close(self) -> None:
+        """Close the reader, and record whether bytes are left in its buffer."""
+        if not self.closed:
+            self.sock.is_peeking = True
+            self.sock.has_excess = bool(self.peek(1))
+            self.sock.is_peeking = False
+        super().close()
+
+
+class DeadlineSocket(socket.socket):
+    """A socket whose buffered reads end at a deadline.
+
+    A timeout of a socket starts anew with each byte, so that an endpoint which sends a
+    byte now and then, or a head without end, would never exceed it. ``deadline`` is in
+    monotonic seconds, or None without one. Received bytes extend it by the time that
+    they take at ``bytes_per_s_min``, by default not at all.
+
+    At most ``head_bytes_left`` more are received while it is not None.
+
+    ``has_excess`` is true if bytes were left in the buffer of the last reader. While
+    ``is_peeking`` is set, nothing is read from the socket.
+    """
+
+    deadline: float | None = None
+    bytes_per_s_min: float = math.inf
+    head_bytes_left: int | None = None
+    has_excess = False
+    is_peeking = False
+
+    def makefile(self, mode: str = "r", *options: Any, **keywords: Any) -> Any:
+        """Return a file for the socket; an AnswerReader for the mode ``rb``."""
+        if mode != "rb":
+            return super().makefile(mode, *options, **keywords)  # type: ignore[call-overload]
+        return AnswerReader(super().makefile("rb", buffering=0), self)
+
+    def recv_into(self, *arguments: Any) -> int:
+        """Read like ``socket.recv_into``. Raises TimeoutError at the deadline."""
+        if self.is_peeking:
+            raise BlockingIOError(errno.EAGAIN, "nothing is read while peeking")
+        if self.deadline is not None:
+            left_s = self.deadline - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError("timed out")
+            self.settimeout(left_s)
+        if self.head_bytes_left is not None and self.head_bytes_left <= 0:
+            raise http.client.HTTPException("the head of the answer is too large")
+        received = super().recv_into(*arguments)
+        if self.deadline is not None:
+            self.deadline += received / self.bytes_per_s_min
+        if self.head_bytes_left is not None:
+            self.head_bytes_left -= received
+        return received
+
+
+class EndpointConnection(HTTPConnection):
+    """A connection whose responses must have complete heads, before a deadline."""
+
+    response_class = StrictHeadResponse
+
+    def _new_conn(self) -> socket.socket:
+        sock = super()._new_conn()
+        return DeadlineSocket(sock.family, sock.type, sock.proto, sock.detach())
+
+
+def has_excess(connection: HTTPConnection) -> bool:
+    """Return whether bytes that belong to no request followed the last response."""
+    return isinstance(connection.sock, DeadlineSocket) and connection.sock.has_excess
