Send the events before an incomplete one that has no room in memory

Evidence: test_stream_that_is_given_up_for_its_memory_loses_no_event failed (the caller got bytes of the refused event in place of the next events) and passes.

Change: the incomplete event is accounted for after the complete ones have been sent, and dropped before the stream is repeated. The waiter for heads looks up changed descriptors in a set.

--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -213,6 +213,7 @@
             if event_bytes:
                 progress_at = boot_time()
                 self.send_events(stream, event_bytes, prepared, started_at)
+            self.hold_rest(endpoint)
         if stream.is_truncated:
             truncated = EndpointError("the stream was truncated")
             self.evidence.record_break(endpoint, Failure(truncated, sent=True))
@@ -255,16 +256,24 @@
         return stream.read()
 
     def split_events(self, data: bytes, endpoint: FleetEndpoint) -> bytes:
-        """Return the events that are complete now.
+        """Return the events that are complete now. Raises EventTooLongError."""
+        try:
+            return self.splitter.feed(data)
+        except EventTooLongError as error:
+            self.fleet.record_unresponsive(endpoint)
+            self.context.log_failure(endpoint.endpoint_id, error, True)
+            raise
+
+    def hold_rest(self, endpoint: FleetEndpoint) -> None:
+        """Account for the bytes of the incomplete event. Raises AnswerTooLargeError.
 
-        Raises EventTooLongError, or AnswerTooLargeError if there is no memory for the
-        incomplete one.
+        To be called once the complete events before it have been sent: a repeat goes
+        on after these.
         """
         try:
-            complete = self.splitter.feed(data)
             self.held.resize(len(self.splitter.rest))
-            return complete
-        except (AnswerTooLargeError, EventTooLongError) as error:
+        except AnswerTooLargeError as error:
+            self.splitter.restart()
             self.fleet.record_unresponsive(endpoint)
             self.context.log_failure(endpoint.endpoint_id, error, True)
             raise
--- a/src/poplarfold/_internal/http/head_waiter.py
+++ b/src/poplarfold/_internal/http/head_waiter.py
@@ -70,7 +70,7 @@
             with self.lock:
                 while not self.connections:
                     self.has_connections.wait()
-            changed = [descriptor for descriptor, _ in self.epoll.poll(CHECK_PERIOD_S)]
+            changed = {descriptor for descriptor, _ in self.epoll.poll(CHECK_PERIOD_S)}
             now = time.monotonic()
             with self.lock:
                 rows = list(self.connections.items())
--- a/tests/functional/test_memory_of_answers.py
+++ b/tests/functional/test_memory_of_answers.py
@@ -77,6 +77,14 @@
     assert memory.used_bytes == 0
 
 
+def test_stream_that_is_given_up_for_its_memory_loses_no_event(fleet):
+    """Guards against events that are dropped with the long one behind them, although
+    the stream is resumed after them."""
+    fleet.restart(limits={"memory_mb": 0.5})
+    fleet.decode.faults.add("long_event")
+    assert fleet.caption().data == fleet.decode.all_events({})
+
+
 def test_sound_calls_beside_a_flood_are_served(fleet):
     """Guards against answers that are refused because a faulty one takes the memory."""
     fleet.plain[0].faults.add("flood_body")
--- a/tests/lib/gateway_process.py
+++ b/tests/lib/gateway_process.py
@@ -47,6 +47,14 @@
     def boot_fields(self):
         return boot_fields("front-lhr-a-1", self.ports, self.store.address, self.bounds)
 
+    def restart(self, **changes):
+        """Start the process anew, with other fields in its settings file."""
+        self.process.kill()
+        self.process.wait()
+        self.boot.write_text(json.dumps({**self.boot_fields(), **changes}))
+        self.start()
+        self.wait_ready()
+
     def announce(self, endpoint, service, **changes):
         entry = endpoint.entry(service, **changes)
         self.store.put("keyed.servers", endpoint.endpoint_id, entry)
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -236,6 +236,7 @@
     cut_streams  truncates each stream half-way
     unframed     sends streams with neither a length nor chunks
     cut_unframed as unframed, and ends the next stream inside an event
+    long_event   begins a long event in the middle of the next stream
     excess       sends streams with a length, and another answer after them
     lost_handle  rejects streams that refer to the result of a prefill
     drip         sends a byte of the body now and then
@@ -478,6 +479,13 @@
                     self.faults.discard("cut_stream")
                     request.cut(b"7\r\nid: 3\n")
                     return
+                if "long_event" in self.faults and number > self.events // 2:
+                    self.faults.discard("long_event")
+                    event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                    event += f"id: {number + 1}\ndata: ".encode() + b"x" * 100_000
+                    request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
+                    time.sleep(5.0)
+                    return
                 if "drip_stream" in self.faults and number > self.events // 2:
                     self.faults.discard("drip_stream")
                     self.send_without_end(request, b"", b"1\r\nx\r\n", 0.1)
