Check the API keys of client accounts on the gateway

Cause: a configuration with accounts demands a key on each route that is not public, and nothing decoded or checked one; a caller could also name any account to an endpoint. Change: the decoders of accounts, of public routes, of priorities and of the bounds of revocation and quotas; a pure decision in core/fleet/account_admission; the handler calls it once after the route is matched. Endpoints get the account's name, engines also the priority. Keys are kept as keyed digests only. Errors of a malformed configuration no longer quote its bytes, which contain keys.

--- a/src/poplarfold/_internal/core/fleet/accounts.py
+++ b/src/poplarfold/_internal/core/fleet/accounts.py
@@ -3,11 +3,22 @@
 Keys are known only by their digests, so that no key can end up in a log or a message.
 """
 
+import hmac
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["AccountLimit", "AccountTable", "ClientAccount", "UsageUnit"]
+__all__ = [
+    "AccountChanges",
+    "AccountLimit",
+    "AccountTable",
+    "ClientAccount",
+    "UsageUnit",
+    "compare_accounts",
+]
+
+# An event names at most this many added and removed accounts.
+NAMES_MAX = 10
 
 
 class UsageUnit(StrEnum):
@@ -52,17 +63,21 @@
 
     def __init__(self, rows: Iterable[tuple[ClientAccount, Iterable[bytes]]]) -> None:
         self.accounts: dict[str, ClientAccount] = {}
-        self.by_digest: dict[bytes, ClientAccount] = {}
+        # Each row has its digest again, for the comparison in constant time.
+        self.by_digest: dict[bytes, tuple[bytes, ClientAccount]] = {}
         for account, digests in rows:
             self.accounts[account.name] = account
             for digest in digests:
-                self.by_digest[digest] = account
+                self.by_digest[digest] = (digest, account)
 
     def find(self, key_digest: bytes | None) -> ClientAccount | None:
         """Return the account that holds a key, or None if no account does."""
         if key_digest is None:
             return None
-        return self.by_digest.get(key_digest)
+        row = self.by_digest.get(key_digest)
+        if row is None or not hmac.compare_digest(row[0], key_digest):
+            return None
+        return row[1]
 
     def limits(self) -> Mapping[str, AccountLimit]:
         """Return the limits of the accounts that have one, by account name."""
@@ -71,3 +86,41 @@
             for account in self.accounts.values()
             if account.limit is not None
         }
+
+
+class AccountChanges(NamedTuple):
+    """What differs between the accounts of two configurations, for the log.
+
+    ``added`` and ``removed`` name up to ten accounts each. Keys are only counted.
+    """
+
+    accounts: int
+    keys: int
+    added: list[str]
+    removed: list[str]
+    keys_added: int
+    keys_removed: int
+
+
+def compare_accounts(
+    before: AccountTable | None, after: AccountTable | None
+) -> AccountChanges | None:
+    """Return what has changed from one configuration to the next, or None."""
+    old = before or AccountTable([])
+    new = after or AccountTable([])
+    added = sorted(new.accounts.keys() - old.accounts.keys())
+    removed = sorted(old.accounts.keys() - new.accounts.keys())
+    keys_added = len(new.by_digest.keys() - old.by_digest.keys())
+    keys_removed = len(old.by_digest.keys() - new.by_digest.keys())
+    if (before is None) == (after is None) and not (
+        added or removed or keys_added or keys_removed
+    ):
+        return None
+    return AccountChanges(
+        len(new.accounts),
+        len(new.by_digest),
+        added[:NAMES_MAX],
+        removed[:NAMES_MAX],
+        keys_added,
+        keys_removed,
+    )
--- a/src/poplarfold/_internal/core/fleet/rows.py
+++ b/src/poplarfold/_internal/core/fleet/rows.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from poplarfold._internal.core.fleet.accounts import AccountTable
 from poplarfold._internal.core.model import EndpointRole
 
 __all__ = [
@@ -38,7 +39,8 @@
     ``timeout_s`` limits how long a caller waits for the whole answer, and
     ``target_s`` is the latency target, and ``pause_s`` the longest pause between two
     events of a stream that is on time. One call is sent to at most ``max_attempts``
-    endpoints.
+    endpoints. Calls of a route that ``is_public`` need no API key. ``priority`` is 0
+    for the highest, and None if the route has none.
     """
 
     name: str
@@ -52,6 +54,8 @@
     resumable: bool
     uses_engine: bool
     pause_s: float = math.inf
+    is_public: bool = False
+    priority: int | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -82,11 +86,15 @@
 
 
 class RouteTable(NamedTuple):
-    """One complete configuration. Versions increase, but not by equal steps."""
+    """One complete configuration. Versions increase, but not by equal steps.
+
+    ``accounts`` is None if the configuration has no client accounts.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
+    accounts: AccountTable | None = None
 
 
 class FleetEndpoint(NamedTuple):
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -450,6 +450,27 @@
     status = 503
 
 
+class UnknownKeyError(PoplarfoldError):
+    """The request has no API key, or one of no client account. It has not run."""
+
+    code = "unknown_key"
+    status = 401
+
+
+class ConfigurationTooOldError(PoplarfoldError):
+    """This node's configuration is too old to check an API key. The call has not run.
+
+    The node may know a current one after ``remaining_s``.
+    """
+
+    code = "configuration_too_old"
+    status = 503
+
+    def __init__(self, message: str, remaining_s: float) -> None:
+        super().__init__(message)
+        self.remaining_s = remaining_s
+
+
 class RouteNotFoundError(PoplarfoldError):
     """No published route matches the host and path of the call."""
 
--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from poplarfold._internal.core.fleet.account_admission import AdmittedCaller
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.fleet.server_signals import ServerSignal
 from poplarfold._internal.daemon.endpoint_client import AbortHandle, EndpointClient
@@ -44,6 +45,8 @@
     """One call in progress. Times are monotonic seconds.
 
     ``abort`` interrupts the call's blocking I/O when the caller disconnects.
+    ``account`` is None on public routes, and ``account`` and ``priority`` are None if
+    the deployment has no accounts.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         call: CallerCall,
         matched: MatchedRoute,
         body: bytes,
+        caller: AdmittedCaller,
     ) -> None:
         self.services = services
         self.exchange = exchange
@@ -61,6 +65,8 @@
         self.service = matched.service
         self.details = matched.details
         self.version = matched.version
+        self.account = caller.account
+        self.priority = caller.priority
         self.body = body
         self.arrived_at = boot_time()
         wait_s = matched.route.timeout_s
@@ -70,6 +76,11 @@
         self.caller_gone = threading.Event()
         self.abort = AbortHandle()
 
+    @property
+    def account_name(self) -> str | None:
+        """The name of the caller's account, for endpoints, metrics and the log."""
+        return None if self.account is None else self.account.name
+
     def on_caller_gone(self) -> None:
         """Interrupt the call's I/O; called from the socket watcher's thread."""
         self.caller_gone.set()
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -1,10 +1,17 @@
 """Thread-safe access to a node's routing state and decisions, under one lock."""
 
+import math
 import random
 import threading
 from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import NamedTuple, TypedDict
 
+from poplarfold._internal.core.fleet.account_admission import (
+    AdmittedCaller,
+    RevocationPolicy,
+    admit_account,
+)
+from poplarfold._internal.core.fleet.accounts import AccountTable
 from poplarfold._internal.core.fleet.admission_queue import (
     AdmissionQueue,
     WaitingStream,
@@ -55,12 +62,18 @@
 
 
 class MatchedRoute(NamedTuple):
-    """A route, the service selected for the call, and the configuration's version."""
+    """A route, the service selected for the call, and the configuration's version.
+
+    ``accounts`` are those of the same configuration. It was known to be the newest one
+    ``age_s`` before the match, which is infinite if that is unknown.
+    """
 
     route: Route
     service: str
     details: Service | None
     version: int
+    accounts: AccountTable | None = None
+    age_s: float = math.inf
 
 
 class KnowledgeFields(TypedDict):
@@ -153,6 +166,7 @@
                 self.presence.node_count(),
                 len(self.directory.endpoints),
                 {topic: now - row.read_at for topic, row in self.knowledge.items()},
+                frozenset(table.accounts.accounts if table and table.accounts else ()),
             )
 
     def node_count(self) -> int:
@@ -187,7 +201,30 @@
             else:
                 service = route.services[0].service
             details = table.services.get(service)
-            return MatchedRoute(route, service, details, table.version)
+            # The age is read under the same lock as the table that it belongs to.
+            known = self.knowledge.get("routes")
+            age_s = math.inf if known is None else self.clock() - known.read_at
+            return MatchedRoute(
+                route, service, details, table.version, table.accounts, age_s
+            )
+
+    def admit_account(
+        self, matched: MatchedRoute, key_digest: bytes | None
+    ) -> AdmittedCaller:
+        """Return the account and priority of a call.
+
+        Raises UnknownKeyError or ConfigurationTooOldError.
+        """
+        bounds = self.host.bounds
+        policy = RevocationPolicy(bounds.strict_revoke, bounds.revoke_s)
+        with self.lock:
+            spread = self.rng.random()
+        found = admit_account(
+            matched.accounts, matched.route, key_digest, matched.age_s, policy, spread
+        )
+        if found.is_err():
+            raise found.unwrap_err()
+        return found.unwrap()
 
     def record_request(self, service: str) -> None:
         """Count a caller's request towards the retry budget of its service."""
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -2,9 +2,11 @@
 
 import threading
 
+from poplarfold._internal.core.fleet.account_admission import AdmittedCaller
 from poplarfold._internal.core.fleet.rows import CallKind
 from poplarfold._internal.exceptions import (
     CallerDisconnectedError,
+    ConfigurationTooOldError,
     EndpointsAwayError,
     NoRouteTableError,
     NotRunError,
@@ -12,9 +14,11 @@
     PromptBlockedError,
     RequestError,
     StoppingError,
+    UnknownKeyError,
 )
 from poplarfold._internal.gateway.context import CallContext, Services
 from poplarfold._internal.gateway.error_responses import send_error
+from poplarfold._internal.gateway.fleet import MatchedRoute
 from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.gateway.server import CallerExchange
 from poplarfold._internal.gateway.stream_calls import StreamCall
@@ -68,13 +72,43 @@
             exchange.close_after_request()
             raise RequestError(str(error)) from None
         matched = fleet.match(call.host, call.path.partition("?")[0])
-        context = CallContext(self.services, exchange, call, matched, body)
+        caller = self.admit_account(call, matched)
+        context = CallContext(self.services, exchange, call, matched, body, caller)
+        with self.services.metrics.counting_account_call(context.account_name):
+            self.serve_admitted(context)
+
+    def admit_account(self, call: CallerCall, matched: MatchedRoute) -> AdmittedCaller:
+        """Return whose call it is. Raises UnknownKeyError or ConfigurationTooOldError.
+
+        Checked once: what counts is when the caller sent the request, not when an
+        endpoint gets it.
+        """
+        fleet = self.services.fleet
+        try:
+            return fleet.admit_account(matched, call.key_digest)
+        except (UnknownKeyError, ConfigurationTooOldError) as error:
+            is_unknown = isinstance(error, UnknownKeyError)
+            fields = {
+                "route": matched.route.name,
+                "version": matched.version,
+                "has_key": call.key_digest is not None,
+                "known": fleet.describe_knowledge("routes"),
+            }
+            number = "PF1201" if is_unknown else "PF1202"
+            self.services.write_log(number, call.request_id, fields)
+            raise
+
+    def serve_admitted(self, context: CallContext) -> None:
+        """Serve a call whose account is known. Raises PoplarfoldError or OSError."""
+        fleet = self.services.fleet
+        exchange, call = context.exchange, context.call
         self.check_stop(context)
         fleet.record_request(context.service)
         context.log(
             "PF1101",
             route=context.route.name,
             service=context.service,
+            account=context.account_name,
             version=context.version,
             deadline_s=call.deadline_s,
             prompt_tokens=call.prompt_tokens,
@@ -131,7 +165,9 @@
             retry_after_s = SHORT_RETRY_AFTER_S
         elif isinstance(error, StoppingError):
             retry_after_s = OTHER_NODE_RETRY_AFTER_S
-        elif isinstance(error, EndpointsAwayError | PromptBlockedError):
+        elif isinstance(
+            error, EndpointsAwayError | PromptBlockedError | ConfigurationTooOldError
+        ):
             retry_after_s = error.remaining_s
         send_error(exchange, call.request_id, error, retry_after_s)
 
--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -1,10 +1,14 @@
 """The router's counters and latency histograms on the platform."""
 
 import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from poplarfold._internal.exceptions import CallerDisconnectedError, PoplarfoldError
+
 __all__ = ["GatewayGauges", "GatewayMetrics"]
 
 LATENCY_BOUNDS_S = (
@@ -30,13 +34,15 @@
 class GatewayGauges(NamedTuple):
     """Values that are sampled when the metrics are scraped.
 
-    ``read_age_s`` is the time since the last successful read, by topic.
+    ``read_age_s`` is the time since the last successful read, by topic. ``accounts``
+    are the names of the accounts of the configuration.
     """
 
     routes_version: int
     nodes: int
     endpoints: int
     read_age_s: dict[str, float]
+    accounts: frozenset[str] = frozenset()
 
 
 class GatewayMetrics:
@@ -53,6 +59,11 @@
         self.error_responses = Counter(
             "poplarfold_refusals_total", "Refusals by code.", registry=registry
         )
+        self.account_calls = Counter(
+            "poplarfold_account_calls_total",
+            "Calls with a valid API key by account and result.",
+            registry=registry,
+        )
         self.retries = Counter(
             "poplarfold_repeats_total", "Repeated attempts.", registry=registry
         )
@@ -131,6 +142,35 @@
         with self.lock:
             self.error_responses.inc({"code": code})
 
+    @contextmanager
+    def counting_account_call(self, account: str | None) -> Iterator[None]:
+        """Count the call that is served meanwhile, if it has an account."""
+        result = "ok"
+        try:
+            yield
+        except PoplarfoldError as error:
+            result = error.code
+            raise
+        except OSError:
+            result = CallerDisconnectedError.code
+            raise
+        except BaseException:
+            result = PoplarfoldError.code
+            raise
+        finally:
+            if account is not None:
+                with self.lock:
+                    self.account_calls.inc({"account": account, "result": result})
+
+    def drop_accounts_except(self, accounts: frozenset[str]) -> None:
+        """Delete the series of accounts that have left the configuration.
+
+        Otherwise they would add up over the versions. The lock must be held.
+        """
+        for labels, _ in self.account_calls.get_all():
+            if labels["account"] not in accounts:
+                del self.account_calls.values[labels]
+
     def count_retry(self, service: str) -> None:
         """Count a retry that the retry budget allowed."""
         with self.lock:
@@ -183,6 +223,7 @@
             self.routes_version.set({}, gauges.routes_version)
             self.nodes.set({}, gauges.nodes)
             self.endpoints.set({}, gauges.endpoints)
+            self.drop_accounts_except(gauges.accounts)
             for topic, age_s in gauges.read_age_s.items():
                 self.read_age.set({"topic": topic}, round(age_s, 3))
             content, _ = render(self.registry, ["text/plain"])
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -135,7 +135,11 @@
         """Send the request to one endpoint and read its answer."""
         context = self.context
         call = context.call
-        target = CallTarget(endpoint.endpoint_id, max(0.001, remaining_s))
+        target = CallTarget(
+            endpoint.endpoint_id,
+            max(0.001, remaining_s),
+            account=context.account_name,
+        )
 
         def belongs_to_request(status: int, headers: Mapping[str, str]) -> bool:
             return decode_answer_metadata(status, headers).belongs_to(call)
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -134,6 +134,8 @@
             prepared.kv_source,
             prepared.reservation.lease_id,
             self.splitter.last_id,
+            context.account_name,
+            context.priority,
         )
         result = self.services.client.open_stream(
             Target(endpoint.address, context.call.method, context.call.path),
--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -15,6 +15,7 @@
     EndpointUnreachableError,
 )
 from poplarfold._internal.gateway.context import CallContext
+from poplarfold._internal.platform import CallTarget
 from poplarfold._internal.utils.clock import boot_time
 
 __all__ = ["PreparedDecode", "Reservation", "StreamSetup"]
@@ -199,11 +200,18 @@
         context = self.context
         started_at = boot_time()
         try:
+            target = CallTarget(
+                endpoint.endpoint_id,
+                context.remaining_s(),
+                EndpointRole.PREFILL,
+                account=context.account_name,
+                priority=context.priority,
+            )
             result = self.services.engines.prefill(
                 endpoint,
                 context.call,
                 context.body,
-                context.remaining_s(),
+                target,
                 min(self.settings.prefill_s, context.remaining_s()),
                 context.abort,
             )
--- a/src/poplarfold/_internal/gateway/topic_updates.py
+++ b/src/poplarfold/_internal/gateway/topic_updates.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
+from poplarfold._internal.core.fleet.accounts import compare_accounts
 from poplarfold._internal.core.fleet.directory import EndpointChange
 from poplarfold._internal.core.fleet.relays import Member
+from poplarfold._internal.core.fleet.rows import RouteTable
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.topic_records import DecodedRecord
 from poplarfold._internal.platform import StoreTopic
@@ -55,6 +57,7 @@
             if table is None:
                 continue
             with self.fleet.lock:
+                before = self.fleet.directory.route_table
                 is_new = self.fleet.directory.apply_routes(table)
                 self.fleet.changed.notify_all()
             if is_new:
@@ -64,6 +67,7 @@
                     "offset": record.offset,
                 }
                 effects.append(Effect("PF7106", fields))
+                effects.extend(account_effects(before, table, record.offset))
         return effects
 
     def _apply_endpoints(self, records: Sequence[DecodedRecord]) -> list[Effect]:
@@ -113,6 +117,18 @@
         return [] if nodes == before else [Effect("PF6301", {"nodes": nodes})]
 
 
+def account_effects(
+    before: RouteTable | None, after: RouteTable, offset: int
+) -> list[Effect]:
+    """Return the event of a configuration with other accounts or keys, if it has."""
+    accounts = None if before is None else before.accounts
+    changes = compare_accounts(accounts, after.accounts)
+    if changes is None:
+        return []
+    fields = {"version": after.version, **changes._asdict(), "offset": offset}
+    return [Effect("PF1203", fields)]
+
+
 def endpoint_effect(found: DecodedRecord, change: EndpointChange) -> Effect:
     """Return the event of a changed endpoint."""
     row = change.after or change.before
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -307,11 +307,33 @@
     EventKind(
         "PF1101",
         "request_routed",
-        ("route", "service", "version", "deadline_s", "prompt_tokens")
+        ("route", "service", "account", "version", "deadline_s", "prompt_tokens")
         + ("parts", "known"),
         "a request matched a route of this configuration; known says how long ago it "
         "was the newest one, up to which offset of its topic, and by which source",
     ),
+    EventKind(
+        "PF1201",
+        "key_rejected",
+        ("route", "version", "has_key", "known"),
+        "a request got 401, since its route is not public and no account of this "
+        "version of the configuration has its API key",
+    ),
+    EventKind(
+        "PF1202",
+        "key_not_checked",
+        ("route", "version", "has_key", "known"),
+        "a request got 503, since the configuration is too old to tell whether its "
+        "API key is valid; known says how old",
+    ),
+    EventKind(
+        "PF1203",
+        "accounts_changed",
+        ("version", "accounts", "keys", "added", "removed", "keys_added")
+        + ("keys_removed", "offset"),
+        "a configuration with other accounts or API keys is in force; added and "
+        "removed name up to ten accounts each, keys are only counted",
+    ),
     EventKind(
         "PF1102",
         "endpoint_answered",
--- a/src/poplarfold/_internal/platform/boot.py
+++ b/src/poplarfold/_internal/platform/boot.py
@@ -27,7 +27,10 @@
     configuration must be in force within ``apply_s``. All nodes share the retry
     budget: within ``retry_window_s`` they may make ``retry_ratio`` retries per
     request, plus ``retry_slack``. After one node has given orders, no other node
-    may give any within ``lease_s``.
+    may give any within ``lease_s``. If ``strict_revoke``, no node may serve a call
+    that was sent later than ``revoke_s`` after its key was removed. Within any
+    ``quota_window_s``, all nodes may exceed the quota of an account by the share
+    ``quota_over`` and by ``quota_slack`` units.
     """
 
     leaving_s: float = 2.5
@@ -37,6 +40,11 @@
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     lease_s: float = 3.0
+    strict_revoke: bool = False
+    revoke_s: float = 5.0
+    quota_window_s: float = 8.0
+    quota_over: float = 0.1
+    quota_slack: float = 0.0
 
 
 class HostSettings(NamedTuple):
@@ -109,9 +117,22 @@
         retry_window_s=float(fields.get("budget_window_s", defaults.retry_window_s)),
         retry_slack=float(fields.get("budget_slack", defaults.retry_slack)),
         lease_s=float(fields.get("lease_ms", defaults.lease_s * 1000)) / 1000,
+        strict_revoke=decode_flag(fields, "strict_revoke", defaults.strict_revoke),
+        revoke_s=float(fields.get("revoke_ms", defaults.revoke_s * 1000)) / 1000,
+        quota_window_s=float(fields.get("quota_window_s", defaults.quota_window_s)),
+        quota_over=float(fields.get("quota_over", defaults.quota_over)),
+        quota_slack=float(fields.get("quota_slack", defaults.quota_slack)),
     )
 
 
+def decode_flag(fields: dict[str, Any], key: str, default: bool) -> bool:
+    """Return a truth value. Raises TypeError if it is of another type."""
+    value = fields.get(key, default)
+    if not isinstance(value, bool):
+        raise TypeError(f"{key} is neither true nor false")
+    return value
+
+
 def decode_port_range(value: Any) -> tuple[int, ...]:
     """Decode ``[FIRST, LAST]``; without a range there are no ports."""
     if not value:
--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -6,6 +6,7 @@
 from poplarfold._internal.core.fleet.rows import EndpointLoad
 from poplarfold._internal.core.fleet.server_signals import ServerSignal
 from poplarfold._internal.core.model import EndpointRole
+from poplarfold._internal.platform.api_keys import header_key_digest
 
 __all__ = [
     "AnswerMetadata",
@@ -26,6 +27,9 @@
 TOKEN_COUNT = "Poplarfold-Token-Count"
 LENGTH_HINT = "Poplarfold-Length-Hint"
 PROMPT_PREFIX = "Poplarfold-Prompt-Prefix"
+API_KEY = "Poplarfold-Key"
+ACCOUNT = "Poplarfold-Tenant"
+PRIORITY = "Poplarfold-Request-Priority"
 LAST_EVENT_ID = "Last-Event-Id"
 SERVER_STAMP = "Poplarfold-Server-Stamp"
 SERVER_LOAD = "Poplarfold-Server-Load"
@@ -49,7 +53,9 @@
         KV_HOLD,
         "Poplarfold-Pin-Ms",
         "Poplarfold-Kv-Backup",
-        "Poplarfold-Request-Priority",
+        API_KEY,
+        ACCOUNT,
+        PRIORITY,
         "Poplarfold-Expected-Version",
         "Kv-Fetch",
         "Wait-Ms",
@@ -81,7 +87,8 @@
     ``deadline_s`` is how long the caller waits. ``resume_after`` is the id of the
     last event that the caller has received, or None. ``shared_parts`` are the ids of
     the parts of the prompt that other prompts may share, in order. ``headers`` are
-    those to forward.
+    those to forward. ``key_digest`` is the digest of the caller's API key, or None.
+    ``has_token_count`` is true if the counts of tokens were sent and are well-formed.
     """
 
     request_id: str
@@ -95,6 +102,8 @@
     resume_after: str | None
     headers: tuple[tuple[str, str], ...]
     shared_parts: tuple[str, ...] = ()
+    key_digest: bytes | None = None
+    has_token_count: bool = False
 
 
 class CallTarget(NamedTuple):
@@ -102,7 +111,8 @@
 
     Any endpoint at the address other than ``endpoint_id`` refuses the call.
     ``kv_source`` is the address and handle of a finished prefill, ``lease`` the id
-    of a reserved slot.
+    of a reserved slot. ``account`` is the name of the caller's account. ``priority``
+    is set for engines only, and only if the deployment has accounts.
     """
 
     endpoint_id: str
@@ -111,6 +121,8 @@
     kv_source: str | None = None
     lease: str | None = None
     resume_after: str | None = None
+    account: str | None = None
+    priority: int | None = None
 
 
 class AnswerMetadata(NamedTuple):
@@ -154,10 +166,11 @@
         (name, value)
         for name, value in headers.items()
         if name.lower() not in HOP_BY_HOP_HEADERS
-        and name.lower() not in ROUTER_HEADERS
+        and not is_router_header(name)
         and name.lower() not in dropped
     )
-    tokens, outputs = decode_counts(lower_headers.get(TOKEN_COUNT.lower(), ""))
+    counts = lower_headers.get(TOKEN_COUNT.lower(), "")
+    tokens, outputs = decode_counts(counts)
     return CallerCall(
         request_id=lower_headers.get(REQUEST_ID.lower(), ""),
         method=method,
@@ -174,9 +187,19 @@
         resume_after=lower_headers.get(LAST_EVENT_ID.lower()),
         headers=kept,
         shared_parts=decode_shared_parts(lower_headers.get(PROMPT_PREFIX.lower(), "")),
+        key_digest=header_key_digest(lower_headers.get(API_KEY.lower())),
+        has_token_count=has_both_counts(counts),
     )
 
 
+def is_router_header(name: str) -> bool:
+    """Return whether a caller must not set a header.
+
+    Endpoints behind a CGI-style interface read an underscore in a name as a hyphen.
+    """
+    return name.lower().replace("_", "-") in ROUTER_HEADERS
+
+
 def decode_shared_parts(value: str) -> tuple[str, ...]:
     """Decode ``ID:TOKENS,ID:TOKENS``, without the last part.
 
@@ -198,6 +221,12 @@
     return int(decode_number(tokens) or 0), int(decode_number(outputs) or 0)
 
 
+def has_both_counts(value: str) -> bool:
+    """Return whether a text is a well-formed ``PROMPT_TOKENS,OUTPUT_LIMIT``."""
+    parts = value.split(",")
+    return len(parts) == 2 and all(decode_number(part) is not None for part in parts)
+
+
 def decode_number(value: str | None) -> float | None:
     """Return a number from 0 to 1e12, or None if the text is not one."""
     try:
@@ -227,6 +256,10 @@
         headers[KV_SOURCE] = target.kv_source
     if target.lease is not None:
         headers[KV_HOLD] = target.lease
+    if target.account is not None:
+        headers[ACCOUNT] = target.account
+    if target.priority is not None:
+        headers[PRIORITY] = str(target.priority)
     resume_after = target.resume_after or call.resume_after
     if resume_after is not None:
         headers[LAST_EVENT_ID] = resume_after
--- a/src/poplarfold/_internal/platform/engines.py
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -119,12 +119,14 @@
         engine: FleetEndpoint,
         call: CallerCall,
         body: bytes,
-        remaining_s: float,
+        target: CallTarget,
         timeout_s: float,
         handle: AbortHandle,
     ) -> Result[PrefillResult, Failure]:
-        """Have an engine prefill the prompt of a call, without running the call."""
-        target = CallTarget(engine.endpoint_id, remaining_s, EndpointRole.PREFILL)
+        """Have an engine prefill the prompt of a call, without running the call.
+
+        ``target`` must have the role of a prefill engine.
+        """
         result = self.endpoint_client.exchange(
             Target(engine.address, call.method, call.path),
             body,
--- a/src/poplarfold/_internal/platform/records.py
+++ b/src/poplarfold/_internal/platform/records.py
@@ -14,6 +14,10 @@
 )
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.exceptions import PlatformFormatError
+from poplarfold._internal.platform.account_records import (
+    decode_accounts,
+    decode_priority,
+)
 from poplarfold._internal.utils.checks import (
     check_address,
     check_integer,
@@ -70,7 +74,12 @@
             version=check_integer(fields["version"], "version"),
             routes=tuple(decode_route(row) for row in fields["routes"]),
             services=services,
+            accounts=decode_accounts(fields.get("tenants")),
         )
+    except (UnicodeDecodeError, UnicodeEncodeError) as error:
+        # Its text quotes the document, which has API keys.
+        problem = f"configuration: {type(error).__name__}: {error.reason}"
+        raise PlatformFormatError(problem) from None
     except MALFORMED_DOCUMENT_ERRORS as error:
         raise PlatformFormatError(f"configuration: {error!r}"[:PROBLEM_MAX]) from error
 
@@ -118,6 +127,8 @@
         pause_s=math.inf
         if pause_ms is None
         else check_number(pause_ms, "gap_aim_ms") / 1000,
+        is_public=row.get("public") is True,
+        priority=decode_priority(row),
     )
 
 
