Choose endpoints by the pace that they state, and avoid those that fail calls

Cause: decode_load returned None for a header with more than three figures, so on deployments whose endpoints state their pace the choice used only this node's own calls. Endpoints that fail part of their calls in good health were forgotten within seconds, and the second attempt of a call did not prefer a sound endpoint.

Change: the load keeps the known figures, and EndpointLoad has the slowdown. The statistics move from choice.py to endpoint_stats.py. endpoint_pace.py has the smoothed, aged slowdown and its reconciliation with measured times, outliers.py the failures judged against the service with their bounds, paced_choice.py the selection. PlainCall tells the choice what an attempt needs. PF3601, PF3602 and two metrics show the inputs.

Not played on a deployment.

--- a/src/poplarfold/_internal/core/fleet/choice.py
+++ b/src/poplarfold/_internal/core/fleet/choice.py
@@ -2,21 +2,46 @@
 
 The expected time accounts for uneven arrivals (open calls compared with slots),
 slow endpoints (answer times) and endpoints that fail some of their calls while
-reporting good health (failure rate).
+reporting good health (failure rate). If endpoints of a service state their pace, it
+also accounts for that: the modules ``endpoint_pace``, ``outliers`` and
+``paced_choice`` then have their part. Other services are not affected by them.
 """
 
 import random
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
-from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
-from poplarfold._internal.core.state import Table
+from poplarfold._internal.core.fleet.endpoint_pace import typical_answer_s
+from poplarfold._internal.core.fleet.endpoint_stats import (
+    DEFAULT_ANSWER_S,
+    EndpointStats,
+    EndpointStatsTable,
+    decayed_failure_rate,
+    estimated_calls,
+)
+from poplarfold._internal.core.fleet.outliers import (
+    FailureView,
+    TrialBudget,
+    judge_failures,
+)
+from poplarfold._internal.core.fleet.paced_choice import (
+    FIRST_ATTEMPT,
+    AttemptNeeds,
+    Candidate,
+    Choice,
+    failure_cost_s,
+    select_candidate,
+)
+from poplarfold._internal.core.fleet.rows import FleetEndpoint
 
 __all__ = [
     "EndpointStats",
     "EndpointStatsTable",
+    "PoolView",
     "choose_endpoint",
     "expected_answer_s",
+    "make_choice",
+    "pool_view",
     "queue_wait_s",
     "sample_candidates",
 ]
@@ -27,182 +52,11 @@
 # Time that a failed call costs its caller. Its product with the failure rate is added
 # to the expected time.
 FAILURE_PENALTY_S = 0.6
-# Weight of the newest call in the moving averages.
-AVERAGE_WEIGHT = 0.15
-# Half-life of the failure rate while an endpoint gets no calls, so that an endpoint
-# that failed is tried again.
-FAILURE_HALF_LIFE_S = 2.5
-# The weight of a load report falls linearly to zero at this age.
-LOAD_MAX_AGE_S = 1.0
-# Assumed answer time of an endpoint that has not been used yet.
-DEFAULT_ANSWER_S = 0.08
-# Cooldown of an unresponsive or unreachable endpoint. It doubles with each further
-# failure, up to the maximum.
-COOLDOWN_S = 1.0
-COOLDOWN_MAX_S = 8.0
-# Refusals in a row that start a cooldown.
-REFUSALS_BEFORE_COOLDOWN = 2
 # If there are more endpoints, each call compares a random sample of this many, so that
 # the time of a choice does not grow with the fleet.
 CANDIDATES_MAX = 48
 
 
-class EndpointStats(NamedTuple):
-    """Load and failures of one incarnation of an endpoint, as this node sees them.
-
-    ``open_calls`` counts this node's own calls, ``other_calls`` the calls of other
-    nodes as estimated at ``other_calls_at``. The endpoint gets no new calls before
-    ``cooldown_until``, unless all endpoints are in cooldown. ``cooldowns`` counts the
-    cooldowns since its last successful call. ``refusals`` counts the latest streams
-    in a row that used this engine and were refused although they held a lease. An
-    engine that refused a lease is not asked again before ``full_until``. A decode
-    engine last began to prefill a prompt itself at ``own_prefill_at``.
-    """
-
-    incarnation: int = 0
-    open_calls: int = 0
-    other_calls: int = 0
-    other_calls_at: float = 0.0
-    answer_s: float = DEFAULT_ANSWER_S
-    failure_rate: float = 0.0
-    failure_rate_at: float = 0.0
-    cooldown_until: float = 0.0
-    cooldowns: int = 0
-    refusals: int = 0
-    full_until: float = 0.0
-    own_prefill_at: float = float("-inf")
-
-
-class EndpointStatsTable:
-    """Load and failure statistics by endpoint id, reset for each new incarnation."""
-
-    def __init__(self) -> None:
-        self.rows: Table[str, EndpointStats] = Table()
-
-    def get(self, endpoint: FleetEndpoint) -> EndpointStats:
-        """Return the statistics of this incarnation, or new ones."""
-        row = self.rows.get(endpoint.endpoint_id)
-        if row is None or row.incarnation != endpoint.incarnation:
-            row = EndpointStats(incarnation=endpoint.incarnation)
-            self.rows.put(endpoint.endpoint_id, row)
-        return row
-
-    def put(self, endpoint: FleetEndpoint, row: EndpointStats) -> None:
-        """Store the statistics of this incarnation."""
-        self.rows.put(endpoint.endpoint_id, row)
-
-    def start_call(self, endpoint: FleetEndpoint) -> None:
-        """Count a call that begins."""
-        row = self.get(endpoint)
-        self.put(endpoint, row._replace(open_calls=row.open_calls + 1))
-
-    def finish_call(self, endpoint: FleetEndpoint) -> None:
-        """Remove a call that has ended from the open calls."""
-        row = self.get(endpoint)
-        self.put(endpoint, row._replace(open_calls=max(0, row.open_calls - 1)))
-
-    def record_load(
-        self, endpoint: FleetEndpoint, load: EndpointLoad | None, now: float
-    ) -> None:
-        """Record the load reported with an answer, if there is one."""
-        if load is None:
-            return
-        row = self.get(endpoint)
-        other_calls = max(0, load.running + load.waiting - row.open_calls)
-        self.put(endpoint, row._replace(other_calls=other_calls, other_calls_at=now))
-
-    def estimate_other_calls(
-        self, endpoint: FleetEndpoint, answer_s: float, alone_s: float, now: float
-    ) -> None:
-        """Estimate the calls of other nodes from the time that a call took.
-
-        ``answer_s`` is the measured time of the call, ``alone_s`` the time that it
-        would take at an endpoint without other calls; the difference is queueing. An
-        estimate below the current count is ignored.
-        """
-        row = self.get(endpoint)
-        other_calls = max(0, round(answer_s / max(0.001, alone_s)) - 1 - row.open_calls)
-        age_s = now - row.other_calls_at
-        if other_calls > row.other_calls * max(0.0, 1.0 - age_s / LOAD_MAX_AGE_S):
-            self.put(
-                endpoint, row._replace(other_calls=other_calls, other_calls_at=now)
-            )
-
-    def record_answer(
-        self, endpoint: FleetEndpoint, answer_s: float, ok: bool, now: float
-    ) -> None:
-        """Record the answer time of a call and whether the call succeeded."""
-        row = self.get(endpoint)
-        average_s = row.answer_s + AVERAGE_WEIGHT * (answer_s - row.answer_s)
-        rate = decayed_failure_rate(row, now)
-        rate += AVERAGE_WEIGHT * ((0.0 if ok else 1.0) - rate)
-        self.put(
-            endpoint,
-            row._replace(
-                answer_s=average_s if ok else row.answer_s,
-                cooldowns=0 if ok else row.cooldowns,
-                failure_rate=rate,
-                failure_rate_at=now,
-            ),
-        )
-
-    def start_cooldown(self, endpoint: FleetEndpoint, now: float) -> None:
-        """Start a cooldown for an endpoint that did not answer."""
-        row = self.get(endpoint)
-        if row.cooldown_until > now:
-            # This call began before the current cooldown and must not extend it.
-            return
-        cooldown_s = min(COOLDOWN_MAX_S, COOLDOWN_S * 2**row.cooldowns)
-        self.put(
-            endpoint,
-            row._replace(cooldown_until=now + cooldown_s, cooldowns=row.cooldowns + 1),
-        )
-
-    def record_refusal(self, endpoint: FleetEndpoint, now: float) -> None:
-        """Record a stream that was refused although it held a lease.
-
-        ``endpoint`` is the decode or prefill engine of the stream; either may be the
-        cause. A decode engine that changes its role or leaves refuses all streams. If
-        the results of a prefill engine expire too early, all streams that use them are
-        refused. The second refusal in a row starts a cooldown.
-        """
-        row = self.get(endpoint)
-        self.put(endpoint, row._replace(refusals=row.refusals + 1))
-        if row.refusals + 1 >= REFUSALS_BEFORE_COOLDOWN:
-            self.start_cooldown(endpoint, now)
-
-    def record_stream_start(self, endpoint: FleetEndpoint) -> None:
-        """Reset refusals and cooldowns, because a stream of this engine has begun."""
-        row = self.get(endpoint)
-        self.put(endpoint, row._replace(refusals=0, cooldowns=0))
-
-    def record_own_prefill(self, endpoint: FleetEndpoint, now: float) -> None:
-        """Record that a decode engine prefills a prompt itself."""
-        self.put(endpoint, self.get(endpoint)._replace(own_prefill_at=now))
-
-    def mark_full(self, endpoint: FleetEndpoint, until: float) -> None:
-        """Exclude an engine that refused a lease until the time ``until``."""
-        self.put(endpoint, self.get(endpoint)._replace(full_until=until))
-
-    def remove(self, endpoint_ids: Collection[str]) -> None:
-        """Delete the statistics of endpoints that are no longer announced."""
-        for endpoint_id in endpoint_ids:
-            self.rows.pop(endpoint_id, None)
-
-
-def decayed_failure_rate(row: EndpointStats, now: float) -> float:
-    """Return the failure rate, decayed by the time since the last call."""
-    age_s = max(0.0, now - row.failure_rate_at)
-    return float(row.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
-
-
-def estimated_calls(row: EndpointStats, now: float) -> float:
-    """Return the estimated number of open calls of all nodes at an endpoint."""
-    age_s = max(0.0, now - row.other_calls_at)
-    weight = max(0.0, 1.0 - age_s / LOAD_MAX_AGE_S)
-    return row.open_calls + row.other_calls * weight
-
-
 def round_trip_s(
     endpoint: FleetEndpoint, domain: str, regions: dict[str, str]
 ) -> float:
@@ -214,19 +68,64 @@
     return REGION_PENALTY_S
 
 
+class PoolView(NamedTuple):
+    """What the endpoints of a service that states its pace have in common.
+
+    ``typical_s`` is the usual time of a call, ``failures`` says which endpoints fail
+    more of their calls than the others.
+    """
+
+    typical_s: float
+    failures: FailureView
+
+
+def pool_view(
+    rows: Sequence[tuple[FleetEndpoint, EndpointStats]], now: float
+) -> PoolView | None:
+    """Return the view of a service's endpoints, or None if none states its pace.
+
+    Only endpoints that are not in cooldown are judged, so that at most half of
+    those are avoided for their failures.
+    """
+    if not any(row.pace.is_stated for _, row in rows):
+        return None
+    records = {
+        endpoint.endpoint_id: row.failures
+        for endpoint, row in rows
+        if row.cooldown_until <= now
+    }
+    paces = [row.pace for _, row in rows]
+    return PoolView(
+        typical_answer_s(paces, DEFAULT_ANSWER_S), judge_failures(records, now)
+    )
+
+
 def expected_answer_s(
     endpoint: FleetEndpoint,
     row: EndpointStats,
     domain: str,
     regions: dict[str, str],
     now: float,
+    pool: PoolView | None = None,
+    needs: AttemptNeeds = FIRST_ATTEMPT,
 ) -> float:
-    """Return the time that a call is expected to take at an endpoint."""
+    """Return the time that a call is expected to take at an endpoint.
+
+    ``pool`` is the view of the service's endpoints if they state their pace.
+    """
     queue_factor = max(1.0, (estimated_calls(row, now) + 1.0) / max(1, endpoint.slots))
     # Even with free slots, an endpoint with fewer calls is slightly faster.
     spread = 0.1 * estimated_calls(row, now) / max(1, endpoint.slots)
-    cost = row.answer_s * (queue_factor + spread)
+    answer_s = row.answer_s
+    if pool is not None:
+        answer_s = row.pace.expected_s(pool.typical_s, DEFAULT_ANSWER_S, now)
+    cost = answer_s * (queue_factor + spread)
     cost += FAILURE_PENALTY_S * decayed_failure_rate(row, now)
+    if pool is not None:
+        rate = pool.failures.excess.get(endpoint.endpoint_id, 0.0)
+        if not needs.may_repeat:
+            rate += pool.failures.unproven.get(endpoint.endpoint_id, 0.0)
+        cost += rate * failure_cost_s(needs, pool.typical_s)
     return cost + round_trip_s(endpoint, domain, regions)
 
 
@@ -249,29 +148,72 @@
     return rng.sample(endpoints, CANDIDATES_MAX)
 
 
-def choose_endpoint(
+def make_choice(
     endpoints: Iterable[FleetEndpoint],
     endpoint_stats: EndpointStatsTable,
     domain: str,
     regions: dict[str, str],
     now: float,
     excluded: Collection[str] = (),
-) -> FleetEndpoint | None:
-    """Return the endpoint with the shortest expected time, or None.
+    needs: AttemptNeeds = FIRST_ATTEMPT,
+    rng: random.Random | None = None,
+    trials: TrialBudget | None = None,
+) -> Choice | None:
+    """Choose the endpoint with the shortest expected time, or return None.
 
     Endpoints that are marked full are excluded until that mark expires. Endpoints
-    in cooldown are used only if all endpoints are in cooldown.
+    in cooldown are used only if all endpoints are in cooldown. ``needs``, ``rng`` and
+    ``trials`` count only if endpoints state their pace; see ``select_candidate``.
     """
-    rows = [
-        (endpoint, endpoint_stats.get(endpoint))
-        for endpoint in endpoints
-        if endpoint.endpoint_id not in excluded
-    ]
+    pool_rows = [(endpoint, endpoint_stats.get(endpoint)) for endpoint in endpoints]
+    rows = [pair for pair in pool_rows if pair[0].endpoint_id not in excluded]
     responsive = [pair for pair in rows if pair[1].cooldown_until <= now]
     free = [pair for pair in responsive or rows if pair[1].full_until <= now]
     if not free:
         return None
-    best = min(
-        free, key=lambda pair: expected_answer_s(pair[0], pair[1], domain, regions, now)
+    pool = pool_view(pool_rows, now)
+    if pool is None:
+        best = min(
+            free,
+            key=lambda pair: expected_answer_s(pair[0], pair[1], domain, regions, now),
+        )
+        return Choice(best[0])
+    candidates = [
+        Candidate(
+            endpoint,
+            expected_answer_s(endpoint, row, domain, regions, now, pool, needs),
+            round_trip_s(endpoint, domain, regions),
+            endpoint.slots - estimated_calls(row, now),
+            row.failures.failures / max(1.0, row.failures.calls),
+            row.pace.slowdown,
+            figures_age_s(row, now),
+            endpoint.endpoint_id in pool.failures.outliers,
+            row.failures.has_lately_succeeded(now),
+        )
+        for endpoint, row in free
+    ]
+    return select_candidate(candidates, needs, rng, trials)
+
+
+def figures_age_s(row: EndpointStats, now: float) -> float | None:
+    """Return the age of an endpoint's latest figures, or None without any."""
+    latest = max(row.pace.stated_at, row.pace.measured_at, row.failures.failed_at)
+    return None if latest == float("-inf") else max(0.0, now - latest)
+
+
+def choose_endpoint(
+    endpoints: Iterable[FleetEndpoint],
+    endpoint_stats: EndpointStatsTable,
+    domain: str,
+    regions: dict[str, str],
+    now: float,
+    excluded: Collection[str] = (),
+    needs: AttemptNeeds = FIRST_ATTEMPT,
+    rng: random.Random | None = None,
+    trials: TrialBudget | None = None,
+) -> FleetEndpoint | None:
+    """Return the endpoint that ``make_choice`` chooses, or None."""
+    choice = make_choice(
+        endpoints, endpoint_stats, domain, regions, now, excluded, needs, rng, trials
     )
-    return best[0]
+    return None if choice is None else choice.endpoint
--- a/src/poplarfold/_internal/core/fleet/own_prefill.py
+++ b/src/poplarfold/_internal/core/fleet/own_prefill.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from poplarfold._internal.core.fleet.choice import EndpointStats
+from poplarfold._internal.core.fleet.endpoint_stats import EndpointStats
 
 __all__ = ["OwnPrefillPolicy", "PrefillOutlook"]
 
--- a/src/poplarfold/_internal/core/fleet/rows.py
+++ b/src/poplarfold/_internal/core/fleet/rows.py
@@ -109,8 +109,13 @@
 
 
 class EndpointLoad(NamedTuple):
-    """The load that an endpoint reports with an answer."""
+    """The load that an endpoint reports with an answer.
+
+    ``slowdown`` is how long work takes there at the moment, as a multiple of the usual
+    time, or None if the endpoint does not state it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -12,16 +12,23 @@
 from poplarfold._internal.core.fleet.budget import RetryBudget
 from poplarfold._internal.core.fleet.choice import (
     EndpointStatsTable,
-    choose_endpoint,
+    make_choice,
+    pool_view,
     queue_wait_s,
     sample_candidates,
 )
 from poplarfold._internal.core.fleet.directory import Directory, EndpointChange
+from poplarfold._internal.core.fleet.outliers import TrialBudget
 from poplarfold._internal.core.fleet.outputs import OutputForecast
 from poplarfold._internal.core.fleet.own_prefill import (
     OwnPrefillPolicy,
     PrefillOutlook,
 )
+from poplarfold._internal.core.fleet.paced_choice import (
+    FIRST_ATTEMPT,
+    AttemptNeeds,
+    Choice,
+)
 from poplarfold._internal.core.fleet.presence import Presence
 from poplarfold._internal.core.fleet.relay_messages import CostReport
 from poplarfold._internal.core.fleet.rows import (
@@ -46,13 +53,20 @@
     NoRouteTableError,
     RouteNotFoundError,
 )
-from poplarfold._internal.gateway.metrics import GatewayGauges
+from poplarfold._internal.gateway.metrics import GatewayGauges, PaceGauges
 from poplarfold._internal.gateway.settings import GatewaySettings
+from poplarfold._internal.logs.event_limit import EventLimit
 from poplarfold._internal.platform import HostSettings
 from poplarfold._internal.utils.clock import boot_time
 
 __all__ = ["Fleet", "KnowledgeFields", "MatchedRoute", "TopicKnowledge"]
 
+LogEvent = Callable[..., None]
+"""Writes a numbered event of a call: number, fields by keyword."""
+
+# Logged choices per second of this process. One takes some 300 bytes.
+LOGGED_CHOICES_PER_S = 5.0
+
 
 class MatchedRoute(NamedTuple):
     """A route, the service selected for the call, and the configuration's version."""
@@ -108,6 +122,8 @@
         self.admission_queue = AdmissionQueue(settings.door)
         self.presence = Presence(settings.unknown_nodes)
         self.budgets: dict[str, RetryBudget] = {}
+        self.trials: dict[tuple[str, EndpointRole], TrialBudget] = {}
+        self.choice_limit = EventLimit(LOGGED_CHOICES_PER_S)
         # By the topic's name, see ``StoreTopic``.
         self.knowledge: dict[str, TopicKnowledge] = {}
         # The cost of a stream as learned by this node, and by all nodes of its region.
@@ -153,6 +169,7 @@
                 self.presence.node_count(),
                 len(self.directory.endpoints),
                 {topic: now - row.read_at for topic, row in self.knowledge.items()},
+                self._pace_gauges(now),
             )
 
     def node_count(self) -> int:
@@ -207,16 +224,31 @@
             self._budget(service).count_retry(self.clock())
 
     def pick(
-        self, service: str, role: EndpointRole, excluded: Collection[str] = ()
+        self,
+        service: str,
+        role: EndpointRole,
+        excluded: Collection[str] = (),
+        needs: AttemptNeeds = FIRST_ATTEMPT,
+        log: LogEvent | None = None,
     ) -> FleetEndpoint | None:
-        """Choose an endpoint and count a call there; ``finish_call`` must follow."""
+        """Choose an endpoint and count a call there; ``finish_call`` must follow.
+
+        ``log`` gets the inputs of the choice if endpoints state their pace.
+        """
         with self.lock:
-            endpoint = self._choose(service, role, excluded)
-            if endpoint is not None:
-                self.endpoint_stats.start_call(endpoint)
-            return endpoint
+            choice = self._choose(service, role, excluded, needs)
+            if choice is None:
+                return None
+            self.endpoint_stats.start_call(choice.endpoint)
+        self._log_choice(service, role, choice, log)
+        return choice.endpoint
 
-    def pick_in_turn(self, row: WaitingStream) -> FleetEndpoint | None:
+    def pick_in_turn(
+        self,
+        row: WaitingStream,
+        needs: AttemptNeeds = FIRST_ATTEMPT,
+        log: LogEvent | None = None,
+    ) -> FleetEndpoint | None:
         """Choose a decode engine if the stream is first in the admission queue.
 
         The stream then no longer blocks the streams behind it, until ``requeue``.
@@ -224,12 +256,14 @@
         with self.lock:
             if self.admission_queue.position(row.ticket) > 0:
                 return None
-            endpoint = self._choose(row.service, EndpointRole.DECODE, ())
-            if endpoint is not None:
-                self.endpoint_stats.start_call(endpoint)
-                self.admission_queue.set_requesting_lease(row.ticket, True)
-                self.changed.notify_all()
-            return endpoint
+            choice = self._choose(row.service, EndpointRole.DECODE, (), needs)
+            if choice is None:
+                return None
+            self.endpoint_stats.start_call(choice.endpoint)
+            self.admission_queue.set_requesting_lease(row.ticket, True)
+            self.changed.notify_all()
+        self._log_choice(row.service, EndpointRole.DECODE, choice, log)
+        return choice.endpoint
 
     def requeue(self, row: WaitingStream) -> None:
         """Put a stream back in its place in the queue after a lease was not granted."""
@@ -237,7 +271,12 @@
             self.admission_queue.set_requesting_lease(row.ticket, False)
 
     def pick_prefill(
-        self, service: str, route: Route, decode: FleetEndpoint, prompt_tokens: int
+        self,
+        service: str,
+        route: Route,
+        decode: FleetEndpoint,
+        prompt_tokens: int,
+        log: LogEvent | None = None,
     ) -> FleetEndpoint | None:
         """Choose a prefill engine, or None if the decode engine does the prefill.
 
@@ -247,23 +286,28 @@
             now = self.clock()
             # The KV cache is sent to the decode engine, which takes longer from
             # another failure domain. Hence the decode engine's domain counts here.
-            endpoint = self._choose(
-                service, EndpointRole.PREFILL, (), decode.failure_domain
+            choice = self._choose(
+                service, EndpointRole.PREFILL, (), domain=decode.failure_domain
             )
+            endpoint = choice.endpoint if choice is not None else None
             wait_s = None
             if endpoint is not None:
                 row = self.endpoint_stats.get(endpoint)
                 if row.cooldown_until <= now:
-                    wait_s = queue_wait_s(row, self.cost.prefill_s, now)
+                    service_s = self.cost.prefill_s * row.pace.slowdown_at(now)
+                    wait_s = queue_wait_s(row, service_s, now)
+            own = self.endpoint_stats.get(decode)
             own_s = OWN_PREFILL_SLOWDOWN * self.cost.prefill_duration_s(prompt_tokens)
+            own_s *= own.pace.slowdown_at(now)
             outlook = PrefillOutlook(wait_s, own_s, route.target_s, route.pause_s)
-            own = self.endpoint_stats.get(decode)
             if self.own_prefill_policy.is_better(outlook, own, now):
                 self.endpoint_stats.record_own_prefill(decode, now)
                 return None
-            if endpoint is not None:
-                self.endpoint_stats.start_call(endpoint)
-            return endpoint
+            if choice is None:
+                return None
+            self.endpoint_stats.start_call(choice.endpoint)
+        self._log_choice(service, EndpointRole.PREFILL, choice, log)
+        return choice.endpoint
 
     def finish_call(self, endpoint: FleetEndpoint) -> None:
         """Record that a call at an endpoint has ended."""
@@ -277,12 +321,25 @@
         started_at: float,
         ok: bool,
         load: EndpointLoad | None = None,
+        not_run: bool = False,
     ) -> None:
         """Record the outcome of a call at an endpoint."""
         with self.lock:
             now = self.clock()
             self.endpoint_stats.record_load(endpoint, load, now)
-            self.endpoint_stats.record_answer(endpoint, now - started_at, ok, now)
+            self.endpoint_stats.record_answer(
+                endpoint,
+                now - started_at,
+                ok,
+                now,
+                load.slowdown if load is not None else None,
+                not_run,
+            )
+
+    def forgive_failures(self, endpoints: Iterable[FleetEndpoint]) -> None:
+        """Take back a failure of each endpoint, since they all failed one request."""
+        with self.lock:
+            self.endpoint_stats.forgive_failures(endpoints, self.clock())
 
     def record_load(self, endpoint: FleetEndpoint, load: EndpointLoad | None) -> None:
         """Record only the load that an endpoint reported with an answer."""
@@ -302,10 +359,10 @@
         """Record the duration of a prefill of ``tokens`` prompt tokens."""
         with self.lock:
             self.own_cost = self.own_cost.with_prefill(seconds, tokens)
+            now = self.clock()
             alone_s = self.cost.prefill_duration_s(tokens)
-            self.endpoint_stats.estimate_other_calls(
-                endpoint, seconds, alone_s, self.clock()
-            )
+            alone_s *= self.endpoint_stats.get(endpoint).pace.slowdown_at(now)
+            self.endpoint_stats.estimate_other_calls(endpoint, seconds, alone_s, now)
 
     def outputs_to_reserve(self, hint: int, limit: int) -> int:
         """Return the number of outputs for which a new stream reserves memory."""
@@ -412,17 +469,62 @@
         service: str,
         role: EndpointRole,
         excluded: Collection[str],
+        needs: AttemptNeeds = FIRST_ATTEMPT,
         domain: str | None = None,
-    ) -> FleetEndpoint | None:
-        return choose_endpoint(
+    ) -> Choice | None:
+        # Only first attempts try outliers again.
+        trials = None
+        if not excluded:
+            trials = self.trials.setdefault((service, role), TrialBudget())
+        return make_choice(
             sample_candidates(self.callable_endpoints(service, role), self.rng),
             self.endpoint_stats,
             domain or self.host.failure_domain,
             self.host.regions,
             self.clock(),
             excluded,
+            needs,
+            self.rng,
+            trials,
         )
 
+    def _log_choice(
+        self, service: str, role: EndpointRole, choice: Choice, log: LogEvent | None
+    ) -> None:
+        fields = choice.fields()
+        if fields is None or log is None:
+            return
+        with self.lock:
+            skipped = self.choice_limit.take(self.clock())
+        if skipped is not None:
+            log(
+                "PF3601",
+                service=service,
+                role=role.value,
+                choice=fields,
+                skipped=skipped,
+            )
+
+    def _pace_gauges(self, now: float) -> dict[str, PaceGauges]:
+        found = {}
+        services = {row.service for row in self.directory.endpoints.values()}
+        for service in sorted(services):
+            slowdowns, avoided = [], 0
+            for role in EndpointRole:
+                rows = [
+                    (row, self.endpoint_stats.get(row))
+                    for row in self.directory.usable_endpoints(service, role)
+                ]
+                view = pool_view(rows, now)
+                if view is not None:
+                    paces = [row.pace for _, row in rows]
+                    slowdowns += [row.slowdown for row in paces if row.is_stated]
+                    avoided += len(view.failures.outliers)
+            if slowdowns:
+                mean = sum(slowdowns) / len(slowdowns)
+                found[service] = PaceGauges(mean, avoided)
+        return found
+
     def _budget(self, service: str) -> RetryBudget:
         found = self.budgets.get(service)
         if found is None:
--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -27,16 +27,29 @@
 PAUSE_BOUNDS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, float("inf"))
 
 
+class PaceGauges(NamedTuple):
+    """The endpoints of one service that states its pace.
+
+    ``slowdown`` is the mean of the smoothed slowdowns (1.0 is usual), ``avoided`` the
+    number of endpoints that are avoided because they fail part of their calls.
+    """
+
+    slowdown: float
+    avoided: int
+
+
 class GatewayGauges(NamedTuple):
     """Values that are sampled when the metrics are scraped.
 
-    ``read_age_s`` is the time since the last successful read, by topic.
+    ``read_age_s`` is the time since the last successful read, by topic. ``paces`` has
+    the services whose endpoints state their pace.
     """
 
     routes_version: int
     nodes: int
     endpoints: int
     read_age_s: dict[str, float]
+    paces: dict[str, PaceGauges]
 
 
 class GatewayMetrics:
@@ -120,6 +133,17 @@
             registry=registry,
         )
 
+        self.slowdown = Gauge(
+            "poplarfold_endpoint_slowdown",
+            "Mean stated slowdown of a service's endpoints, smoothed; 1 is usual.",
+            registry=registry,
+        )
+        self.avoided = Gauge(
+            "poplarfold_avoided_endpoints",
+            "Endpoints of a service that are avoided for their failures.",
+            registry=registry,
+        )
+
     def count_answer(self, kind: str, status: int, latency_s: float) -> None:
         """Count an answer that was forwarded to a caller."""
         with self.lock:
@@ -185,5 +209,8 @@
             self.endpoints.set({}, gauges.endpoints)
             for topic, age_s in gauges.read_age_s.items():
                 self.read_age.set({"topic": topic}, round(age_s, 3))
+            for service, pace in gauges.paces.items():
+                self.slowdown.set({"service": service}, round(pace.slowdown, 3))
+                self.avoided.set({"service": service}, pace.avoided)
             content, _ = render(self.registry, ["text/plain"])
         return bytes(content)
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -4,6 +4,7 @@
 
 from result import Result
 
+from poplarfold._internal.core.fleet.paced_choice import AttemptNeeds
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.daemon.endpoint_client import Answer, Failure, Target
@@ -41,6 +42,10 @@
         self.context = context
         self.fleet = context.services.fleet
         self.tried: set[str] = set()
+        # The endpoints at which an attempt failed, and those of them that answered it
+        # with an error.
+        self.failed_at: list[FleetEndpoint] = []
+        self.answered_errors: list[FleetEndpoint] = []
         self.sent_attempts = 0
         # False as soon as an attempt may have run.
         self.is_unexecuted = True
@@ -53,7 +58,11 @@
             if not self.may_try():
                 break
             endpoint = self.fleet.pick(
-                self.context.service, EndpointRole.SERVICE, self.tried
+                self.context.service,
+                EndpointRole.SERVICE,
+                self.tried,
+                self.needs(),
+                self.context.log,
             )
             if endpoint is None:
                 if not self.tried:
@@ -75,6 +84,17 @@
             return
         raise error if self.is_unexecuted is False else as_not_run_error(error)
 
+    def needs(self) -> AttemptNeeds:
+        """Return what the choice of the next endpoint has to consider.
+
+        A call that may be repeated but has no further attempt needs the same care as
+        one that may not.
+        """
+        route = self.context.route
+        may_repeat = route.repeatable and self.sent_attempts + 1 < route.max_attempts
+        failed_domain = self.failed_at[-1].failure_domain if self.failed_at else None
+        return AttemptNeeds(may_repeat, failed_domain)
+
     def may_try(self) -> bool:
         """Return whether another attempt is allowed; may take a retry."""
         context = self.context
@@ -113,6 +133,7 @@
             if context.caller_gone.is_set():
                 raise CallerDisconnectedError("the caller has disconnected")
             self.record_failure(endpoint, failure, started_at)
+            self.record_outcome(endpoint, ok=False)
             context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
             return None, self.error_for_caller(failure)
         answer = result.unwrap()
@@ -121,7 +142,11 @@
         self.sent_attempts += 1
         self.is_unexecuted = self.is_unexecuted and metadata.not_run
         ok = answer.status < SERVER_ERROR
-        self.fleet.record_answer(endpoint, started_at, ok, metadata.load)
+        self.fleet.record_answer(
+            endpoint, started_at, ok, metadata.load, metadata.not_run
+        )
+        if not metadata.not_run:
+            self.record_outcome(endpoint, ok, has_answered=True)
         if metadata.is_other_endpoint:
             self.fleet.record_unresponsive(endpoint)
         context.log_answer(
@@ -167,6 +192,32 @@
             # may close an idle connection at any time.
             self.fleet.record_answer(endpoint, started_at, ok=False)
 
+    def record_outcome(
+        self, endpoint: FleetEndpoint, ok: bool, has_answered: bool = False
+    ) -> None:
+        """Record whether an attempt succeeded, for the choice of the next endpoint.
+
+        If two endpoints answer a request with an error, it more likely lies with the
+        request, and their failures are taken back.
+        """
+        if self.failed_at:
+            first = self.failed_at[-1]
+            self.context.log(
+                "PF3602",
+                first=first.endpoint_id,
+                second=endpoint.endpoint_id,
+                same_domain=first.failure_domain == endpoint.failure_domain,
+                ok=ok,
+            )
+        if ok:
+            return
+        self.failed_at.append(endpoint)
+        if has_answered:
+            self.answered_errors.append(endpoint)
+        errors = self.answered_errors
+        if has_answered and len(errors) >= 2:
+            self.fleet.forgive_failures(errors if len(errors) == 2 else errors[-1:])
+
     def error_for_caller(self, failure: Failure) -> PoplarfoldError:
         """Return the error that the caller gets if no other attempt follows."""
         if boot_time() >= self.context.deadline_at:
--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from poplarfold._internal.core.fleet.admission_queue import WaitingStream, is_retry_call
+from poplarfold._internal.core.fleet.paced_choice import AttemptNeeds
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.exceptions import (
@@ -103,7 +104,9 @@
         )
         while True:
             self.context.check_caller()
-            endpoint = fleet.pick_in_turn(row)
+            endpoint = fleet.pick_in_turn(
+                row, AttemptNeeds(self.context.route.repeatable), self.context.log
+            )
             if endpoint is not None:
                 reservation = self.take_lease(endpoint)
                 if reservation is not None:
@@ -174,6 +177,7 @@
                 context.route,
                 reservation.endpoint,
                 context.call.prompt_tokens,
+                context.log,
             )
             if endpoint is None:
                 break
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -423,6 +423,20 @@
         ("problem",),
         "a role change is needed, but this node may not order it now",
     ),
+    EventKind(
+        "PF3601",
+        "endpoint_chosen",
+        ("service", "role", "choice", "skipped"),
+        "an endpoint was chosen in a service whose endpoints state their pace; choice "
+        "has the inputs, and skipped counts the choices since the last one logged",
+    ),
+    EventKind(
+        "PF3602",
+        "repeat_ended",
+        ("first", "second", "same_domain", "ok"),
+        "an attempt at another endpoint ended after one that failed; same_domain says "
+        "whether both endpoints share a failure domain",
+    ),
     EventKind(
         "PF6301",
         "nodes_counted",
--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -252,15 +252,20 @@
 
 
 def decode_load(value: str | None) -> EndpointLoad | None:
-    """Decode ``RUNNING,WAITING,SLOTS``, or return None if it is malformed."""
+    """Decode ``RUNNING,WAITING,SLOTS`` or ``RUNNING,WAITING,SLOTS,PERCENT``.
+
+    Returns None if one of the first three figures is missing or malformed. Further
+    figures than these are ignored, as is a malformed fourth one.
+    """
     parts = value.split(",") if value else []
-    if len(parts) != 3:
-        return None
-    numbers = [decode_number(part) for part in parts]
-    if None in numbers:
+    numbers = [decode_number(part) for part in parts[:3]]
+    if len(numbers) < 3 or None in numbers:
         return None
     running, waiting, slots = (int(number or 0) for number in numbers)
-    return EndpointLoad(running, waiting, slots)
+    percent = decode_number(parts[3]) if len(parts) > 3 else None
+    # No work takes no time: zero is no pace.
+    slowdown = percent / 100 if percent else None
+    return EndpointLoad(running, waiting, slots, slowdown)
 
 
 def caller_answer_headers(
