Bound the candidates of a choice by pace, and record the load of streams

Cause: comparing one endpoint by its pace takes three times as long as before: 728 us of processor time for 48 endpoints, against 235 us. A decode engine's pace was learned from its leases only. The gauges of a service kept their last values after its endpoints left.

Change: at most 24 free endpoints are compared where endpoints state their pace. They are drawn after the full ones have been left out, so that the only free one is found. The load of a stream's response is recorded if it states a slowdown.

--- a/src/poplarfold/_internal/core/fleet/choice.py
+++ b/src/poplarfold/_internal/core/fleet/choice.py
@@ -55,6 +55,9 @@
 # If there are more endpoints, each call compares a random sample of this many, so that
 # the time of a choice does not grow with the fleet.
 CANDIDATES_MAX = 48
+# The same where endpoints state their pace, since comparing one then takes three times
+# as long.
+PACED_CANDIDATES_MAX = 24
 
 
 def round_trip_s(
@@ -171,7 +174,10 @@
     free = [pair for pair in responsive or rows if pair[1].full_until <= now]
     if not free:
         return None
-    pool = pool_view(pool_rows, now)
+    is_paced = any(row.pace.is_stated for _, row in pool_rows)
+    if is_paced and rng is not None and len(free) > PACED_CANDIDATES_MAX:
+        free = pool_rows = rng.sample(free, PACED_CANDIDATES_MAX)
+    pool = pool_view(pool_rows, now) if is_paced else None
     if pool is None:
         best = min(
             free,
--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -143,6 +143,7 @@
             "Endpoints of a service that are avoided for their failures.",
             registry=registry,
         )
+        self.paces: dict[str, PaceGauges] = {}
 
     def count_answer(self, kind: str, status: int, latency_s: float) -> None:
         """Count an answer that was forwarded to a caller."""
@@ -209,7 +210,10 @@
             self.endpoints.set({}, gauges.endpoints)
             for topic, age_s in gauges.read_age_s.items():
                 self.read_age.set({"topic": topic}, round(age_s, 3))
-            for service, pace in gauges.paces.items():
+            # A service whose endpoints have left must not keep its last values.
+            self.paces = {service: PaceGauges(1.0, 0) for service in self.paces}
+            self.paces.update(gauges.paces)
+            for service, pace in self.paces.items():
                 self.slowdown.set({"service": service}, round(pace.slowdown, 3))
                 self.avoided.set({"service": service}, pace.avoided)
             content, _ = render(self.registry, ["text/plain"])
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -182,6 +182,8 @@
             self.is_unexecuted = False
             raise ResponseMismatchError("the answer does not belong to the request")
         context.services.record_signal(endpoint, metadata.signal)
+        if metadata.load is not None and metadata.load.slowdown is not None:
+            self.fleet.record_load(endpoint, metadata.load)
         self.is_unexecuted = self.is_unexecuted and metadata.not_run
         context.log_answer(
             endpoint.endpoint_id, stream.status, metadata.not_run, started_at
