Pass a caller to the calls of the second-attempt tests

Cause: the call context takes the admitted caller since API keys are checked, and the tests were written beside that change. The checks are unchanged.

--- a/tests/unit/test_second_attempts.py
+++ b/tests/unit/test_second_attempts.py
@@ -7,6 +7,7 @@
 from tests.lib.platform_standin import configuration
 from tests.lib.relay_nodes import host_settings
 
+from poplarfold._internal.core.fleet.account_admission import AdmittedCaller
 from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.daemon.endpoint_client import Answer
@@ -74,7 +75,9 @@
         matched = self.fleet.match(call.host, call.path)
         self.fleet.record_request(matched.service)
         try:
-            PlainCall(CallContext(services, exchange, call, matched, b"")).run()
+            caller = AdmittedCaller()
+            context = CallContext(services, exchange, call, matched, b"", caller)
+            PlainCall(context).run()
         except EndpointError:
             return 502
         return statuses[0]
