Order waiting streams fairly between accounts, and wait by a forecast

Cause: each host sees about 0.2 streams per second, and engines grant slots to whoever asks first. Retries therefore compete on equal terms with streams that can still be on time, and are given up after 0.55 of the target. Waits are fixed shares of the target, whatever the state of the engines. One account can fill the queue.

Change: with accounts, the queue of a service is ordered by start-time fair queueing over the tokens of a stream, bounded in all and per account. With the setting forecast_waits (off by default) a stream waits until the learned setup time would make it late; retries wait longer, but ask about once per expected wait. The expected wait is learned from recent waits of the region, which cost reports carry, and from the loads of the engines. Retry-After is the time in which the engines serve the present demand, with jitter, at most a third of the caller's remaining time. PF3611 and two metrics say why streams were refused.

It has not been measured on the platform, so the default stays with the fixed shares.

--- a/src/poplarfold/_internal/core/fleet/admission_queue.py
+++ b/src/poplarfold/_internal/core/fleet/admission_queue.py
@@ -3,15 +3,29 @@
 In a burst of streams, decode slots are the scarce resource, and each stream holds
 one for seconds. Calls that can still meet their latency target go first, in the
 order of their arrival. Retries of rejected calls have already missed the target
-and get the slots that the others leave.
+and get the slots that the others leave. Where the configuration has client accounts,
+the streams that are equally urgent are ordered fairly between accounts instead.
 """
 
+import math
+from collections import Counter
 from typing import NamedTuple
 
+from poplarfold._internal.core.fleet.fair_order import (
+    FairOrder,
+    StreamClass,
+    WaitingWork,
+)
 from poplarfold._internal.core.state import Table
 
 __all__ = ["AdmissionPolicy", "AdmissionQueue", "WaitingStream", "is_retry_call"]
 
+# With forecasts of waits, callers may be told to come back after this share of the
+# usual time. It stays well above the differences between the patience of new callers.
+SHORTEST_RETRY_SHARE = 0.5
+# A stream without an account, and without a route that the metrics should name.
+NO_CLASS = StreamClass()
+
 
 class AdmissionPolicy(NamedTuple):
     """Limits on the time that a stream waits for a decode slot.
@@ -21,12 +35,38 @@
     ``late_wait_share`` of it. A rejected caller is told to retry after
     ``retry_after_s``. An engine that has refused a lease is asked again after about
     ``full_retry_s``.
+
+    If ``forecast_waits`` is not 0, waits follow from what was learned instead, see
+    ``slot_wait``: ``fresh_wait_share`` is then the least wait of a call that can meet
+    its target, any other call waits for up to ``late_wait_decodes`` mean decode times,
+    and ``retry_after_s`` applies only while nothing has been learned.
+
+    With client accounts, at most ``queue_max`` streams wait.
     """
 
     fresh_wait_share: float = 0.55
     late_wait_share: float = 0.55
     retry_after_s: float = 4.0
     full_retry_s: float = 0.06
+    forecast_waits: int = 0
+    late_wait_decodes: float = 0.5
+    queue_max: int = 48
+
+    @property
+    def shortest_retry_s(self) -> float:
+        """The shortest time after which a refused caller is told to come back.
+
+        A caller that comes back earlier counts as a new one.
+        """
+        share = SHORTEST_RETRY_SHARE if self.forecast_waits else 1.0
+        return share * self.retry_after_s
+
+    def rejection_time(
+        self, arrived_at: float, target_s: float, is_late: bool
+    ) -> float:
+        """Return when a stream without a slot is rejected, by shares of its target."""
+        share = self.late_wait_share if is_late else self.fresh_wait_share
+        return arrived_at + share * target_s
 
 
 class WaitingStream(NamedTuple):
@@ -34,7 +74,8 @@
 
     ``target_s`` is its latency target, and ``is_late`` is set if the stream has
     already missed the target. ``is_requesting_lease`` is set while the stream waits
-    for an engine to answer a request for a lease.
+    for an engine to answer a request for a lease. It asks for none before
+    ``next_ask_at``. A slot lets it meet the target until ``on_time_until``.
     """
 
     ticket: int
@@ -43,6 +84,15 @@
     is_late: bool
     target_s: float
     is_requesting_lease: bool = False
+    kind: StreamClass = NO_CLASS
+    on_time_until: float = math.inf
+    next_ask_at: float = 0.0
+
+    def urgency(self, now: float) -> int:
+        """Return 0 if the stream can be on time, 1 for a retry, else 2."""
+        if self.is_late:
+            return 1
+        return 0 if now <= self.on_time_until else 2
 
 
 def is_retry_call(wait_s: float, timeout_s: float, retry_after_s: float) -> bool:
@@ -63,14 +113,70 @@
         self.policy = policy
         self.waiting: Table[int, WaitingStream] = Table()
         self.last_ticket = 0
+        # By service.
+        self.orders: dict[str, FairOrder] = {}
 
     def add(
-        self, service: str, is_late: bool, target_s: float, now: float
+        self,
+        service: str,
+        is_late: bool,
+        target_s: float,
+        now: float,
+        kind: StreamClass = NO_CLASS,
+        on_time_until: float = math.inf,
     ) -> WaitingStream:
-        """Add a stream to the queue."""
+        """Add a stream to the queue; with accounts, another one may overflow."""
         self.last_ticket += 1
-        row = WaitingStream(self.last_ticket, service, now, is_late, target_s)
-        return self.waiting.put(row.ticket, row)
+        row = WaitingStream(
+            self.last_ticket, service, now, is_late, target_s, False, kind,
+            on_time_until,
+        )  # fmt: skip
+        self.waiting.put(row.ticket, row)
+        if kind.account is not None:
+            self.remove_overflow(service, now)
+        return row
+
+    def remove_overflow(self, service: str, now: float) -> None:
+        """Remove the stream that is too many, if there is one.
+
+        A stream that is requesting a lease may hold one already and stays.
+        """
+        rows = self.work(service, now)
+        found = self.order(service).overflow(rows, self.policy.queue_max)
+        if found is not None:
+            self.remove(found.ticket)
+
+    def contains(self, ticket: int) -> bool:
+        """Return whether a stream still waits, so that it has not overflowed."""
+        return ticket in self.waiting
+
+    def order(self, service: str) -> FairOrder:
+        """Return the order of the accounts of a service."""
+        return self.orders.setdefault(service, FairOrder())
+
+    def work(self, service: str, now: float) -> list[WaitingWork]:
+        """Return the waiting streams of a service that request no lease now."""
+        return [
+            WaitingWork(row.ticket, row.kind, row.urgency(now))
+            for row in self.waiting.values()
+            if row.service == service and not row.is_requesting_lease
+        ]
+
+    def record_placed(self, ticket: int) -> None:
+        """Charge a stream that got a slot to its account."""
+        row = self.waiting.get(ticket)
+        if row is not None and row.kind.account is not None:
+            self.order(row.service).record_placed(row.kind)
+
+    def delay(self, ticket: int, next_ask_at: float) -> None:
+        """Let a stream ask for no lease before ``next_ask_at``."""
+        row = self.waiting.get(ticket)
+        if row is not None:
+            self.waiting.put(ticket, row._replace(next_ask_at=next_ask_at))
+
+    def lengths(self) -> dict[tuple[str, str], int]:
+        """Return the number of waiting streams by service and route."""
+        return Counter((row.service, row.kind.route) for row in self.waiting.values())
 
     def remove(self, ticket: int) -> None:
         """Remove a stream that was placed, rejected or cancelled."""
@@ -78,25 +184,41 @@
 
     def set_requesting_lease(self, ticket: int, is_requesting_lease: bool) -> None:
         """Record whether a stream is requesting a lease, which may take a while."""
-        row = self.waiting[ticket]
+        row = self.waiting.get(ticket)
+        if row is None:
+            return
         self.waiting.put(ticket, row._replace(is_requesting_lease=is_requesting_lease))
 
-    def position(self, ticket: int) -> int:
+    def position(self, ticket: int, now: float = 0.0) -> int:
         """Return how many streams of the same service are ahead of this one.
 
         Streams that are requesting a lease do not count, so that a slow engine does
-        not block the queue.
+        not block the queue, nor do streams that pause between two requests. ``now``
+        is needed only where streams pause or belong to accounts.
         """
         row = self.waiting[ticket]
+        if row.kind.account is not None:
+            return self.fair_position(row, now)
         rank = (row.is_late, row.ticket)
         return sum(
             (other.is_late, other.ticket) < rank
             for other in self.waiting.values()
-            if other.service == row.service and not other.is_requesting_lease
+            if other.service == row.service
+            and not other.is_requesting_lease
+            and other.next_ask_at <= now
         )
 
+    def fair_position(self, row: WaitingStream, now: float) -> int:
+        """Return the position of a stream in the fair order of the accounts."""
+        work = [
+            other
+            for other in self.work(row.service, now)
+            if other.ticket == row.ticket
+            or self.waiting[other.ticket].next_ask_at <= now
+        ]
+        tickets = [other.ticket for other in self.order(row.service).sorted(work)]
+        return tickets.index(row.ticket) if row.ticket in tickets else 0
+
     def rejection_time(self, row: WaitingStream) -> float:
         """Return the time at which a stream that has no slot yet is rejected."""
-        policy = self.policy
-        share = policy.late_wait_share if row.is_late else policy.fresh_wait_share
-        return row.arrived_at + share * row.target_s
+        return self.policy.rejection_time(row.arrived_at, row.target_s, row.is_late)
--- a/src/poplarfold/_internal/core/fleet/relay_messages.py
+++ b/src/poplarfold/_internal/core/fleet/relay_messages.py
@@ -105,7 +105,11 @@
 
 
 class CostReport(NamedTuple):
-    """What the sender has learned about the cost of a stream."""
+    """What the sender has learned about the cost of a stream.
+
+    The last three fields are its recent waits for a slot, weighted by their age at the
+    time of sending, see ``SlotWaits``.
+    """
 
     prefill_count: int
     stream_count: int
@@ -115,6 +119,9 @@
     reserved_tokens: float
     prefill_wait_s: float = 0.0
     slot_wait_s: float = 0.0
+    recent_waited_s: float = 0.0
+    recent_placed: float = 0.0
+    recent_refused: float = 0.0
 
 
 class FleetCost(NamedTuple):
--- a/src/poplarfold/_internal/core/fleet/stream_cost.py
+++ b/src/poplarfold/_internal/core/fleet/stream_cost.py
@@ -94,7 +94,8 @@
     @classmethod
     def of_report(cls, report: CostReport) -> "StreamCost":
         """Return the cost that another node has passed on."""
-        return cls(**report._asdict())
+        known = report._asdict()
+        return cls(**{name: known[name] for name in cls._fields if name in known})
 
     def with_prefill(self, seconds: float, tokens: int) -> "StreamCost":
         """Return the cost updated with another prefill."""
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -514,11 +514,18 @@
 
 
 class DecodePoolFullError(PoplarfoldError):
-    """All decode engines are full. The call has not run."""
+    """All decode engines are full. The call has not run.
+
+    Room is expected in ``remaining_s``, or after the usual time if that is None.
+    """
 
     code = "no_room"
     status = 503
 
+    def __init__(self, message: str, remaining_s: float | None = None) -> None:
+        super().__init__(message)
+        self.remaining_s = remaining_s
+
 
 class CallTimeoutError(PoplarfoldError):
     """The call has reached its deadline. It may have run."""
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -3,7 +3,7 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple, TypedDict
 
 from poplarfold._internal.core.fleet.account_admission import (
@@ -42,6 +42,14 @@
     ServerSignal,
     ServerSignals,
 )
+from poplarfold._internal.core.fleet.slot_outlook import (
+    SetupTime,
+    SlotOutlook,
+    SlotWaits,
+    add_waits,
+    engine_room,
+)
+from poplarfold._internal.core.fleet.slot_wait import next_ask_at
 from poplarfold._internal.core.fleet.stream_cost import (
     OWN_PREFILL_SLOWDOWN,
     StreamCost,
@@ -126,6 +134,10 @@
         # The cost of a stream as learned by this node, and by all nodes of its region.
         self.own_cost = StreamCost()
         self.region_cost = StreamCost()
+        # Recent waits for a slot at this node, and those of all nodes of its region.
+        self.own_waits = SlotWaits()
+        self.region_waits = SlotWaits()
+        self.setup_time = SetupTime()
         self.output_forecast = OutputForecast()
         # A planned stop sets the time after which new streams are rejected, and the
         # one at which all calls must have been answered.
@@ -142,19 +154,82 @@
     def own_cost_report(self) -> CostReport:
         """Return what this node has learned, for its relays."""
         with self.lock:
-            return self.own_cost.report()
+            return report_waits(self.own_cost.report(), self.own_waits, self.clock())
 
-    def merge_costs(self, reports: Iterable[CostReport]) -> CostReport:
+    def merge_costs(self, reports: Sequence[CostReport]) -> CostReport:
         """Combine the reports of other nodes with what this node has learned."""
         others = [StreamCost.of_report(report) for report in reports]
         with self.lock:
+            now = self.clock()
             self.region_cost = merge_costs([self.own_cost, *others])
-            return self.region_cost.report()
+            waits = [reported_waits(report, now) for report in reports]
+            self.region_waits = add_waits([self.own_waits, *waits], now)
+            return report_waits(self.region_cost.report(), self.region_waits, now)
 
     def set_fleet_cost(self, report: CostReport) -> None:
         """Record what the nodes of the region have learned together."""
         with self.lock:
             self.region_cost = StreamCost.of_report(report)
+            self.region_waits = reported_waits(report, self.clock())
+
+    def slot_outlook(self, service: str) -> SlotOutlook:
+        """Return what this node expects of the decode engines. The lock must be held.
+
+        Without forecasts of waits nothing is learned, and the outlook is unknown.
+        """
+        if not self.settings.door.forecast_waits:
+            return SlotOutlook()
+        now = self.clock()
+        table = self.directory.route_table
+        details = table.services.get(service) if table else None
+        own, region = self.own_waits.at_time(now), self.region_waits.at_time(now)
+        waits = region if region.weight > own.weight else own
+        engines = self.callable_endpoints(service, EndpointRole.DECODE)
+        sample = sample_candidates(engines, self.rng)
+        stats = [self.endpoint_stats.get(row) for row in sample]
+        room = engine_room(stats, details or Service(service), self.cost, now)
+        room = room.scaled(len(engines))
+        return SlotOutlook(waits, room, self.setup_time.expected_s, self.cost.decode_s)
+
+    def is_waiting(self, row: WaitingStream) -> bool:
+        """Return whether a stream is still in the admission queue."""
+        with self.lock:
+            return self.admission_queue.contains(row.ticket)
+
+    def has_decode_engine(self, row: WaitingStream) -> bool:
+        """Return whether some decode engine of a stream's service may respond."""
+        with self.lock:
+            now = self.clock()
+            return any(
+                self.endpoint_stats.get(endpoint).cooldown_until <= now
+                for endpoint in self.callable_endpoints(
+                    row.service, EndpointRole.DECODE
+                )
+            )
+
+    def leave_queue(
+        self, row: WaitingStream, wait_s: float, is_placed: bool, is_gone: bool
+    ) -> None:
+        """Remove a stream from the admission queue, and learn from its wait.
+
+        The waits of retries, and of callers that have left, do not tell how long a
+        new stream waits.
+        """
+        self.record_slot_wait(wait_s)
+        with self.lock:
+            if is_placed:
+                self.admission_queue.record_placed(row.ticket)
+            is_fresh = not row.is_late and not is_gone
+            if is_fresh and self.settings.door.forecast_waits:
+                now = self.clock()
+                self.own_waits = self.own_waits.with_wait(wait_s, is_placed, now)
+            self.admission_queue.remove(row.ticket)
+            self.changed.notify_all()
+
+    def record_setup(self, seconds: float) -> None:
+        """Record the time from a slot to the first event of a stream."""
+        with self.lock:
+            self.setup_time = self.setup_time.with_setup(seconds)
 
     def gauges(self) -> GatewayGauges:
         """Return the current values of the metrics' gauges."""
@@ -167,6 +242,7 @@
                 len(self.directory.endpoints),
                 {topic: now - row.read_at for topic, row in self.knowledge.items()},
                 frozenset(table.accounts.accounts if table and table.accounts else ()),
+                self.admission_queue.lengths(),
             )
 
     def node_count(self) -> int:
@@ -259,9 +335,17 @@
         The stream then no longer blocks the streams behind it, until ``requeue``.
         """
         with self.lock:
-            if self.admission_queue.position(row.ticket) > 0:
+            now = self.clock()
+            waiting = self.admission_queue.waiting.get(row.ticket)
+            if waiting is None or waiting.next_ask_at > now:
+                return None
+            if self.admission_queue.position(row.ticket, now) > 0:
                 return None
             endpoint = self._choose(row.service, EndpointRole.DECODE, ())
+            if endpoint is None and self.settings.door.forecast_waits:
+                outlook = self.slot_outlook(row.service)
+                ask_at = next_ask_at(row.on_time_until, outlook, now, self.rng)
+                self.admission_queue.delay(row.ticket, ask_at)
             if endpoint is not None:
                 self.endpoint_stats.start_call(endpoint)
                 self.admission_queue.set_requesting_lease(row.ticket, True)
@@ -468,3 +552,20 @@
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
             )
         return found
+
+
+def report_waits(report: CostReport, waits: SlotWaits, now: float) -> CostReport:
+    """Return a report with recent waits, rounded so that old ones become 0."""
+    row = waits.at_time(now)
+    return report._replace(
+        recent_waited_s=round(row.waited_s, 1),
+        recent_placed=round(row.placed, 1),
+        recent_refused=round(row.refused, 1),
+    )
+
+
+def reported_waits(report: CostReport, now: float) -> SlotWaits:
+    """Return the recent waits of a report that has just arrived."""
+    return SlotWaits(
+        report.recent_waited_s, report.recent_placed, report.recent_refused, now
+    )
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -7,6 +7,7 @@
 from poplarfold._internal.exceptions import (
     CallerDisconnectedError,
     ConfigurationTooOldError,
+    DecodePoolFullError,
     EndpointsAwayError,
     NoRouteTableError,
     NotRunError,
@@ -169,6 +170,8 @@
             error, EndpointsAwayError | PromptBlockedError | ConfigurationTooOldError
         ):
             retry_after_s = error.remaining_s
+        elif isinstance(error, DecodePoolFullError) and error.remaining_s is not None:
+            retry_after_s = error.remaining_s
         send_error(exchange, call.request_id, error, retry_after_s)
 
     def log_end(self, call: CallerCall, error: PoplarfoldError) -> None:
--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -1,8 +1,9 @@
 """The router's counters and latency histograms on the platform."""
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
+from types import MappingProxyType
 from typing import NamedTuple
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -35,7 +36,8 @@
     """Values that are sampled when the metrics are scraped.
 
     ``read_age_s`` is the time since the last successful read, by topic. ``accounts``
-    are the names of the accounts of the configuration.
+    are the names of the accounts of the configuration. ``waiting`` is the number of
+    streams that wait for a slot, by service and route.
     """
 
     routes_version: int
@@ -43,6 +45,7 @@
     endpoints: int
     read_age_s: dict[str, float]
     accounts: frozenset[str] = frozenset()
+    waiting: Mapping[tuple[str, str], int] = MappingProxyType({})
 
 
 class GatewayMetrics:
@@ -59,6 +62,16 @@
         self.error_responses = Counter(
             "poplarfold_refusals_total", "Refusals by code.", registry=registry
         )
+        self.waiting = Gauge(
+            "poplarfold_waiting_streams",
+            "Streams that wait for a decode slot, by service and route.",
+            registry=registry,
+        )
+        self.stream_refusals = Counter(
+            "poplarfold_stream_refusals_total",
+            "Streams that were refused without a decode slot, by reason.",
+            registry=registry,
+        )
         self.account_calls = Counter(
             "poplarfold_account_calls_total",
             "Calls with a valid API key by account and result.",
@@ -207,6 +220,11 @@
             outcome = "ok" if is_ok else "failed"
             self.store_calls.inc({"call": call, "outcome": outcome})
 
+    def count_stream_refusal(self, reason: str) -> None:
+        """Count a stream that got no decode slot."""
+        with self.lock:
+            self.stream_refusals.inc({"reason": reason})
+
     def observe_wait(self, outcome: str, wait_s: float) -> None:
         """Record how long a stream waited for a decode slot."""
         with self.lock:
@@ -224,6 +242,9 @@
             self.nodes.set({}, gauges.nodes)
             self.endpoints.set({}, gauges.endpoints)
             self.drop_accounts_except(gauges.accounts)
+            self.waiting.values.clear()
+            for (service, route), count in gauges.waiting.items():
+                self.waiting.set({"service": service, "route": route}, count)
             for topic, age_s in gauges.read_age_s.items():
                 self.read_age.set({"topic": topic}, round(age_s, 3))
             content, _ = render(self.registry, ["text/plain"])
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/slot_turn.py
@@ -0,0 +1,116 @@
+"""The wait of one stream for a decode slot: its place, its limit, and its refusal."""
+
+from poplarfold._internal.core.fleet.admission_queue import WaitingStream, is_retry_call
+from poplarfold._internal.core.fleet.fair_order import StreamClass
+from poplarfold._internal.core.fleet.slot_outlook import SlotOutlook
+from poplarfold._internal.core.fleet.slot_wait import WaitPlan, plan_wait
+from poplarfold._internal.exceptions import DecodePoolFullError
+from poplarfold._internal.gateway.context import CallContext
+
+__all__ = ["SlotTurn"]
+
+
+class SlotTurn:
+    """A stream's place in the admission queue, from its arrival until it leaves."""
+
+    def __init__(self, context: CallContext) -> None:
+        self.context = context
+        self.fleet = context.services.fleet
+        self.policy = self.fleet.settings.door
+        route = context.route
+        retry_s = self.policy.shortest_retry_s
+        wait_s = context.deadline_at - context.arrived_at
+        self.is_late = is_retry_call(wait_s, route.timeout_s, retry_s)
+        with self.fleet.lock:
+            now = self.fleet.clock()
+            outlook = self.fleet.slot_outlook(context.service)
+            self.plan = self.plan_wait(outlook, now)
+            self.row: WaitingStream = self.fleet.admission_queue.add(
+                context.service,
+                self.is_late,
+                route.target_s,
+                now,
+                stream_class(context),
+                self.plan.on_time_until,
+            )
+
+    def plan_wait(self, outlook: SlotOutlook, now: float) -> WaitPlan:
+        """Return how long the stream waits, by the settings."""
+        context = self.context
+        target_s = context.route.target_s
+        if self.policy.forecast_waits:
+            return plan_wait(
+                self.policy, outlook, now, context.deadline_at, target_s, self.is_late
+            )
+        until = self.policy.rejection_time(now, target_s, self.is_late)
+        return WaitPlan(min(until, context.deadline_at), until)
+
+    def check(self) -> float:
+        """Return the time that is left. Raises DecodePoolFullError if none is."""
+        left_s = self.plan.until - self.fleet.clock()
+        if not self.fleet.is_waiting(self.row):
+            raise self.refusal("queue_full")
+        if self.policy.forecast_waits and not self.fleet.has_decode_engine(self.row):
+            raise self.refusal("no_engine")
+        if left_s <= 0:
+            raise self.refusal("late_wait" if self.is_late else "target")
+        return left_s
+
+    def refusal(self, reason: str) -> DecodePoolFullError:
+        """Return the error that tells the caller when to come back, and log it."""
+        context = self.context
+        fleet = self.fleet
+        now = self.fleet.clock()
+        with fleet.lock:
+            outlook = fleet.slot_outlook(context.service)
+            position = None
+            if fleet.admission_queue.contains(self.row.ticket):
+                position = fleet.admission_queue.position(self.row.ticket, now)
+            retry_after_s = None
+            if self.policy.forecast_waits:
+                retry_after_s = outlook.retry_after_s(
+                    self.policy.retry_after_s,
+                    self.policy.shortest_retry_s,
+                    max(0.0, context.deadline_at - now),
+                    fleet.rng,
+                )
+        expected_s = outlook.expected_s
+        context.services.metrics.count_stream_refusal(reason)
+        context.log(
+            "PF3611",
+            reason=reason,
+            position=position,
+            expected_s=None if expected_s is None else round(expected_s, 3),
+            waited_s=round(now - self.row.arrived_at, 3),
+            target_s=context.route.target_s,
+            is_late=self.is_late,
+            retry_after_s=None if retry_after_s is None else round(retry_after_s, 3),
+        )
+        return DecodePoolFullError("all decode engines are full", retry_after_s)
+
+    def end(self, is_placed: bool) -> None:
+        """Leave the queue, with or without a slot."""
+        now = self.fleet.clock()
+        wait_s = now - self.row.arrived_at
+        outcome = "placed" if is_placed else "refused"
+        self.context.services.metrics.observe_wait(outcome, wait_s)
+        is_gone = self.context.caller_gone.is_set()
+        self.fleet.leave_queue(self.row, wait_s, is_placed, is_gone)
+
+
+def stream_class(context: CallContext) -> StreamClass:
+    """Return the account and class of a stream; the account is None without accounts.
+
+    Streams of public routes share the account with the empty name.
+    """
+    route = context.route.name
+    if context.priority is None:
+        return StreamClass(route=route)
+    call = context.call
+    outputs = call.expected_outputs or call.max_outputs
+    return StreamClass(
+        context.account_name or "",
+        route,
+        context.priority,
+        float(call.prompt_tokens + outputs),
+    )
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -336,6 +336,8 @@
         headers = caller_answer_headers(stream.headers.items())
         context.exchange.begin_stream(stream.status, headers, event_bytes)
         endpoint = prepared.reservation.endpoint
+        if self.attempts == 1:
+            self.fleet.record_setup(now - self.setup.reserved_at)
         self.fleet.record_answer(endpoint, started_at, ok=True)
         self.fleet.record_stream_start(endpoint)
         if prepared.prefill is not None:
--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -6,15 +6,15 @@
 
 from typing import NamedTuple
 
-from poplarfold._internal.core.fleet.admission_queue import WaitingStream, is_retry_call
+from poplarfold._internal.core.fleet.admission_queue import WaitingStream
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.exceptions import (
-    DecodePoolFullError,
     EndpointRefusedError,
     EndpointUnreachableError,
 )
 from poplarfold._internal.gateway.context import CallContext
+from poplarfold._internal.gateway.slot_turn import SlotTurn
 from poplarfold._internal.platform import CallTarget
 from poplarfold._internal.utils.clock import boot_time
 
@@ -70,38 +70,23 @@
         # The first prefill of a request that an engine accepts is not counted as an
         # arrival by the retry budget; each further one is.
         self.has_prefilled = False
+        self.reserved_at = 0.0
 
     def reserve(self) -> Reservation:
         """Wait for a decode slot. Raises DecodePoolFullError if all stay full."""
-        context = self.context
-        fleet = self.fleet
-        wait_s = context.deadline_at - context.arrived_at
-        is_late = is_retry_call(
-            wait_s, context.route.timeout_s, self.settings.door.retry_after_s
-        )
-        with fleet.lock:
-            row = fleet.admission_queue.add(
-                context.service, is_late, context.route.target_s, fleet.clock()
-            )
-        outcome = "refused"
+        turn = SlotTurn(self.context)
+        is_placed = False
         try:
-            reservation = self.wait_for_slot(row)
-            outcome = "placed"
+            reservation = self.wait_for_slot(turn, turn.row)
+            is_placed = True
+            self.reserved_at = boot_time()
             return reservation
         finally:
-            wait_s = boot_time() - row.arrived_at
-            self.services.metrics.observe_wait(outcome, wait_s)
-            fleet.record_slot_wait(wait_s)
-            with fleet.lock:
-                fleet.admission_queue.remove(row.ticket)
-                fleet.changed.notify_all()
+            turn.end(is_placed)
 
-    def wait_for_slot(self, row: WaitingStream) -> Reservation:
+    def wait_for_slot(self, turn: SlotTurn, row: WaitingStream) -> Reservation:
         """Request slots from engines while this stream is first in the queue."""
         fleet = self.fleet
-        rejection_time = min(
-            fleet.admission_queue.rejection_time(row), self.context.deadline_at
-        )
         while True:
             self.context.check_caller()
             endpoint = fleet.pick_in_turn(row)
@@ -110,14 +95,12 @@
                 if reservation is not None:
                     return reservation
                 fleet.requeue(row)
-            now = boot_time()
             if endpoint is None:
                 fleet.check_pool(row.service, EndpointRole.DECODE)
-            if now >= rejection_time:
-                raise DecodePoolFullError("all decode engines are full")
+            left_s = turn.check()
             if endpoint is None:
                 with fleet.lock:
-                    fleet.changed.wait(min(SLOT_RECHECK_PERIOD_S, rejection_time - now))
+                    fleet.changed.wait(min(SLOT_RECHECK_PERIOD_S, left_s))
 
     def take_lease(self, endpoint: FleetEndpoint) -> Reservation | None:
         """Request a slot from one engine; return None if it was not granted.
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -445,6 +445,14 @@
         ("problem",),
         "a role change is needed, but this node may not order it now",
     ),
+    EventKind(
+        "PF3611",
+        "stream_refused",
+        ("reason", "position", "expected_s", "waited_s")
+        + ("target_s", "is_late", "retry_after_s"),
+        "a stream got no decode slot; with its place in this node's queue, the wait "
+        "that was expected of a new stream, and its latency target",
+    ),
     EventKind(
         "PF6301",
         "nodes_counted",
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -20,6 +20,7 @@
     wait_until,
 )
 from tests.lib.platform_standin import (
+    STREAMED,
     EndpointStandIn,
     configuration,
 )
@@ -75,6 +76,18 @@
     assert len(fleet.prefill.prefills) == 1
 
 
+def test_refused_stream_is_told_when_room_is_expected(fleet):
+    """Guards against a time to come back that the caller would not honour."""
+    fleet.decode.faults.add("no_room")
+    with fleet.settings.open("a") as settings:
+        settings.write("[door]\nforecast_waits = 1\n")
+    fleet.restart()
+    refused = fleet.caption()
+    assert refused.status == 503
+    assert 0 < float(refused.getheader("Retry-After")) <= STREAMED["timeout_ms"] / 3_000
+    wait_until(lambda: b"PF3611" in fleet.log.read_bytes(), READY_LIMIT_S)
+
+
 def test_refused_prefill_is_left_to_the_decode_engine(fleet):
     """Guards against releasing the decode slot when the prefill engine is full.
 
