Use forecasts of waits where the configuration has accounts

Cause: forecasts were off in all deployments unless set, also where accounts ask for the new admission. Change: forecast_waits is 0 for forecasts only with accounts, 1 always, 2 never. Measured: the unit tests of the decisions, the model and the documents pass, and so do test_gateway and test_api_keys. In the same run, beside other load (load average 11 to 14 on 7 cores), test_endpoint_that_asks_for_a_pause_is_not_called[/lookup/1] of test_leaving_and_pauses failed once: a plain call of 12 did not get 200. It passed in six later runs. The cause was not traced; plain calls do not wait for slots. Conclusion: deployments without accounts wait as before.

--- a/src/poplarfold/_internal/core/fleet/admission_queue.py
+++ b/src/poplarfold/_internal/core/fleet/admission_queue.py
@@ -36,8 +36,9 @@
     ``retry_after_s``. An engine that has refused a lease is asked again after about
     ``full_retry_s``.
 
-    If ``forecast_waits`` is not 0, waits follow from what was learned instead, see
-    ``slot_wait``: ``fresh_wait_share`` is then the least wait of a call that can meet
+    ``forecast_waits`` is 0 for forecasts only if there are client accounts, 1 always,
+    and 2 never. With forecasts, waits follow from what was learned, see ``slot_wait``:
+    ``fresh_wait_share`` is then the least wait of a call that can meet
     its target, any other call waits for up to ``late_wait_decodes`` mean decode times,
     and ``retry_after_s`` applies only while nothing has been learned.
 
@@ -52,13 +53,16 @@
     late_wait_decodes: float = 0.5
     queue_max: int = 48
 
-    @property
-    def shortest_retry_s(self) -> float:
+    def uses_forecasts(self, has_accounts: bool) -> bool:
+        """Return whether waits follow from what was learned."""
+        return self.forecast_waits == 1 or (self.forecast_waits == 0 and has_accounts)
+
+    def shortest_retry_s(self, uses_forecasts: bool) -> float:
         """The shortest time after which a refused caller is told to come back.
 
         A caller that comes back earlier counts as a new one.
         """
-        share = SHORTEST_RETRY_SHARE if self.forecast_waits else 1.0
+        share = SHORTEST_RETRY_SHARE if uses_forecasts else 1.0
         return share * self.retry_after_s
 
     def rejection_time(
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -172,12 +172,19 @@
             self.region_cost = StreamCost.of_report(report)
             self.region_waits = reported_waits(report, self.clock())
 
+    @property
+    def uses_forecasts(self) -> bool:
+        """Whether streams wait by what was learned. The lock must be held."""
+        table = self.directory.route_table
+        has_accounts = table is not None and table.accounts is not None
+        return self.settings.door.uses_forecasts(has_accounts)
+
     def slot_outlook(self, service: str) -> SlotOutlook:
         """Return what this node expects of the decode engines. The lock must be held.
 
         Without forecasts of waits nothing is learned, and the outlook is unknown.
         """
-        if not self.settings.door.forecast_waits:
+        if not self.uses_forecasts:
             return SlotOutlook()
         now = self.clock()
         table = self.directory.route_table
@@ -220,7 +227,7 @@
             if is_placed:
                 self.admission_queue.record_placed(row.ticket)
             is_fresh = not row.is_late and not is_gone
-            if is_fresh and self.settings.door.forecast_waits:
+            if is_fresh and self.uses_forecasts:
                 now = self.clock()
                 self.own_waits = self.own_waits.with_wait(wait_s, is_placed, now)
             self.admission_queue.remove(row.ticket)
@@ -342,7 +349,7 @@
             if self.admission_queue.position(row.ticket, now) > 0:
                 return None
             endpoint = self._choose(row.service, EndpointRole.DECODE, ())
-            if endpoint is None and self.settings.door.forecast_waits:
+            if endpoint is None and self.uses_forecasts:
                 outlook = self.slot_outlook(row.service)
                 ask_at = next_ask_at(row.on_time_until, outlook, now, self.rng)
                 self.admission_queue.delay(row.ticket, ask_at)
--- a/src/poplarfold/_internal/gateway/slot_turn.py
+++ b/src/poplarfold/_internal/gateway/slot_turn.py
@@ -18,11 +18,12 @@
         self.fleet = context.services.fleet
         self.policy = self.fleet.settings.door
         route = context.route
-        retry_s = self.policy.shortest_retry_s
         wait_s = context.deadline_at - context.arrived_at
-        self.is_late = is_retry_call(wait_s, route.timeout_s, retry_s)
         with self.fleet.lock:
             now = self.fleet.clock()
+            self.uses_forecasts = self.fleet.uses_forecasts
+            self.shortest_retry_s = self.policy.shortest_retry_s(self.uses_forecasts)
+            self.is_late = is_retry_call(wait_s, route.timeout_s, self.shortest_retry_s)
             outlook = self.fleet.slot_outlook(context.service)
             self.plan = self.plan_wait(outlook, now)
             self.row: WaitingStream = self.fleet.admission_queue.add(
@@ -38,7 +39,7 @@
         """Return how long the stream waits, by the settings."""
         context = self.context
         target_s = context.route.target_s
-        if self.policy.forecast_waits:
+        if self.uses_forecasts:
             return plan_wait(
                 self.policy, outlook, now, context.deadline_at, target_s, self.is_late
             )
@@ -50,7 +51,7 @@
         left_s = self.plan.until - self.fleet.clock()
         if not self.fleet.is_waiting(self.row):
             raise self.refusal("queue_full")
-        if self.policy.forecast_waits and not self.fleet.has_decode_engine(self.row):
+        if self.uses_forecasts and not self.fleet.has_decode_engine(self.row):
             raise self.refusal("no_engine")
         if left_s <= 0:
             raise self.refusal("late_wait" if self.is_late else "target")
@@ -67,10 +68,10 @@
             if fleet.admission_queue.contains(self.row.ticket):
                 position = fleet.admission_queue.position(self.row.ticket, now)
             retry_after_s = None
-            if self.policy.forecast_waits:
+            if self.uses_forecasts:
                 retry_after_s = outlook.retry_after_s(
                     self.policy.retry_after_s,
-                    self.policy.shortest_retry_s,
+                    self.shortest_retry_s,
                     max(0.0, context.deadline_at - now),
                     fleet.rng,
                 )
--- a/tests/unit/test_fair_admission.py
+++ b/tests/unit/test_fair_admission.py
@@ -118,6 +118,15 @@
     assert plan_wait(POLICY, learned, 0.0, 3.0, 1.0, True).until == 0.0
 
 
+def test_forecasts_are_off_without_accounts_unless_they_are_enabled():
+    """Guards against deployments that change their behaviour without being asked."""
+    found = [
+        [AdmissionPolicy(forecast_waits=mode).uses_forecasts(has) for mode in range(3)]
+        for has in (False, True)
+    ]
+    assert found == [[False, True, False], [True, True, False]]
+
+
 def test_retry_after_is_spread_and_bounded_by_the_remaining_time():
     """Guards against callers that come back together, or later than they can."""
     rng = random.Random(1)
