--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -1,7 +1,7 @@
 """The router's counters and latency histograms on the platform."""
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from typing import NamedTuple
 
@@ -47,7 +47,8 @@
 
     ``read_age_s`` is the time since the last successful read, by topic. ``accounts``
     are the names of the accounts of the configuration, and ``paces`` has the services
-    whose endpoints state their pace.
+    whose endpoints state their pace. ``waiting`` is the number of streams that wait
+    for a slot, by service and route.
     """
 
     routes_version: int
@@ -56,6 +57,7 @@
     read_age_s: dict[str, float]
     accounts: frozenset[str]
     paces: dict[str, PaceGauges]
+    waiting: Mapping[tuple[str, str], int]
 
 
 class GatewayMetrics:
@@ -72,6 +74,16 @@
         self.error_responses = Counter(
             "poplarfold_refusals_total", "Refusals by code.", registry=registry
         )
+        self.waiting = Gauge(
+            "poplarfold_waiting_streams",
+            "Streams that wait for a decode slot, by service and route.",
+            registry=registry,
+        )
+        self.stream_refusals = Counter(
+            "poplarfold_stream_refusals_total",
+            "Streams that were refused without a decode slot, by reason.",
+            registry=registry,
+        )
         self.account_calls = Counter(
             "poplarfold_account_calls_total",
             "Calls with a valid API key by account and result.",
@@ -232,6 +244,11 @@
             outcome = "ok" if is_ok else "failed"
             self.store_calls.inc({"call": call, "outcome": outcome})
 
+    def count_stream_refusal(self, reason: str) -> None:
+        """Count a stream that got no decode slot."""
+        with self.lock:
+            self.stream_refusals.inc({"reason": reason})
+
     def observe_wait(self, outcome: str, wait_s: float) -> None:
         """Record how long a stream waited for a decode slot."""
         with self.lock:
@@ -249,6 +266,9 @@
             self.nodes.set({}, gauges.nodes)
             self.endpoints.set({}, gauges.endpoints)
             self.drop_accounts_except(gauges.accounts)
+            self.waiting.values.clear()
+            for (service, route), count in gauges.waiting.items():
+                self.waiting.set({"service": service, "route": route}, count)
             for topic, age_s in gauges.read_age_s.items():
                 self.read_age.set({"topic": topic}, round(age_s, 3))
             # A service whose endpoints have left must not keep its last values.
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -459,6 +459,14 @@
         "an attempt at another endpoint ended after one that failed; same_domain says "
         "whether both endpoints share a failure domain",
     ),
+    EventKind(
+        "PF3611",
+        "stream_refused",
+        ("reason", "position", "expected_s", "waited_s")
+        + ("target_s", "is_late", "retry_after_s"),
+        "a stream got no decode slot; with its place in this node's queue, the wait "
+        "that was expected of a new stream, and its latency target",
+    ),
     EventKind(
         "PF6301",
         "nodes_counted",
