Limit accounts over all hosts by their exchanged usage

Cause: the decisions on quotas had no messages and no place in the handler.

Change: UsageReport and UsageLevels go over the connections of subscribers, RegionUsage over connections between relays of different regions that carry nothing else. The handler admits a call before any endpoint is chosen; QuotaExceededError is answered with 429 and Retry-After. A relay sends levels only once it hears its hosts.

--- a/src/poplarfold/_internal/core/fleet/account_quota.py
+++ b/src/poplarfold/_internal/core/fleet/account_quota.py
@@ -20,11 +20,16 @@
 from result import Err, Ok, Result
 
 from poplarfold._internal.core.fleet.accounts import AccountLimit
-from poplarfold._internal.core.fleet.usage_window import UsageCounter, UsageRow
+from poplarfold._internal.core.fleet.usage_window import (
+    SLOT_S,
+    UsageCounter,
+    UsageRow,
+)
 from poplarfold._internal.exceptions import QuotaExceededError
 
 __all__ = [
     "FRESH_S",
+    "REGION_ROWS_MAX",
     "HostQuota",
     "LevelRow",
     "QuotaRule",
@@ -37,6 +42,12 @@
 # A host or region that has not reported for this long counts as unheard. Reports come
 # every 0.3 s, so two may be late.
 HEARD_S = 0.75
+# A relay that begins to serve a region knows the use of its hosts after this time, or
+# when it hears this share of the fleet. Before that, its levels would be too low.
+SETTLE_S = 0.75
+SETTLED_SHARE = 0.9
+# How long a count of the heard hosts is used again.
+COUNTED_S = 0.1
 # From this age on, levels and the use of regions count as overdue: it is assumed that
 # what was asked for last is still asked for, and used.
 OVERDUE_S = 0.4
@@ -51,6 +62,11 @@
 # or less than is asked for in this time.
 LISTED_SHARE = 0.5
 LISTED_DEMAND_S = 3.0
+# The most rows of one message, which bounds its bytes; see the design page. Levels take
+# turns.
+REPORT_ROWS_MAX = 16
+LEVEL_ROWS_MAX = 10
+REGION_ROWS_MAX = 100
 # A refused call may be repeated when this share of the bound is expected to be free.
 RETRY_SHARE = 0.05
 RETRY_JITTER = 0.5
@@ -118,13 +134,24 @@
         self.local = UsageCounter(rule.window_s)
         # When each host of the region last reported.
         self.heard: dict[str, float] = {}
+        self.serving_since = math.inf
+        # The number of hosts that were heard at a time.
+        self.heard_count = 0
+        self.counted_at = -math.inf
+        # When the level of each account was last sent.
+        self.listed_at: dict[int, float] = {}
         self.regions: dict[str, RegionUse] = {}
 
     def record_report(self, host: str, rows: list[UsageRow], now: float) -> None:
         """Count what a host of the own region has admitted since its last report."""
+        if self.local_hosts(now) == 1:
+            self.serving_since = now
+        # The first report has all of the window.
+        is_recent = now - self.heard.get(host, -math.inf) < self.rule.window_s
         self.heard[host] = now
+        self.counted_at = -math.inf
         for row in rows:
-            self.local.add(row, now)
+            self.local.add(row, now, is_recent)
 
     def record_region(
         self,
@@ -140,17 +167,40 @@
             use.counter.reset()
         use.hosts, use.heard_at = hosts, now
         for row in rows:
-            use.counter.add(row, now)
+            use.counter.add(row, now, not is_snapshot)
 
     def local_hosts(self, now: float) -> int:
         """Return how many hosts of the region are heard, this one included."""
-        for host in [h for h, at in self.heard.items() if now - at >= HEARD_S]:
-            del self.heard[host]
-        return 1 + len(self.heard)
+        if abs(now - self.counted_at) >= COUNTED_S:
+            self.counted_at = now
+            self.heard_count = sum(now - at < HEARD_S for at in self.heard.values())
+        return 1 + self.heard_count
+
+    def heard_hosts(self, now: float) -> int:
+        """Return how many hosts of all regions are heard."""
+        return self.local_hosts(now) + sum(
+            region.hosts
+            for region in self.regions.values()
+            if now - region.heard_at < HEARD_S
+        )
+
+    def silent_regions(self, now: float) -> frozenset[str]:
+        """Return the other regions whose relays have fallen silent."""
+        return frozenset(
+            name
+            for name, region in self.regions.items()
+            if now - region.heard_at >= FRESH_S
+        )
+
+    def is_settled(self, nodes: int, now: float) -> bool:
+        """Return whether this node serves hosts, and knows what they have admitted."""
+        if self.local_hosts(now) == 1:
+            return False
+        is_complete = self.heard_hosts(now) >= SETTLED_SHARE * nodes
+        return is_complete or now - self.serving_since >= SETTLE_S
 
     def room(self, key: int, limit: AccountLimit, nodes: int, now: float) -> Room:
         """Return the room of an account, if the fleet has that many nodes."""
-        heard_hosts = self.local_hosts(now)
         used = float(self.local.window_sum(key, now))
         demand = self.local.demand_per_s(key, now)
         unheard_used = 0.0
@@ -159,14 +209,13 @@
             age_s = now - region.heard_at
             if age_s < HEARD_S:
                 region_demand = region.counter.demand_per_s(key, region.heard_at)
-                heard_hosts += region.hosts
                 used += region_used + region_demand * max(0.0, age_s - OVERDUE_S)
                 demand += region_demand
             else:
                 unheard_used += region_used
         usable = self.rule.usable(limit)
         # Each host that is not heard may use an equal share.
-        unheard_share = max(0, nodes - heard_hosts) / max(1, nodes)
+        unheard_share = max(0, nodes - self.heard_hosts(now)) / max(1, nodes)
         room = usable - used - max(unheard_used, usable * unheard_share)
         wait_s = 0.0
         missing = RETRY_SHARE * usable - room
@@ -185,21 +234,30 @@
     def levels(
         self, limits: Mapping[int, AccountLimit], nodes: int, now: float
     ) -> list[LevelRow]:
-        """Return the levels of the accounts that have little room left."""
-        keys = set(self.local.uses)
-        for region in self.regions.values():
-            keys.update(region.counter.uses)
+        """Return the levels of the accounts that have little room left.
+
+        Of too many, those are returned that were not sent for the longest time.
+        """
+        tables = [self.local.uses, *(r.counter.uses for r in self.regions.values())]
+        heard_hosts = self.heard_hosts(now)
+        heard_share = min(1.0, heard_hosts / max(1, nodes))
         rows = []
-        for key in keys:
-            limit = limits.get(key)
-            if limit is None:
+        for key, limit in limits.items():
+            used = asked = 0
+            for uses in tables:
+                use = uses.get(key)
+                if use is not None:
+                    used += use.in_window
+                    asked += use.newest_asked()
+            usable = self.rule.usable(limit)
+            room = usable * heard_share - used
+            # Most accounts have more room than the exact figures could tell.
+            if room >= max(LISTED_SHARE * usable, LISTED_DEMAND_S * asked / SLOT_S):
                 continue
             found = self.room(key, limit, nodes, now)
-            listed_below = max(
-                LISTED_SHARE * self.rule.usable(limit),
-                LISTED_DEMAND_S * found.demand_per_s,
-            )
-            if found.units < listed_below:
+            if found.units < max(
+                LISTED_SHARE * usable, LISTED_DEMAND_S * found.demand_per_s
+            ):
                 rows.append(
                     LevelRow(
                         key,
@@ -208,12 +266,20 @@
                         math.ceil(10 * found.wait_s),
                     )
                 )
+        rows.sort(key=lambda row: self.listed_at.get(row.key, -math.inf))
+        del rows[LEVEL_ROWS_MAX:]
+        self.listed_at.update((row.key, now) for row in rows)
         return rows
 
     def keep(self, limits: Mapping[int, AccountLimit], now: float) -> None:
         """Forget accounts that the configuration does not limit any more."""
         for counter in [self.local, *(r.counter for r in self.regions.values())]:
             counter.keep(limits, now)
+        for key in self.listed_at.keys() - limits.keys():
+            del self.listed_at[key]
+        for host, at in list(self.heard.items()):
+            if now - at >= self.rule.window_s:
+                del self.heard[host]
 
 
 class KnownLevel(NamedTuple):
@@ -253,7 +319,9 @@
         if self._is_admitted(key, units, room, now):
             self._count(UsageRow(key, units, 0), now)
             return Ok(None)
-        self._count(UsageRow(key, 0, units), now)
+        if units <= self.rule.usable(limit):
+            # Units that never fit are no demand that the other calls compete with.
+            self._count(UsageRow(key, 0, units), now)
         wait_s = max(room.wait_s, KNOWN_AFTER_S)
         wait_s *= 1.0 + RETRY_JITTER * self.rng.random()
         return Err(QuotaExceededError("the account's quota is used up", wait_s))
@@ -282,10 +350,12 @@
         A relay that has got none within the window gets all of the window.
         """
         reported_at = self.reported_at.get(relay, -math.inf)
+        rows_max: int | None = REPORT_ROWS_MAX
         if now - reported_at >= self.rule.window_s:
             self.cursors[relay] = self.own.window_cursor(now)
+            rows_max = None
         self.reported_at[relay] = now
-        return self.own.new_rows(self.cursors[relay])
+        return self.own.new_rows(self.cursors[relay], rows_max)
 
     def fresh_relays(self, now: float) -> list[RelayLevels]:
         """Return what those relays have sent that are heard."""
@@ -308,7 +378,11 @@
         """Return the lowest room that is known of an account."""
         relays = self.fresh_relays(now)
         rooms = []
-        if not relays or self.ledger.local_hosts(now) > 1:
+        is_overdue = all(
+            key in levels.rows and now - levels.heard_at >= HEARD_S for levels in relays
+        )
+        # An account with little room keeps to the equal share while relays change.
+        if is_overdue or self.ledger.is_settled(nodes, now):
             rooms.append(self.ledger.room(key, limit, nodes, now))
         use = self.own.uses.get(key)
         own_admitted = 0 if use is None else use.admitted
--- a/src/poplarfold/_internal/core/fleet/relay_messages.py
+++ b/src/poplarfold/_internal/core/fleet/relay_messages.py
@@ -24,8 +24,12 @@
     "FleetCost",
     "KnownTopic",
     "PartStates",
+    "RegionSubscribe",
+    "RegionUsage",
     "Subscribe",
     "TopicRecords",
+    "UsageLevels",
+    "UsageReport",
     "pack",
     "unpack",
 ]
@@ -123,6 +127,50 @@
     cost: CostReport
 
 
+class UsageReport(NamedTuple):
+    """What a host has admitted and refused per account since its last report.
+
+    ``rows`` are packed ``UsageRow``; see ``core/fleet/usage_rows``.
+    """
+
+    rows: bytes
+
+
+class UsageLevels(NamedTuple):
+    """The room of accounts that have little left, at a time of the relay's clock.
+
+    ``rows`` are packed ``LevelRow``.
+    """
+
+    sent_at: float
+    rows: bytes
+
+
+class RegionSubscribe(NamedTuple):
+    """Asks a relay of another region for the usage of its region, and nothing else.
+
+    The first message on such a connection. ``relay`` is the host that the sender wants
+    to reach.
+    """
+
+    host: str
+    region: str
+    relay: str
+
+
+class RegionUsage(NamedTuple):
+    """What the hosts of a region have admitted and refused per account.
+
+    ``hosts`` is the number of hosts that the relay hears. A snapshot has all use
+    within the window, any other message that since the last one. ``rows`` are packed
+    ``UsageRow``.
+    """
+
+    hosts: int
+    is_snapshot: bool
+    rows: bytes
+
+
 CODEC = MessageCodec(
     (
         Subscribe,
@@ -132,6 +180,10 @@
         PartStates,
         CostReport,
         FleetCost,
+        UsageReport,
+        UsageLevels,
+        RegionSubscribe,
+        RegionUsage,
     ),
     PROTOCOL_VERSION,
 )
--- a/src/poplarfold/_internal/core/fleet/usage_window.py
+++ b/src/poplarfold/_internal/core/fleet/usage_window.py
@@ -1,12 +1,13 @@
 """Counts the units that accounts use, within a sliding window and in all."""
 
+import heapq
 import math
 from collections import deque
 from collections.abc import Mapping
 from typing import NamedTuple
 from zlib import crc32
 
-__all__ = ["UsageCounter", "UsageRow", "account_key"]
+__all__ = ["SLOT_S", "UsageCounter", "UsageRow", "account_key"]
 
 # Units are kept by slots of this length. A slot counts until all of it has left the
 # window, so that the count is never too low.
@@ -36,12 +37,19 @@
     """The use of one account: by slot, within the window and in all."""
 
     def __init__(self) -> None:
-        # Rows of slot number, admitted units and refused units.
+        # Rows of slot number, admitted units, and units that were asked for.
         self.slots: deque[list[int]] = deque()
         self.in_window = 0
         self.admitted = 0
         self.refused = 0
 
+    def newest_asked(self) -> int:
+        """Return the units that were asked for in the newest two slots."""
+        slots = self.slots
+        if not slots:
+            return 0
+        return slots[-1][2] + (slots[-2][2] if len(slots) > 1 else 0)
+
 
 class UsageCounter:
     """The use of many accounts. Times are seconds of the runtime's clock."""
@@ -50,15 +58,18 @@
         self.window_s = window_s
         self.uses: dict[int, AccountUse] = {}
 
-    def add(self, row: UsageRow, now: float) -> None:
-        """Count units; negative ones return units that were counted before."""
+    def add(self, row: UsageRow, now: float, is_recent: bool = True) -> None:
+        """Count units; negative ones return units that were counted before.
+
+        Units of any time within the window are no demand of now.
+        """
         use = self.uses.setdefault(row.key, AccountUse())
         self._expire(use, now)
         number = math.floor(now / SLOT_S)
         if not use.slots or use.slots[-1][0] < number:
             use.slots.append([number, 0, 0])
         use.slots[-1][1] += row.admitted
-        use.slots[-1][2] += row.refused
+        use.slots[-1][2] += (row.admitted + row.refused) * is_recent
         use.in_window += row.admitted
         use.admitted += row.admitted
         use.refused += row.refused
@@ -77,7 +88,11 @@
         if use is None:
             return 0.0
         first = math.floor((now - DEMAND_S) / SLOT_S)
-        asked = sum(row[1] + row[2] for row in use.slots if row[0] >= first)
+        asked = 0
+        for number, _, units in reversed(use.slots):
+            if number < first:
+                break
+            asked += units
         return max(0, asked) / DEMAND_S
 
     def release_s(self, key: int, units: float, now: float) -> float:
@@ -91,18 +106,30 @@
                 return max(0.0, (number + 1) * SLOT_S + self.window_s - now)
         return self.window_s
 
-    def new_rows(self, cursor: dict[int, tuple[int, int]]) -> list[UsageRow]:
-        """Return what was counted since the last call with the same cursor."""
+    def new_rows(
+        self, cursor: dict[int, tuple[int, int]], rows_max: int | None = None
+    ) -> list[UsageRow]:
+        """Return what was counted since the last call with the same cursor.
+
+        Of more than ``rows_max`` rows, the largest are returned. The others stay due
+        and grow until it is their turn.
+        """
         for key in cursor.keys() - self.uses.keys():
             del cursor[key]
         rows = []
         for key, use in self.uses.items():
             admitted, refused = cursor.get(key, (0, 0))
             if (use.admitted, use.refused) != (admitted, refused):
-                cursor[key] = (use.admitted, use.refused)
                 rows.append(
                     UsageRow(key, use.admitted - admitted, use.refused - refused)
                 )
+        if rows_max is not None:
+            rows = heapq.nlargest(
+                rows_max, rows, key=lambda row: abs(row.admitted) + row.refused
+            )
+        for row in rows:
+            use = self.uses[row.key]
+            cursor[row.key] = (use.admitted, use.refused)
         return rows
 
     def window_cursor(self, now: float) -> dict[int, tuple[int, int]]:
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/account_usage.py
@@ -0,0 +1,247 @@
+"""The usage of accounts on this node: its admissions, and messages to other nodes."""
+
+import math
+import random
+import threading
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from result import Ok, Result
+
+from poplarfold._internal.core.fleet.account_quota import (
+    REGION_ROWS_MAX,
+    HostQuota,
+    LevelRow,
+    QuotaRule,
+)
+from poplarfold._internal.core.fleet.accounts import (
+    AccountLimit,
+    AccountTable,
+    ClientAccount,
+)
+from poplarfold._internal.core.fleet.relay_messages import (
+    RegionUsage,
+    UsageLevels,
+    UsageReport,
+)
+from poplarfold._internal.core.fleet.usage_rows import pack_rows, unpack_rows
+from poplarfold._internal.core.fleet.usage_window import UsageRow, account_key
+from poplarfold._internal.exceptions import QuotaExceededError
+from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.metrics import GatewayMetrics
+from poplarfold._internal.logs.writer import WriteLog
+
+__all__ = ["AccountUsage", "UsageCursor"]
+
+# What has been sent of the use of each account, see ``UsageCounter.new_rows``.
+UsageCursor = dict[int, tuple[int, int]]
+# The largest number of units that one call can have.
+UNITS_MAX = 2**40
+
+
+class AccountUsage:
+    """Admits calls within the quotas of their accounts. Thread-safe.
+
+        result = usage.admit(account, units)
+        usage.give_back(account, units)
+
+    It does nothing as long as no account of the configuration has a limit.
+    """
+
+    def __init__(
+        self, fleet: Fleet, metrics: GatewayMetrics, write_log: WriteLog
+    ) -> None:
+        bounds = fleet.host.bounds
+        rule = QuotaRule(bounds.quota_window_s, bounds.quota_over, bounds.quota_slack)
+        self.fleet = fleet
+        self.metrics = metrics
+        self.write_log = write_log
+        self.lock = threading.Lock()
+        self.quota = HostQuota(rule, random.Random(fleet.rng.getrandbits(64)))
+        # The limits by the account's number, for the table that they were taken from.
+        self.table: AccountTable | None = None
+        self.keyed_limits: dict[int, AccountLimit] = {}
+        self.has_levels = False
+        self.silent_regions: frozenset[str] = frozenset()
+
+    def admit(
+        self, account: ClientAccount, units: float
+    ) -> Result[None, QuotaExceededError]:
+        """Count a call's units, or return when the account has units again."""
+        if account.limit is None:
+            return Ok(None)
+        count = whole_units(units)
+        nodes = self.fleet.node_count_assumed()
+        with self.lock:
+            result = self.quota.admit(
+                account_key(account.name),
+                account.limit,
+                count,
+                nodes,
+                self.fleet.clock(),
+            )
+        outcome = "admitted" if result.is_ok() else "refused"
+        self.metrics.count_account_units(account.name, outcome, count)
+        return result
+
+    def give_back(self, account: ClientAccount, units: float) -> None:
+        """Return the units of an admitted call that has certainly not run."""
+        if account.limit is None:
+            return
+        count = whole_units(units)
+        with self.lock:
+            self.quota.give_back(account_key(account.name), count, self.fleet.clock())
+        self.metrics.count_account_units(account.name, "returned", count)
+
+    def describe(self, account: ClientAccount) -> dict[str, Any]:
+        """Return what this node knows of an account's use, for the log."""
+        key = account_key(account.name)
+        with self.lock:
+            now = self.fleet.clock()
+            return {
+                "own_units": self.quota.own.window_sum(key, now),
+                "relays": {
+                    relay: None
+                    if key not in levels.rows
+                    else {
+                        "room": levels.rows[key].room.units,
+                        "demand_per_s": levels.rows[key].room.demand_per_s,
+                        "age_s": round(now - levels.rows[key].at, 3),
+                    }
+                    for relay, levels in self.quota.levels.items()
+                },
+                "heard_hosts": self.quota.ledger.local_hosts(now),
+            }
+
+    def limits(self) -> Mapping[int, AccountLimit]:
+        """Return the limits of the configuration in force, by the account's number."""
+        with self.fleet.lock:
+            routes = self.fleet.directory.route_table
+            table = None if routes is None else routes.accounts
+        with self.lock:
+            if table is not self.table:
+                self.table = table
+                rows = {} if table is None else table.limits()
+                self.keyed_limits = {
+                    account_key(name): limit for name, limit in rows.items()
+                }
+            return self.keyed_limits
+
+    def is_active(self) -> bool:
+        """Return whether any account has a limit."""
+        return bool(self.limits())
+
+    def report(self, relay: str) -> UsageReport:
+        """Return what this host has admitted since its last report to a relay."""
+        with self.lock:
+            rows = self.quota.take_report(relay, self.fleet.clock())
+        return UsageReport(pack_rows(rows))
+
+    def record_report(self, host: str, message: UsageReport) -> bool:
+        """Count a subscriber's report; return whether its host was not heard before.
+
+        Raises PeerProtocolError.
+        """
+        rows = usage_rows(message.rows)
+        with self.lock:
+            now = self.fleet.clock()
+            before = self.quota.ledger.local_hosts(now)
+            self.quota.ledger.record_report(host, rows, now)
+            return self.quota.ledger.local_hosts(now) > before
+
+    def levels(self) -> UsageLevels | None:
+        """Return the levels for all subscribers, or None before they are reliable."""
+        limits = self.limits()
+        nodes = self.fleet.node_count_assumed()
+        with self.lock:
+            now = self.fleet.clock()
+            if not limits or not self.quota.ledger.is_settled(nodes, now):
+                return None
+            rows = self.quota.ledger.levels(limits, nodes, now)
+        return UsageLevels(now, pack_rows(rows))
+
+    def record_levels(
+        self, relay: str, message: UsageLevels, sent_at: float | None
+    ) -> None:
+        """Take over a relay's levels, sent at a time of this node's clock.
+
+        Raises PeerProtocolError.
+        """
+        columns = len(LevelRow._fields) - 1
+        rows = [LevelRow(*row) for row in unpacked(message.rows, columns)]
+        if sent_at is None:
+            # The difference of the clocks is not known yet.
+            return
+        with self.lock:
+            self.quota.record_levels(relay, rows, sent_at, self.fleet.clock())
+
+    def region_snapshot(self) -> tuple[RegionUsage, UsageCursor]:
+        """Return all use of the region, and the cursor for what follows."""
+        with self.lock:
+            cursor = self.quota.ledger.local.window_cursor(self.fleet.clock())
+            return self._region_usage(cursor, None, True), cursor
+
+    def region_changes(self, cursor: UsageCursor) -> RegionUsage:
+        """Return the use of the region since the cursor, which is moved on."""
+        with self.lock:
+            return self._region_usage(cursor, REGION_ROWS_MAX, False)
+
+    def record_region(self, region: str, message: RegionUsage) -> None:
+        """Count what another region has admitted. Raises PeerProtocolError."""
+        rows = usage_rows(message.rows)
+        with self.lock:
+            self.quota.ledger.record_region(
+                region,
+                max(0, message.hosts),
+                rows,
+                message.is_snapshot,
+                self.fleet.clock(),
+            )
+
+    def update(self, is_relay: bool) -> None:
+        """Forget what is no longer needed, and log which messages are missing.
+
+        To be called periodically.
+        """
+        limits = self.limits()
+        with self.lock:
+            now = self.fleet.clock()
+            self.quota.keep(limits, now)
+            has_levels = bool(self.quota.fresh_relays(now))
+            silent = self.quota.ledger.silent_regions(now) if is_relay else frozenset()
+        if not limits:
+            return
+        if has_levels != self.has_levels and not is_relay:
+            self.has_levels = has_levels
+            self.write_log("PF1213" if has_levels else "PF1212", None, {})
+        for region in sorted(silent ^ self.silent_regions):
+            number = "PF1214" if region in silent else "PF1215"
+            self.write_log(number, None, {"region": region})
+        self.silent_regions = silent
+
+    def _region_usage(
+        self, cursor: UsageCursor, rows_max: int | None, is_snapshot: bool
+    ) -> RegionUsage:
+        """Return the message for another region. The lock must be held."""
+        ledger = self.quota.ledger
+        rows = ledger.local.new_rows(cursor, rows_max)
+        hosts = ledger.local_hosts(self.fleet.clock())
+        return RegionUsage(hosts, is_snapshot, pack_rows(rows))
+
+
+def whole_units(units: float) -> int:
+    """Return a number of units as it is counted: rounded up, and bounded."""
+    return math.ceil(min(max(0.0, units), UNITS_MAX))
+
+
+def usage_rows(data: bytes) -> list[UsageRow]:
+    """Decode rows of usage. Raises PeerProtocolError."""
+    return [UsageRow(*row) for row in unpacked(data, len(UsageRow._fields) - 1)]
+
+
+def unpacked(data: bytes, counts: int) -> Sequence[tuple[int, ...]]:
+    """Decode packed rows. Raises PeerProtocolError."""
+    result = unpack_rows(data, counts)
+    if result.is_err():
+        raise result.unwrap_err()
+    return result.unwrap()
--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -14,6 +14,7 @@
     CallTimeoutError,
     PoplarfoldError,
 )
+from poplarfold._internal.gateway.account_usage import AccountUsage
 from poplarfold._internal.gateway.fleet import Fleet, MatchedRoute
 from poplarfold._internal.gateway.metrics import GatewayMetrics
 from poplarfold._internal.gateway.part_guard import PartGuard
@@ -39,12 +40,14 @@
     watcher: SocketWatcher
     metrics: GatewayMetrics
     write_log: WriteLog
+    usage: AccountUsage
 
 
 class CallContext:
     """One call in progress. Times are monotonic seconds.
 
     ``abort`` interrupts the call's blocking I/O when the caller disconnects.
+    ``was_sent`` tells whether the request may have reached an endpoint.
     ``account`` is None on public routes, and ``account`` and ``priority`` are None if
     the deployment has no accounts.
     """
@@ -73,6 +76,7 @@
         if call.deadline_s is not None:
             wait_s = min(wait_s, call.deadline_s)
         self.deadline_at = self.arrived_at + wait_s
+        self.was_sent = False
         self.caller_gone = threading.Event()
         self.abort = AbortHandle()
 
--- a/src/poplarfold/_internal/gateway/error_responses.py
+++ b/src/poplarfold/_internal/gateway/error_responses.py
@@ -1,6 +1,6 @@
 """Error responses that the router itself generates.
 
-Status 503 guarantees that the call has not run and never will. A call that may
+Status 429 and 503 guarantee that the call has not run and never will. A call that may
 have run gets 502 or 504, which guarantee nothing.
 """
 
@@ -11,7 +11,7 @@
 
 __all__ = ["send_error"]
 
-NOT_RUN_STATUS = 503
+NOT_RUN_STATUSES = frozenset({429, 503})
 
 
 def send_error(
@@ -22,7 +22,7 @@
 ) -> None:
     """Send an error as JSON. Raises OSError if the caller has disconnected."""
     headers = [("Content-Type", "application/json")]
-    if error.status == NOT_RUN_STATUS and retry_after_s is not None:
+    if error.status in NOT_RUN_STATUSES and retry_after_s is not None:
         headers.append(("Retry-After", f"{retry_after_s:.3f}"))
     body = json.dumps(error.as_body(request_id or None)).encode()
     exchange.send_whole(error.status, headers, body)
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -174,6 +174,11 @@
         with self.lock:
             return len(self.presence.rows) or 1
 
+    def node_count_assumed(self) -> int:
+        """Return the number of known nodes, or the assumed one while it is unknown."""
+        with self.lock:
+            return self.presence.node_count()
+
     def describe_knowledge(self, topic: str) -> KnowledgeFields | None:
         """Return the age, end and source of a topic for the log; None if unknown."""
         row = self.knowledge.get(topic)
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -12,6 +12,7 @@
     NotRunError,
     PoplarfoldError,
     PromptBlockedError,
+    QuotaExceededError,
     RequestError,
     StoppingError,
     UnknownKeyError,
@@ -75,7 +76,8 @@
         caller = self.admit_account(call, matched)
         context = CallContext(self.services, exchange, call, matched, body, caller)
         with self.services.metrics.counting_account_call(context.account_name):
-            self.serve_admitted(context)
+            self.check_stop(context)
+            self.serve_within_quota(context)
 
     def admit_account(self, call: CallerCall, matched: MatchedRoute) -> AdmittedCaller:
         """Return whose call it is. Raises UnknownKeyError or ConfigurationTooOldError.
@@ -98,11 +100,45 @@
             self.services.write_log(number, call.request_id, fields)
             raise
 
+    def serve_within_quota(self, context: CallContext) -> None:
+        """Serve a call if the quota of its account has room for it.
+
+        Its units are returned if it certainly has not run. Raises PoplarfoldError or
+        OSError.
+        """
+        account, usage = context.account, self.services.usage
+        if account is None or account.limit is None:
+            self.serve_admitted(context)
+            return
+        call = context.call
+        units = account.limit.units(
+            call.prompt_tokens, call.max_outputs, call.has_token_count
+        )
+        result = usage.admit(account, units)
+        if result.is_err():
+            error = result.unwrap_err()
+            fields = usage.describe(account)
+            context.log(
+                "PF1211",
+                account=account.name,
+                units=units,
+                retry_after_s=round(error.remaining_s, 3),
+                version=context.version,
+                **fields,
+            )
+            raise error
+        try:
+            self.serve_admitted(context)
+        except (PoplarfoldError, OSError) as error:
+            is_rejected = isinstance(error, PoplarfoldError) and error.status == 503
+            if is_rejected or not context.was_sent:
+                usage.give_back(account, units)
+            raise
+
     def serve_admitted(self, context: CallContext) -> None:
         """Serve a call whose account is known. Raises PoplarfoldError or OSError."""
         fleet = self.services.fleet
         exchange, call = context.exchange, context.call
-        self.check_stop(context)
         fleet.record_request(context.service)
         context.log(
             "PF1101",
@@ -166,7 +202,11 @@
         elif isinstance(error, StoppingError):
             retry_after_s = OTHER_NODE_RETRY_AFTER_S
         elif isinstance(
-            error, EndpointsAwayError | PromptBlockedError | ConfigurationTooOldError
+            error,
+            EndpointsAwayError
+            | PromptBlockedError
+            | ConfigurationTooOldError
+            | QuotaExceededError,
         ):
             retry_after_s = error.remaining_s
         send_error(exchange, call.request_id, error, retry_after_s)
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -18,6 +18,7 @@
     PlatformFormatError,
     SettingsError,
 )
+from poplarfold._internal.gateway.account_usage import AccountUsage
 from poplarfold._internal.gateway.announcer import Announcer
 from poplarfold._internal.gateway.context import Services
 from poplarfold._internal.gateway.fleet import Fleet
@@ -85,6 +86,7 @@
         self.watcher = SocketWatcher()
         self.metrics = GatewayMetrics()
         self.guard = PartGuard(self.fleet.clock, writer.write_event)
+        usage = AccountUsage(self.fleet, self.metrics, writer.write_event)
         services = Services(
             self.fleet,
             client,
@@ -94,12 +96,18 @@
             self.watcher,
             self.metrics,
             writer.write_event,
+            usage,
         )
         self.handler = CallHandler(services)
         store = StoreClient(client, host.store_address, self.metrics.count_store_call)
         state = TopicState(self.fleet, writer.write_event)
         self.relay_link = RelayLink(
-            self.fleet, state, self.guard, writer.incarnation, writer.write_event
+            self.fleet,
+            state,
+            self.guard,
+            usage,
+            writer.incarnation,
+            writer.write_event,
         )
         self.reader = StoreReader(state, store, self.relay_link, writer.write_event)
         self.part_writer = PartWriter(
--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -64,6 +64,11 @@
             "Calls with a valid API key by account and result.",
             registry=registry,
         )
+        self.account_units = Counter(
+            "poplarfold_account_units_total",
+            "Units of calls by account with a limit, admitted, refused or returned.",
+            registry=registry,
+        )
         self.retries = Counter(
             "poplarfold_repeats_total", "Repeated attempts.", registry=registry
         )
@@ -167,9 +172,15 @@
 
         Otherwise they would add up over the versions. The lock must be held.
         """
-        for labels, _ in self.account_calls.get_all():
-            if labels["account"] not in accounts:
-                del self.account_calls.values[labels]
+        for counter in (self.account_calls, self.account_units):
+            for labels, _ in counter.get_all():
+                if labels["account"] not in accounts:
+                    del counter.values[labels]
+
+    def count_account_units(self, account: str, result: str, units: int) -> None:
+        """Count the units of a call that a quota has admitted or refused."""
+        with self.lock:
+            self.account_units.add({"account": account, "result": result}, units)
 
     def count_retry(self, service: str) -> None:
         """Count a retry that the retry budget allowed."""
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -135,6 +135,7 @@
         """Send the request to one endpoint and read its answer."""
         context = self.context
         call = context.call
+        context.was_sent = True
         target = CallTarget(
             endpoint.endpoint_id,
             max(0.001, remaining_s),
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -21,15 +21,20 @@
     CostReport,
     FleetCost,
     PartStates,
+    RegionSubscribe,
     Subscribe,
     TopicRecords,
+    UsageReport,
     pack,
 )
 from poplarfold._internal.core.fleet.relays import Member, RelayChoice
 from poplarfold._internal.exceptions import PeerProtocolError
+from poplarfold._internal.gateway.account_usage import AccountUsage
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.part_guard import PartGuard
+from poplarfold._internal.gateway.region_link import RegionLink
 from poplarfold._internal.gateway.subscription import (
+    USAGE_PERIOD_S,
     NodeParts,
     Subscription,
     cost_period_s,
@@ -68,6 +73,7 @@
         fleet: Fleet,
         state: TopicState,
         guard: PartGuard,
+        usage: AccountUsage,
         incarnation: int,
         write_log: WriteLog,
     ) -> None:
@@ -75,9 +81,11 @@
         self.fleet = fleet
         self.state = state
         self.guard = guard
+        self.usage = usage
         self.write_log = write_log
         self.me = Member(host.host, incarnation, host.region, None, host.link_mbps)
         self.choice = RelayChoice(host.host, host.region)
+        self.region_link = RegionLink(usage, host.host, host.region, write_log)
         self.subscribers: dict[ServerConnection, CostReport | None] = {}
         self.sources: dict[str, Source] = {}
         self.loop = asyncio.new_event_loop()
@@ -143,6 +151,7 @@
             port = next(iter(server.sockets)).getsockname()[1]
             self.me = self.me._replace(address=f"{self.fleet.host.ip}:{port}")
         self.started.set()
+        usage_task = asyncio.create_task(self._send_usage())
         while not self.stopping.is_set():
             try:
                 self._run_periodic_work()
@@ -154,7 +163,8 @@
                     await self.stopping.wait()
             except TimeoutError:
                 continue
-        tasks = [source.task for source in self.sources.values()]
+        await self.region_link.close()
+        tasks = [usage_task, *(source.task for source in self.sources.values())]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -165,6 +175,9 @@
     def _run_periodic_work(self) -> None:
         """Follow the choice of relays, and send what is due."""
         self._update_sources()
+        is_relay = self.is_known and self.choice.is_own_relay(self.fleet.clock())
+        self.region_link.update_sources(self.choice.members, is_relay)
+        self.usage.update(is_relay)
         self.state.drop_expired()
         now = self.fleet.clock()
         if now - self.cost_sent_at >= cost_period_s(self.fleet):
@@ -203,9 +216,14 @@
             async with asyncio.timeout(SUBSCRIBE_TIMEOUT_S):
                 data = await connection.recv()
             message = decode(data)
+            is_peer = isinstance(message, RegionSubscribe)
+            if is_peer and message.relay == self.me.host:
+                await self.region_link.serve(connection)
+                return
             if not isinstance(message, Subscribe) or message.relay != self.me.host:
                 await connection.close(1008)
                 return
+            host = message.host
             self.subscribers[connection] = None
             self._send_known(connection, message)
             async for data in connection:
@@ -216,6 +234,8 @@
                     self._answer_probe(connection, message.sent_at)
                 elif isinstance(message, PartStates):
                     self.guard.merge(message.states)
+                elif isinstance(message, UsageReport):
+                    self._record_usage(connection, host, message)
         except PeerProtocolError as error:
             self.write_log("PF6403", None, {"problem": str(error)})
             await connection.close(1008)
@@ -238,6 +258,28 @@
                 broadcast([connection], pack(records))
         broadcast([connection], pack(PartStates(self.guard.states())))
 
+    def _record_usage(
+        self, connection: ServerConnection, host: str, report: UsageReport
+    ) -> None:
+        """Count a subscriber's report; a new one gets the levels at once."""
+        if self.usage.record_report(host, report):
+            levels = self.usage.levels()
+            if levels is not None:
+                broadcast([connection], pack(levels))
+
+    async def _send_usage(self) -> None:
+        """Send levels to the subscribers and usage to other regions, periodically."""
+        while True:
+            try:
+                levels = self.usage.levels()
+                if levels is not None and self.subscribers:
+                    self._broadcast(pack(levels))
+                if self.usage.is_active():
+                    self.region_link.send()
+            except Exception:
+                self._log_unexpected("usage of accounts")
+            await asyncio.sleep(USAGE_PERIOD_S)
+
     def _answer_probe(self, connection: ServerConnection, sent_at: float) -> None:
         """Tell a subscriber what this node's clock shows."""
         broadcast([connection], pack(ClockReply(sent_at, self.fleet.clock())))
@@ -283,7 +325,7 @@
 
     def _subscribe(self, relay: Member) -> Source:
         """Begin to subscribe to a relay."""
-        node = NodeParts(self.fleet, self.state, self.guard, self.write_log)
+        node = NodeParts(self.fleet, self.state, self.guard, self.usage, self.write_log)
         subscription = Subscription(
             node, self.me, relay, lambda: self.choice.record_success(relay.host)
         )
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -126,6 +126,7 @@
         self.attempts += 1
         started_at = boot_time()
         self.evidence.begin(started_at)
+        context.was_sent = True
         abort = context.abort
         target = CallTarget(
             endpoint.endpoint_id,
--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -199,6 +199,7 @@
         """Have the prompt prefilled by one engine; return None if that failed."""
         context = self.context
         started_at = boot_time()
+        context.was_sent = True
         try:
             target = CallTarget(
                 endpoint.endpoint_id,
--- a/src/poplarfold/_internal/gateway/subscription.py
+++ b/src/poplarfold/_internal/gateway/subscription.py
@@ -17,19 +17,21 @@
     PartStates,
     Subscribe,
     TopicRecords,
+    UsageLevels,
     pack,
     unpack,
 )
 from poplarfold._internal.core.fleet.relays import Member
 from poplarfold._internal.core.message_codec import MESSAGE_MAX_BYTES
 from poplarfold._internal.exceptions import PeerProtocolError, RecordGapError
+from poplarfold._internal.gateway.account_usage import AccountUsage
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.part_guard import PartGuard
 from poplarfold._internal.gateway.topic_state import TopicState
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import StoreTopic
 
-__all__ = ["NodeParts", "Subscription", "cost_period_s", "decode"]
+__all__ = ["USAGE_PERIOD_S", "NodeParts", "Subscription", "cost_period_s", "decode"]
 
 CONNECT_TIMEOUT_S = 0.7
 # A relay sends a message after each of its reads. If none comes for this share of the
@@ -42,6 +44,8 @@
 FIRST_COST_PERIOD_S = 0.3
 # How often a subscriber compares its clock with that of a relay.
 CLOCK_PERIOD_S = 10.0
+# How often the usage of accounts is reported, and their levels are sent.
+USAGE_PERIOD_S = 0.3
 
 
 class NodeParts(NamedTuple):
@@ -50,6 +54,7 @@
     fleet: Fleet
     state: TopicState
     guard: PartGuard
+    usage: AccountUsage
     write_log: WriteLog
 
 
@@ -72,6 +77,8 @@
         self.relay = relay
         self.on_recent = on_recent
         self.clock = PeerClock()
+        # A restarted relay has forgotten all reports.
+        self.usage_name = f"{relay.host}/{relay.incarnation}"
         self.connection: ClientConnection | None = None
         bounds = node.fleet.host.bounds
         self.silence_s = SILENCE_SHARE * min(bounds.apply_s, bounds.leaving_s)
@@ -124,7 +131,10 @@
     async def _receive_all(self, connection: ClientConnection) -> None:
         """Receive records and send reports until the relay fails or falls silent."""
         self.connection = connection
-        reporter = asyncio.create_task(self._send_reports(connection))
+        reporters = [
+            asyncio.create_task(self._send_reports(connection)),
+            asyncio.create_task(self._send_usage(connection)),
+        ]
         try:
             while True:
                 async with asyncio.timeout(self.silence_s):
@@ -132,7 +142,8 @@
                 self.on_recent()
         finally:
             self.connection = None
-            reporter.cancel()
+            for reporter in reporters:
+                reporter.cancel()
 
     async def _receive(self, connection: ClientConnection) -> None:
         """Receive and apply messages up to the next recent records of a topic."""
@@ -144,6 +155,9 @@
                 self.node.guard.merge(message.states)
             elif isinstance(message, ClockReply):
                 self.clock.measure(message.sent_at, message.relay_at)
+            elif isinstance(message, UsageLevels):
+                sent_at = self.clock.local_time(message.sent_at)
+                self.node.usage.record_levels(self.usage_name, message, sent_at)
             elif isinstance(message, TopicRecords) and self._apply(message):
                 return
 
@@ -182,6 +196,20 @@
         except ConnectionClosed:
             return
 
+    async def _send_usage(self, connection: ClientConnection) -> None:
+        """Report what this node has admitted, if accounts have limits.
+
+        A report without rows tells that the node is still heard.
+        """
+        usage = self.node.usage
+        try:
+            while True:
+                if usage.is_active():
+                    await connection.send(pack(usage.report(self.usage_name)))
+                await asyncio.sleep(USAGE_PERIOD_S)
+        except ConnectionClosed:
+            return
+
 
 def cost_period_s(fleet: Fleet) -> float:
     """Return the time between two reports of learned costs."""
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -334,6 +334,47 @@
         "a configuration with other accounts or API keys is in force; added and "
         "removed name up to ten accounts each, keys are only counted",
     ),
+    EventKind(
+        "PF1211",
+        "quota_exceeded",
+        ("account", "units", "retry_after_s", "version", "own_units", "relays")
+        + ("heard_hosts",),
+        "a request got 429; own_units are what this host has admitted within the "
+        "window, relays has each relay's last level of the account, or null",
+    ),
+    EventKind(
+        "PF1212",
+        "quota_levels_lost",
+        (),
+        "no relay has sent levels of accounts for 1.5 s; this host admits up to an "
+        "equal share of each quota",
+    ),
+    EventKind(
+        "PF1213",
+        "quota_levels_received",
+        (),
+        "this host has current levels of accounts again, or for the first time",
+    ),
+    EventKind(
+        "PF1214",
+        "region_usage_lost",
+        ("region",),
+        "this relay has heard nothing of the usage of another region for 1.5 s and "
+        "keeps its share of the quotas free",
+    ),
+    EventKind(
+        "PF1215",
+        "region_usage_received",
+        ("region",),
+        "this relay hears the usage of another region again",
+    ),
+    EventKind(
+        "PF1216",
+        "region_link_failed",
+        ("region", "relay", "problem"),
+        "a connection for the usage of another region has ended; the next relay of the "
+        "region is tried",
+    ),
     EventKind(
         "PF1102",
         "endpoint_answered",
--- a/tests/lib/quota_fleet.py
+++ b/tests/lib/quota_fleet.py
@@ -127,6 +127,8 @@
         sent_at = self.now
         rows = relay.quota.ledger.levels(self.keyed_limits(), self.nodes, sent_at)
         for host in self.hosts.values():
+            if not relay.quota.ledger.is_settled(self.nodes, sent_at):
+                break
             if host.region != relay.region or host is relay or host.is_cut:
                 continue
             self.mail.append(
