--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -264,6 +264,8 @@
         self.work_s = 0.0
         self.runs: list[tuple[str, str, dict[str, str], bytes]] = []
         self.prefills: list[str] = []
+        # The headers of all requests of any kind.
+        self.received: list[dict[str, str]] = []
         self.leases: set[str] = set()
         self.handles: set[str] = set()
         self.orders: list[dict[str, Any]] = []
@@ -295,6 +297,7 @@
             self.count += 1
             number = self.count
         headers = {name: value for name, value in request.headers.items()}
+        self.received.append(headers)
         target = headers.get("Poplarfold-Target-Instance")
         was_used, request.was_used = request.was_used, True
         if was_used and "reset_kept" in self.faults:
@@ -549,6 +552,19 @@
     return json.dumps({**fields, **changes}).encode()
 
 
+def tenant(name: str, *keys: str, **changes: Any) -> dict[str, Any]:
+    """Return one client account of a configuration."""
+    return {
+        "name": name,
+        "api_keys": list(keys),
+        "unit": "tokens",
+        "plain_tokens": 200,
+        "rate_per_s": 171315,
+        "burst": 171315,
+        **changes,
+    }
+
+
 def route(name: str, prefix: str, kind: str, service: str, **changes: Any) -> dict:
     """Return one route of a configuration."""
     return {
