Test the quotas of accounts over three router processes

Change: three processes in two regions limit an account together, return the units of a rejected call, log a lost region, and exchange nothing without limits. The gauge poplarfold_quota_hosts says how many hosts a node hears.

--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -69,6 +69,11 @@
             "Units of calls by account with a limit, admitted, refused or returned.",
             registry=registry,
         )
+        self.quota_hosts = Gauge(
+            "poplarfold_quota_hosts",
+            "Hosts whose usage of quotas this node hears, itself included.",
+            registry=registry,
+        )
         self.retries = Counter(
             "poplarfold_repeats_total", "Repeated attempts.", registry=registry
         )
@@ -177,6 +182,11 @@
                 if labels["account"] not in accounts:
                     del counter.values[labels]
 
+    def set_quota_hosts(self, count: int) -> None:
+        """Set the number of hosts whose usage this node hears."""
+        with self.lock:
+            self.quota_hosts.set({}, count)
+
     def count_account_units(self, account: str, result: str, units: int) -> None:
         """Count the units of a call that a quota has admitted or refused."""
         with self.lock:
--- /dev/null
+++ b/tests/functional/test_account_quota.py
@@ -0,0 +1,195 @@
+"""Quotas of accounts over several router processes of two regions, on loopback."""
+
+import contextlib
+import http.client
+import json
+import os
+import re
+import subprocess
+import sys
+import time
+
+import pytest
+from tests.lib.gateway_process import ROOT, wait_until
+from tests.lib.platform_standin import (
+    EndpointStandIn,
+    StoreStandIn,
+    boot_fields,
+    configuration,
+)
+from tests.lib.ports import free_port
+from tests.lib.relay_nodes import RelayNode
+
+START_LIMIT_S = 20.0
+WINDOW_S = 8.0
+RATE_PER_S, BURST, OVER, SLACK = 2.0, 4.0, 0.1, 10.0
+QUOTA = RATE_PER_S * WINDOW_S + BURST
+BOUND = QUOTA * (1 + OVER) + SLACK
+ZONES = {"lhr-a": "lahore", "khi-a": "karachi"}
+BOUNDS = {"quota_window_s": WINDOW_S, "quota_over": OVER, "quota_slack": SLACK}
+
+
+class Node:
+    """One router process with its own folder, ports and log."""
+
+    def __init__(self, folder, name, zone, store):
+        self.ports = {kind: free_port() for kind in ("front", "ready", "metrics")}
+        fields = boot_fields(name, self.ports, store.address, BOUNDS)
+        fields |= {"zone": zone, "region": ZONES[zone], "zones": ZONES}
+        boot = folder / f"{name}.json"
+        boot.write_text(json.dumps(fields))
+        settings = folder / f"{name}.toml"
+        settings.write_text(f"metrics_port = {self.ports['metrics']}\n")
+        self.log = folder / f"{name}.log"
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "poplarfold_gateway.py")]
+                + ["--settings", str(settings)],
+                env={**os.environ, "POPLARFOLD_BOOT": str(boot)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def request(self, listener, path, headers=None):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.ports[listener], timeout=5
+        )
+        connection.request("GET", path, headers=headers or {})
+        answer = connection.getresponse()
+        answer.data = answer.read()
+        connection.close()
+        return answer
+
+    def call(self, key):
+        return self.request(
+            "front", "/lookup/1", {"Host": "entry.example", "Poplarfold-Key": key}
+        )
+
+    def heard_hosts(self):
+        """Return how many hosts' usage the node hears, or 0 before it listens."""
+        with contextlib.suppress(OSError):
+            text = self.request("metrics", "/metrics").data.decode()
+            found = re.search(r"^poplarfold_quota_hosts (\S+)", text, re.MULTILINE)
+            return float(found[1]) if found else 0
+        return 0
+
+    def logged(self, number):
+        return f'"{number}"'.encode() in self.log.read_bytes()
+
+
+def account(name, **changes):
+    return {
+        "name": name,
+        "api_keys": [f"key-{name}"],
+        "rate_per_s": RATE_PER_S,
+        "burst": BURST,
+        **changes,
+    }
+
+
+@pytest.fixture
+def store():
+    found = StoreStandIn()
+    yield found
+    found.stop()
+
+
+@pytest.fixture
+def endpoint(store):
+    found = EndpointStandIn("i-plain-1")
+    store.put("keyed.servers", "i-plain-1", found.entry("registry"))
+    yield found
+    found.stop()
+
+
+@pytest.fixture
+def start(tmp_path, store):
+    """A function that starts three processes with some accounts, in two regions."""
+    nodes = []
+
+    def run(accounts):
+        changes = {} if accounts is None else {"tenants": accounts}
+        store.put("keyed.op", "config", configuration(**changes))
+        for name, zone in (("h1", "lhr-a"), ("h2", "lhr-a"), ("h3", "khi-a")):
+            nodes.append(Node(tmp_path, name, zone, store))
+        return nodes
+
+    yield run
+    for node in nodes:
+        node.process.kill()
+        node.process.wait()
+
+
+@pytest.mark.timeout(90)
+def test_calls_over_several_hosts_are_limited_together(start, endpoint):
+    """Guards against hosts that each grant a whole quota, against a host that gets
+    only an equal share of it, and against refused calls that run."""
+    accounts = [account(name) for name in ("spread", "single", "other")]
+    nodes = start(accounts)
+    wait_until(lambda: all(n.heard_hosts() == 3 for n in nodes), START_LIMIT_S)
+    # Each node also has to know that there are no others.
+    wait_until(lambda: all(n.logged("PF6301") for n in nodes), START_LIMIT_S)
+    time.sleep(1.0)
+    spread, single = [], []
+    for number in range(72):
+        spread.append(nodes[number % 3].call("key-spread"))
+        single.append(nodes[2].call("key-single"))
+        time.sleep(1 / 12)
+    for answers in (spread, single):
+        statuses = [answer.status for answer in answers]
+        assert set(statuses) == {200, 429}
+        assert statuses.count(200) <= BOUND
+        assert statuses[: int(QUOTA * 0.8)].count(429) == 0
+        refused = [answer for answer in answers if answer.status == 429]
+        assert all(float(a.getheader("Retry-After")) > 0 for a in refused)
+        assert json.loads(refused[0].data)["error"]["code"] == "quota_exceeded"
+    served = sum(answer.status == 200 for answer in spread + single)
+    assert len(endpoint.runs) == served
+    assert all(node.call("key-other").status == 200 for node in nodes)
+
+
+@pytest.mark.timeout(90)
+def test_units_of_a_rejected_call_are_returned(start, endpoint, store):
+    """Guards against calls without a usable endpoint that use up the quota."""
+    nodes = start([account("spread")])
+    wait_until(lambda: all(n.heard_hosts() == 3 for n in nodes), START_LIMIT_S)
+    wait_until(lambda: nodes[0].call("key-spread").status == 200, START_LIMIT_S)
+    entry = endpoint.entry("registry", state="draining")
+    store.put("keyed.servers", "i-plain-1", entry)
+    wait_until(lambda: nodes[0].call("key-spread").status == 503, START_LIMIT_S)
+    statuses = {nodes[0].call("key-spread").status for _ in range(int(2 * BOUND))}
+    assert statuses == {503}
+
+
+@pytest.mark.timeout(90)
+def test_lost_region_is_logged(start, endpoint):
+    """Guards against a cut between regions that nobody can see in the log."""
+    nodes = start([account("spread")])
+    wait_until(lambda: all(n.heard_hosts() == 3 for n in nodes), START_LIMIT_S)
+    nodes[2].process.kill()
+    wait_until(lambda: all(n.logged("PF1214") for n in nodes[:2]), START_LIMIT_S)
+    assert nodes[0].logged("PF1216")
+
+
+@pytest.mark.parametrize("accounts", [None, [account("free", rate_per_s=0)]])
+def test_nothing_is_exchanged_without_limits(store, endpoint, accounts):
+    """Guards against messages and connections between regions that cost their bytes
+    where no account is limited."""
+    changes = {} if accounts is None else {"tenants": accounts}
+    store.put("keyed.op", "config", configuration(**changes))
+    regions = ["lahore", "lahore", "lahore", "karachi"]
+    nodes = [RelayNode(f"n{n}", store, region=r) for n, r in enumerate(regions)]
+    sent = []
+    for node in nodes:
+        for name in ("report", "region_snapshot", "region_changes"):
+            setattr(node.usage, name, lambda *given, name=name: sent.append(name))
+        node.start()
+    try:
+        wait_until(lambda: all(n.fleet.node_count() == 4 for n in nodes), START_LIMIT_S)
+        time.sleep(2.0)
+        assert sent == []
+        assert all(node.usage.levels() is None for node in nodes)
+        assert not any(node.link.region_link.sources for node in nodes)
+    finally:
+        for node in nodes:
+            node.stop()
--- a/tests/lib/relay_nodes.py
+++ b/tests/lib/relay_nodes.py
@@ -36,11 +36,15 @@
     """One node with its own client of the store."""
 
     def __init__(
-        self, name: str, store: StoreStandIn, settings: GatewaySettings | None = None
+        self,
+        name: str,
+        store: StoreStandIn,
+        settings: GatewaySettings | None = None,
+        region: str = "lahore",
     ) -> None:
         self.name = name
         self.logged: list[tuple[str, dict]] = []
-        host = host_settings(name, store.address)
+        host = host_settings(name, store.address)._replace(region=region)
         self.fleet = Fleet(host, settings or GatewaySettings(), random.getrandbits(32))
         self.store_calls: list[str] = []
         client = StoreClient(
