--- a/src/poplarfold/_internal/core/fleet/account_quota.py
+++ b/src/poplarfold/_internal/core/fleet/account_quota.py
@@ -248,7 +248,7 @@
                 use = uses.get(key)
                 if use is not None:
                     used += use.in_window
-                    asked += use.newest_asked()
+                    asked += use.asked + use.asked_before
             usable = self.rule.usable(limit)
             room = usable * heard_share - used
             # Most accounts have more room than the exact figures could tell.
@@ -315,7 +315,7 @@
         self, key: int, limit: AccountLimit, units: int, nodes: int, now: float
     ) -> Result[None, QuotaExceededError]:
         """Count a call's units if the account has room for them."""
-        room = self._room(key, limit, nodes, now)
+        room = self.room(key, limit, nodes, now)
         if self._is_admitted(key, units, room, now):
             self._count(UsageRow(key, units, 0), now)
             return Ok(None)
@@ -326,6 +326,27 @@
         wait_s *= 1.0 + RETRY_JITTER * self.rng.random()
         return Err(QuotaExceededError("the account's quota is used up", wait_s))
 
+    def room(self, key: int, limit: AccountLimit, nodes: int, now: float) -> Room:
+        """Return the lowest room that is known of an account."""
+        relays = self.fresh_relays(now)
+        rooms = []
+        is_overdue = all(
+            key in levels.rows and now - levels.heard_at >= HEARD_S for levels in relays
+        )
+        # An account with little room keeps to the equal share while relays change.
+        if is_overdue or self.ledger.is_settled(nodes, now):
+            rooms.append(self.ledger.room(key, limit, nodes, now))
+        use = self.own.uses.get(key)
+        own_admitted = 0 if use is None else use.admitted
+        for levels in relays:
+            row = levels.rows.get(key)
+            if row is not None and now - row.at < FRESH_S:
+                own_use = own_admitted - row.own_admitted
+                overdue_s = max(0.0, now - row.at - OVERDUE_S)
+                used = max(own_use, overdue_s * row.room.demand_per_s)
+                rooms.append(row.room._replace(units=row.room.units - used))
+        return min(rooms, default=Room(math.inf, 0.0, 0.0))
+
     def give_back(self, key: int, units: int, now: float) -> None:
         """Return the units of a call that has certainly not run."""
         self._count(UsageRow(key, -units, 0), now)
@@ -339,6 +360,10 @@
         known = self.levels.setdefault(relay, RelayLevels())
         known.heard_at = max(known.heard_at, sent_at)
         cursor = self.cursors.get(relay, {})
+        for key, level in list(known.rows.items()):
+            if sent_at - level.at >= FRESH_S:
+                # The relay no longer sends the account's level.
+                del known.rows[key]
         for row in rows:
             admitted = cursor.get(row.key, (0, 0))[0]
             room = Room(row.room, row.demand_per_s, row.wait_tenths / 10)
@@ -374,27 +399,6 @@
             if now - at >= self.rule.window_s:
                 del self.reported_at[relay], self.cursors[relay]
 
-    def _room(self, key: int, limit: AccountLimit, nodes: int, now: float) -> Room:
-        """Return the lowest room that is known of an account."""
-        relays = self.fresh_relays(now)
-        rooms = []
-        is_overdue = all(
-            key in levels.rows and now - levels.heard_at >= HEARD_S for levels in relays
-        )
-        # An account with little room keeps to the equal share while relays change.
-        if is_overdue or self.ledger.is_settled(nodes, now):
-            rooms.append(self.ledger.room(key, limit, nodes, now))
-        use = self.own.uses.get(key)
-        own_admitted = 0 if use is None else use.admitted
-        for levels in relays:
-            row = levels.rows.get(key)
-            if row is not None and now - row.at < FRESH_S:
-                own_use = own_admitted - row.own_admitted
-                overdue_s = max(0.0, now - row.at - OVERDUE_S)
-                used = max(own_use, overdue_s * row.room.demand_per_s)
-                rooms.append(row.room._replace(units=row.room.units - used))
-        return min(rooms, default=Room(math.inf, 0.0, 0.0))
-
     def _is_admitted(self, key: int, units: int, room: Room, now: float) -> bool:
         if units > room.units:
             # Without a relay, a host's share may be smaller than any call.
--- a/src/poplarfold/_internal/core/fleet/usage_window.py
+++ b/src/poplarfold/_internal/core/fleet/usage_window.py
@@ -40,16 +40,12 @@
         # Rows of slot number, admitted units, and units that were asked for.
         self.slots: deque[list[int]] = deque()
         self.in_window = 0
+        # The units that were asked for in the newest slot and in the one before.
+        self.asked = 0
+        self.asked_before = 0
         self.admitted = 0
         self.refused = 0
 
-    def newest_asked(self) -> int:
-        """Return the units that were asked for in the newest two slots."""
-        slots = self.slots
-        if not slots:
-            return 0
-        return slots[-1][2] + (slots[-2][2] if len(slots) > 1 else 0)
-
 
 class UsageCounter:
     """The use of many accounts. Times are seconds of the runtime's clock."""
@@ -68,8 +64,11 @@
         number = math.floor(now / SLOT_S)
         if not use.slots or use.slots[-1][0] < number:
             use.slots.append([number, 0, 0])
+            use.asked, use.asked_before = 0, use.asked
         use.slots[-1][1] += row.admitted
-        use.slots[-1][2] += (row.admitted + row.refused) * is_recent
+        if is_recent:
+            use.slots[-1][2] += row.admitted + row.refused
+            use.asked = use.slots[-1][2]
         use.in_window += row.admitted
         use.admitted += row.admitted
         use.refused += row.refused
--- a/src/poplarfold/_internal/gateway/account_usage.py
+++ b/src/poplarfold/_internal/gateway/account_usage.py
@@ -94,11 +94,16 @@
         self.metrics.count_account_units(account.name, "returned", count)
 
     def describe(self, account: ClientAccount) -> dict[str, Any]:
-        """Return what this node knows of an account's use, for the log."""
+        """Return what this node knows of a limited account's use, for the log."""
         key = account_key(account.name)
+        assert account.limit is not None
+        nodes = self.fleet.node_count_assumed()
         with self.lock:
             now = self.fleet.clock()
+            found = self.quota.room(key, account.limit, nodes, now)
             return {
+                "room": round(found.units) if math.isfinite(found.units) else None,
+                "demand_per_s": round(found.demand_per_s),
                 "own_units": self.quota.own.window_sum(key, now),
                 "relays": {
                     relay: None
@@ -110,7 +115,8 @@
                     }
                     for relay, levels in self.quota.levels.items()
                 },
-                "heard_hosts": self.quota.ledger.local_hosts(now),
+                "heard_hosts": self.quota.ledger.heard_hosts(now),
+                "nodes": nodes,
             }
 
     def limits(self) -> Mapping[int, AccountLimit]:
--- a/src/poplarfold/_internal/gateway/region_link.py
+++ b/src/poplarfold/_internal/gateway/region_link.py
@@ -53,7 +53,10 @@
         self.write_log = write_log
         self.choices: dict[str, RelayChoice] = {}
         self.sources: dict[str, RegionSource] = {}
-        self.peers: dict[ServerConnection, UsageCursor] = {}
+        self.peers: set[ServerConnection] = set()
+        # What has been sent to all peers. Rows that are still due when a peer connects
+        # are in its snapshot as well, and count too much there for one window.
+        self.cursor: UsageCursor = {}
 
     def update_sources(self, members: Mapping[str, Member], is_relay: bool) -> None:
         """Connect to a relay of each other region, if this node is a relay."""
@@ -72,21 +75,23 @@
         """Send the usage of this region to a peer until its connection closes."""
         message, cursor = self.usage.region_snapshot()
         broadcast([connection], pack(message))
-        self.peers[connection] = cursor
+        if not self.peers:
+            self.cursor = cursor
+        self.peers.add(connection)
         try:
             async for data in connection:
                 decode(data)
         finally:
-            self.peers.pop(connection, None)
+            self.peers.discard(connection)
 
     def send(self) -> None:
         """Send what this region has used since the last time to all peers."""
-        for connection, cursor in list(self.peers.items()):
+        for connection in list(self.peers):
             if connection.transport.get_write_buffer_size() > UNSENT_MAX_BYTES:
-                self.peers.pop(connection, None)
+                self.peers.discard(connection)
                 connection.transport.abort()
-            else:
-                broadcast([connection], pack(self.usage.region_changes(cursor)))
+        if self.peers:
+            broadcast(self.peers, pack(self.usage.region_changes(self.cursor)))
 
     async def close(self) -> None:
         """End all connections to other regions."""
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -274,8 +274,7 @@
                 levels = self.usage.levels()
                 if levels is not None and self.subscribers:
                     self._broadcast(pack(levels))
-                if self.usage.is_active():
-                    self.region_link.send()
+                self.region_link.send()
             except Exception:
                 self._log_unexpected("usage of accounts")
             await asyncio.sleep(USAGE_PERIOD_S)
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -337,10 +337,11 @@
     EventKind(
         "PF1211",
         "quota_exceeded",
-        ("account", "units", "retry_after_s", "version", "own_units", "relays")
-        + ("heard_hosts",),
-        "a request got 429; own_units are what this host has admitted within the "
-        "window, relays has each relay's last level of the account, or null",
+        ("account", "units", "retry_after_s", "version", "room", "demand_per_s")
+        + ("own_units", "relays", "heard_hosts", "nodes"),
+        "a request got 429; room is what this host knew to be left of the account's "
+        "bound, own_units are what it has admitted itself within the window, relays "
+        "has each relay's last level of the account, or null",
     ),
     EventKind(
         "PF1212",
