Write the fields of PF1211 by name

Cause: tests/unit/test_documents.py found that the handler passed the fields of PF1211 as a dictionary, so that the catalogue could not be compared with the code.

Change: the state of an account's use is a NamedTuple whose fields are passed by name.

Conclusion: the event's fields are checked.

--- a/src/poplarfold/_internal/core/fleet/account_quota.py
+++ b/src/poplarfold/_internal/core/fleet/account_quota.py
@@ -297,6 +297,17 @@
         self.rows: dict[int, KnownLevel] = {}
         self.heard_at = -math.inf
 
+    def describe(self, key: int, now: float) -> dict[str, float] | None:
+        """Return the level of an account for the log, or None without one."""
+        row = self.rows.get(key)
+        if row is None:
+            return None
+        return {
+            "room": row.room.units,
+            "demand_per_s": row.room.demand_per_s,
+            "age_s": round(now - row.at, 3),
+        }
+
 
 class HostQuota:
     """One host's decisions, by the levels of its relays or by its own ledger."""
--- a/src/poplarfold/_internal/gateway/account_usage.py
+++ b/src/poplarfold/_internal/gateway/account_usage.py
@@ -4,7 +4,7 @@
 import random
 import threading
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import NamedTuple
 
 from result import Ok, Result
 
@@ -39,6 +39,21 @@
 UNITS_MAX = 2**40
 
 
+class KnownUse(NamedTuple):
+    """What a node knows of an account's use, for the log.
+
+    ``room`` is None if nothing limits the account here. ``relays`` has each relay's
+    last level of the account, or None.
+    """
+
+    room: int | None
+    demand_per_s: int
+    own_units: int
+    relays: dict[str, dict[str, float] | None]
+    heard_hosts: int
+    nodes: int
+
+
 class AccountUsage:
     """Admits calls within the quotas of their accounts. Thread-safe.
 
@@ -93,7 +108,7 @@
             self.quota.give_back(account_key(account.name), count, self.fleet.clock())
         self.metrics.count_account_units(account.name, "returned", count)
 
-    def describe(self, account: ClientAccount) -> dict[str, Any]:
+    def describe(self, account: ClientAccount) -> KnownUse:
         """Return what this node knows of a limited account's use, for the log."""
         key = account_key(account.name)
         assert account.limit is not None
@@ -101,23 +116,17 @@
         with self.lock:
             now = self.fleet.clock()
             found = self.quota.room(key, account.limit, nodes, now)
-            return {
-                "room": round(found.units) if math.isfinite(found.units) else None,
-                "demand_per_s": round(found.demand_per_s),
-                "own_units": self.quota.own.window_sum(key, now),
-                "relays": {
-                    relay: None
-                    if key not in levels.rows
-                    else {
-                        "room": levels.rows[key].room.units,
-                        "demand_per_s": levels.rows[key].room.demand_per_s,
-                        "age_s": round(now - levels.rows[key].at, 3),
-                    }
+            return KnownUse(
+                round(found.units) if math.isfinite(found.units) else None,
+                round(found.demand_per_s),
+                self.quota.own.window_sum(key, now),
+                {
+                    relay: levels.describe(key, now)
                     for relay, levels in self.quota.levels.items()
                 },
-                "heard_hosts": self.quota.ledger.heard_hosts(now),
-                "nodes": nodes,
-            }
+                self.quota.ledger.heard_hosts(now),
+                nodes,
+            )
 
     def limits(self) -> Mapping[int, AccountLimit]:
         """Return the limits of the configuration in force, by the account's number."""
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -117,14 +117,19 @@
         result = usage.admit(account, units)
         if result.is_err():
             error = result.unwrap_err()
-            fields = usage.describe(account)
+            known = usage.describe(account)
             context.log(
                 "PF1211",
                 account=account.name,
                 units=units,
                 retry_after_s=round(error.remaining_s, 3),
                 version=context.version,
-                **fields,
+                room=known.room,
+                demand_per_s=known.demand_per_s,
+                own_units=known.own_units,
+                relays=known.relays,
+                heard_hosts=known.heard_hosts,
+                nodes=known.nodes,
             )
             raise error
         try:
