Connect every serving relay to the other regions

Cause: a node with subscribers that is no relay by its own knowledge had no connection to the other regions and would have kept their share free. A single node admitted part of the calls at random near the bound, though it knows of all calls.

Change: whoever serves subscribers connects; one node alone admits all that fits. Any error of such a connection is logged, and the next relay is tried.

--- a/src/poplarfold/_internal/core/fleet/account_quota.py
+++ b/src/poplarfold/_internal/core/fleet/account_quota.py
@@ -327,6 +327,9 @@
     ) -> Result[None, QuotaExceededError]:
         """Count a call's units if the account has room for them."""
         room = self.room(key, limit, nodes, now)
+        if nodes <= 1:
+            # Nothing is admitted that this host does not know of.
+            room = room._replace(demand_per_s=0.0)
         if self._is_admitted(key, units, room, now):
             self._count(UsageRow(key, units, 0), now)
             return Ok(None)
--- a/src/poplarfold/_internal/gateway/account_usage.py
+++ b/src/poplarfold/_internal/gateway/account_usage.py
@@ -225,9 +225,9 @@
             has_levels = bool(self.quota.fresh_relays(now))
             silent = self.quota.ledger.silent_regions(now) if is_relay else frozenset()
             hosts = self.quota.ledger.heard_hosts(now)
+        self.metrics.set_quota_hosts(hosts if limits else 0)
         if not limits:
             return
-        self.metrics.set_quota_hosts(hosts)
         if has_levels != self.has_levels and not is_relay:
             self.has_levels = has_levels
             self.write_log("PF1213" if has_levels else "PF1212", None, {})
--- a/src/poplarfold/_internal/gateway/region_link.py
+++ b/src/poplarfold/_internal/gateway/region_link.py
@@ -10,7 +10,6 @@
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import ServerConnection, broadcast
-from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from poplarfold._internal.core.fleet.account_quota import FRESH_S
 from poplarfold._internal.core.fleet.relay_messages import (
@@ -20,7 +19,6 @@
 )
 from poplarfold._internal.core.fleet.relays import Member, RelayChoice
 from poplarfold._internal.core.message_codec import MESSAGE_MAX_BYTES
-from poplarfold._internal.exceptions import PeerProtocolError
 from poplarfold._internal.gateway.account_usage import AccountUsage, UsageCursor
 from poplarfold._internal.gateway.subscription import CONNECT_TIMEOUT_S, decode
 from poplarfold._internal.logs.writer import WriteLog
@@ -120,8 +118,9 @@
             problem = await self._receive(region, relay)
         except TimeoutError:
             problem = "no message in time"
-        except (ConnectionClosed, OSError, WebSocketException, PeerProtocolError) as e:
-            problem = str(e) or "the connection was closed"
+        except Exception as error:
+            # The relay must not be chosen again at once, whatever the error.
+            problem = str(error) or repr(error)
         self.choices[region].record_failure(relay.host, self.usage.fleet.clock())
         fields: dict[str, object] = {
             "region": region,
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -175,7 +175,7 @@
     def _run_periodic_work(self) -> None:
         """Follow the choice of relays, and send what is due."""
         self._update_sources()
-        is_relay = self.is_known and self.choice.is_own_relay(self.fleet.clock())
+        is_relay = self.is_relay()
         self.region_link.update_sources(self.choice.members, is_relay)
         self.usage.update(is_relay)
         self.state.drop_expired()
