Count the use of a silent region as going on

Change: a region's last use per second counts as going on until it is heard again, a region is unheard after 0.5 s, and 0.45 of what the rule allows beyond the quota is kept for ended hosts (0.4 before).

--- a/src/poplarfold/_internal/core/fleet/account_quota.py
+++ b/src/poplarfold/_internal/core/fleet/account_quota.py
@@ -39,17 +39,19 @@
 
 # A host does not rely on levels that are older than this.
 FRESH_S = 1.5
-# A host or region that has not reported for this long counts as unheard. Reports come
-# every 0.3 s, so two may be late.
+# A host that has not reported for this long counts as unheard. Reports come every
+# 0.3 s, so two may be late. A region counts as unheard earlier: many hosts go on
+# without knowing, and keeping its share free costs no calls under usual load.
 HEARD_S = 0.75
+REGION_HEARD_S = 0.5
 # A relay that begins to serve a region knows the use of its hosts after this time, or
 # when it hears this share of the fleet. Before that, its levels would be too low.
 SETTLE_S = 0.75
 SETTLED_SHARE = 0.9
 # How long a count of the heard hosts is used again.
 COUNTED_S = 0.1
-# From this age on, levels and the use of regions count as overdue: it is assumed that
-# what was asked for last is still asked for, and used.
+# From this age on, levels count as overdue: it is assumed that what was asked for last
+# is still asked for, and used.
 OVERDUE_S = 0.4
 # The time from the admission of a call until all hosts know of it: a report, an
 # exchange between regions and a level take 0.45 s in the mean and 0.9 s at most. With
@@ -57,7 +59,7 @@
 KNOWN_AFTER_S = 0.75
 # The part of what the rule allows beyond the quota that relays give out. The rest
 # covers what was admitted by hosts that ended before they reported it.
-SPARE_SHARE = 0.6
+SPARE_SHARE = 0.55
 # A relay sends the level of an account if less than this share of its bound is left,
 # or less than is asked for in this time.
 LISTED_SHARE = 0.5
@@ -181,7 +183,7 @@
         return self.local_hosts(now) + sum(
             region.hosts
             for region in self.regions.values()
-            if now - region.heard_at < HEARD_S
+            if now - region.heard_at < REGION_HEARD_S
         )
 
     def silent_regions(self, now: float) -> frozenset[str]:
@@ -205,12 +207,15 @@
         demand = self.local.demand_per_s(key, now)
         unheard_used = 0.0
         for region in self.regions.values():
-            region_used = region.counter.window_sum(key, now)
+            region_used = float(region.counter.window_sum(key, now))
             age_s = now - region.heard_at
-            if age_s < HEARD_S:
-                region_demand = region.counter.demand_per_s(key, region.heard_at)
-                used += region_used + region_demand * max(0.0, age_s - OVERDUE_S)
-                demand += region_demand
+            if age_s < self.rule.window_s:
+                # The region's hosts go on until they know that they are cut off.
+                used_per_s = region.counter.used_per_s(key, region.heard_at)
+                region_used += used_per_s * min(age_s, FRESH_S)
+            if age_s < REGION_HEARD_S:
+                used += region_used
+                demand += region.counter.demand_per_s(key, region.heard_at)
             else:
                 unheard_used += region_used
         usable = self.rule.usable(limit)
--- a/src/poplarfold/_internal/core/fleet/usage_window.py
+++ b/src/poplarfold/_internal/core/fleet/usage_window.py
@@ -94,6 +94,15 @@
             asked += units
         return max(0, asked) / DEMAND_S
 
+    def used_per_s(self, key: int, now: float) -> float:
+        """Return the units per second that were lately admitted of the demand."""
+        use = self.uses.get(key)
+        if use is None:
+            return 0.0
+        first = math.floor((now - DEMAND_S) / SLOT_S)
+        admitted = sum(row[1] for row in use.slots if row[0] >= first)
+        return min(max(0, admitted) / DEMAND_S, self.demand_per_s(key, now))
+
     def release_s(self, key: int, units: float, now: float) -> float:
         """Return the time until that many units of an account have left the window."""
         use = self.uses.get(key)
--- a/tests/unit/test_account_quota.py
+++ b/tests/unit/test_account_quota.py
@@ -109,10 +109,10 @@
 
 @pytest.mark.parametrize("fail", FAILURES)
 @pytest.mark.parametrize("before_s", [0.0, 0.6, 2.0])
-def test_failure_during_a_surge_keeps_the_bound(fail, before_s):
+def test_failure_during_a_surge_keeps_the_bound(fail, before_s, seed=7):
     """Guards against a failure at the start, on the way or after the end of the room
     in which hosts admit more together than the rule allows."""
-    fleet = settled_fleet(seed=7)
+    fleet = settled_fleet(seed)
     fleet.run(before_s, SURGE)
     fail(fleet)
     fleet.run(11.0, SURGE)
@@ -124,6 +124,16 @@
     assert fleet.highest_window("large") <= BOUND
 
 
+@pytest.mark.parametrize(
+    ("fail", "before_s", "seed"),
+    [(cut_region, 0.9, 21), (cut_region, 0.6, 31), (end_hosts, 1.2, 21)],
+)
+def test_found_failures_keep_the_bound(fail, before_s, seed):
+    """Guards against the cases that exceeded the bound by up to 2% in trials, when a
+    silent region counted as unused and less was kept for ended hosts."""
+    test_failure_during_a_surge_keeps_the_bound(fail, before_s, seed)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_random_failures_keep_the_bound(seed):
     """Guards against sequences of failures that no other test names."""
