--- a/tests/lib/relay_nodes.py
+++ b/tests/lib/relay_nodes.py
@@ -7,8 +7,10 @@
 from tests.lib.platform_standin import StoreStandIn
 
 from poplarfold._internal.daemon.endpoint_client import EndpointClient
+from poplarfold._internal.gateway.account_usage import AccountUsage
 from poplarfold._internal.gateway.announcer import Announcer
 from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.metrics import GatewayMetrics
 from poplarfold._internal.gateway.part_guard import PartGuard
 from poplarfold._internal.gateway.part_writer import PartWriter
 from poplarfold._internal.gateway.relay_link import RelayLink
@@ -34,11 +36,15 @@
     """One node with its own client of the store."""
 
     def __init__(
-        self, name: str, store: StoreStandIn, settings: GatewaySettings | None = None
+        self,
+        name: str,
+        store: StoreStandIn,
+        settings: GatewaySettings | None = None,
+        region: str = "lahore",
     ) -> None:
         self.name = name
         self.logged: list[tuple[str, dict]] = []
-        host = host_settings(name, store.address)
+        host = host_settings(name, store.address)._replace(region=region)
         self.fleet = Fleet(host, settings or GatewaySettings(), random.getrandbits(32))
         self.store_calls: list[str] = []
         client = StoreClient(
@@ -48,7 +54,10 @@
         )
         self.state = TopicState(self.fleet, self.write_log)
         self.guard = PartGuard(self.fleet.clock, self.write_log)
-        self.link = RelayLink(self.fleet, self.state, self.guard, 1, self.write_log)
+        self.usage = AccountUsage(self.fleet, GatewayMetrics(), self.write_log)
+        self.link = RelayLink(
+            self.fleet, self.state, self.guard, self.usage, 1, self.write_log
+        )
         self.part_writer = PartWriter(
             self.guard, client, self.link, 0.8, self.write_log
         )
