Bound what callers make a process hold, and read bodies outside request threads

Cause: bodies were read in request threads, unread answers were not accounted for, and connections were not bounded by the descriptors of the host. Change: one memory account for bodies, answers being read and answers that wait for slow readers; a thread that receives bodies in turns, with an incremental decoder; eviction of the slowest; a bound on connections; body limit and idle timeout from the configuration. glibc returns large blocks at once: without that, the case of unread answers peaked at 122 to 154 MB although 30 MB were accounted for.

--- a/src/poplarfold/_internal/bench/local_fleet.py
+++ b/src/poplarfold/_internal/bench/local_fleet.py
@@ -244,6 +244,8 @@
             tls=None,
             request_threads=self.request_threads,
             body_limit_bytes=self.body_limit_bytes,
+            memory_bytes=48_000_000,
+            max_connections=4096,
             timeouts=self.timeouts,
             log_path=None,
         )
--- a/src/poplarfold/_internal/core/fleet/rows.py
+++ b/src/poplarfold/_internal/core/fleet/rows.py
@@ -10,6 +10,7 @@
     "CallKind",
     "EndpointLoad",
     "FleetEndpoint",
+    "RequestLimits",
     "Route",
     "RouteTable",
     "Service",
@@ -81,12 +82,20 @@
         return self.memory_tokens > 0
 
 
+class RequestLimits(NamedTuple):
+    """What a caller may send: a body's size, and the pause within one. 0 if unknown."""
+
+    body_bytes: int = 0
+    idle_s: float = 0.0
+
+
 class RouteTable(NamedTuple):
     """One complete configuration. Versions increase, but not by equal steps."""
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
+    limits: RequestLimits = RequestLimits()
 
 
 class FleetEndpoint(NamedTuple):
--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -130,6 +130,7 @@
         belongs_to_request: OwnAnswerCheck | None = None,
         retry_on_new_connection: bool = True,
         bytes_per_s_min: float = math.inf,
+        held: HeldBytes | None = None,
     ) -> Result[Answer, Failure]:
         """Make one request and read its complete response.
 
@@ -142,6 +143,8 @@
         ``retry_on_new_connection`` it fails instead, and the caller decides whether
         to repeat it. ``timeout_s`` bounds the whole exchange. A large response may
         take longer if it arrives at ``bytes_per_s_min`` or faster.
+
+        ``held`` accounts for the response also after this call, if it is given.
         """
         if not use_new_connection:
             connection = self.take_idle(target.address)
@@ -155,6 +158,7 @@
                     handle,
                     belongs_to_request=belongs_to_request,
                     bytes_per_s_min=bytes_per_s_min,
+                    kept=held,
                 )
                 stalled = result.is_err() and isinstance(
                     result.unwrap_err().error, EndpointStalledError
@@ -174,6 +178,7 @@
             use_new_connection,
             belongs_to_request,
             bytes_per_s_min,
+            held,
         )
 
     def open_stream(
@@ -293,6 +298,7 @@
         use_new_connection: bool = False,
         belongs_to_request: OwnAnswerCheck | None = None,
         bytes_per_s_min: float = math.inf,
+        kept: HeldBytes | None = None,
     ) -> Result[Answer, Failure]:
         failure = self._send(connection, target, body, headers, timeout_s, handle)
         if failure is not None:
@@ -300,12 +306,15 @@
             return Err(failure)
         if isinstance(connection.sock, DeadlineSocket):
             connection.sock.bytes_per_s_min = bytes_per_s_min
-        held = self.memory.hold()
+        held = kept or self.memory.hold()
+        held_before = held.size
+        is_read = False
         try:
             response = connection.getresponse()
             if isinstance(connection.sock, DeadlineSocket):
                 connection.sock.head_bytes_left = None
             data = read_response_body(response, held)
+            is_read = True
         except AnswerTooLargeError as error:
             connection.close()
             return Err(Failure(error, sent=True))
@@ -313,7 +322,8 @@
             connection.close()
             return Err(failure_of(error, target.address, sent=True))
         finally:
-            held.release()
+            if kept is None or not is_read:
+                held.resize(held_before)
             if handle is not None:
                 handle.attach(None)
         if belongs_to_request is not None and not belongs_to_request(
--- a/src/poplarfold/_internal/daemon/frontend.py
+++ b/src/poplarfold/_internal/daemon/frontend.py
@@ -38,6 +38,8 @@
     PromptTooLargeError,
     RequestError,
 )
+from poplarfold._internal.http.caller_resources import CallerLimits, CallerResources
+from poplarfold._internal.http.memory_account import MemoryAccount
 
 __all__ = ["FrontEnd"]
 
@@ -242,20 +244,31 @@
         def on_error(message: str) -> None:
             runtime.write_log("PF9003", None, {"message": message})
 
+        # A body of the largest size must fit in beside others.
+        account = MemoryAccount(
+            max(settings.memory_bytes, 2 * settings.body_limit_bytes)
+        )
+        resources = CallerResources(
+            account, settings.max_connections, runtime.write_log
+        )
+        runtime.metrics.callers.resources = resources
+        read_s = settings.timeouts.request_read_s
         self.callers = CallerServer(
             (settings.caller_listen.host, settings.caller_listen.port),
             make_application(CallerRoot(services), runtime.write_log),
             settings.request_threads,
-            settings.body_limit_bytes,
-            settings.timeouts.request_read_s,
+            lambda: CallerLimits(settings.body_limit_bytes, read_s, read_s),
+            read_s,
+            resources,
             on_error,
         )
         self.operators = CallerServer(
             (settings.operator_listen.host, settings.operator_listen.port),
             make_application(OperatorRoot(services), runtime.write_log),
             OPERATOR_THREADS,
-            OPERATOR_BODY_LIMIT_BYTES,
-            settings.timeouts.request_read_s,
+            lambda: CallerLimits(OPERATOR_BODY_LIMIT_BYTES, read_s, read_s),
+            read_s,
+            resources,
             on_error,
         )
         self.threads: list[threading.Thread] = []
--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -1,12 +1,16 @@
 """A cheroot server with read deadlines, typed errors and strict request heads.
 
-A caller must send its whole request within a deadline, however slowly the bytes
-arrive, so that slow senders do not occupy threads.
+A request occupies a thread only once its head and its body have arrived. What callers
+make a process hold is bounded by its CallerResources.
 """
 
+import contextlib
+import errno
+import http
 import io
 import json
 import re
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -21,14 +25,23 @@
     RequestError,
     RequestTimeoutError,
 )
-from poplarfold._internal.http.chunked_body import read_chunked_body
-from poplarfold._internal.http.closing_sockets import ClosingSockets
+from poplarfold._internal.http.body_reader import BodyTransfer
+from poplarfold._internal.http.caller_resources import CallerLimits, CallerResources
 from poplarfold._internal.http.head_waiter import HeadWaiter, is_head_complete
+from poplarfold._internal.http.incoming_body import (
+    ChunkedBody,
+    IncomingBody,
+    LengthBody,
+)
+from poplarfold._internal.http.memory_account import Holding
 
 __all__ = ["CONNECTION_KEY", "CallerConnection", "CallerServer"]
 
 CONNECTION_KEY = "poplarfold.connection"
-WRITE_TIMEOUT_S = 10.0
+# An answer that cannot be held waits this long for the memory of callers that are
+# being closed.
+MEMORY_WAIT_S = 0.5
+MEMORY_RETRY_S = 0.01
 KEEP_ALIVE_S = 30
 HEADER_LIMIT_BYTES = 32_768
 BACKLOG = 1024
@@ -38,10 +51,16 @@
 # How long the kernel withholds a new connection that has sent no bytes, so that idle
 # connections occupy no thread.
 DEFER_ACCEPT_S = 5
-READ_BUFFER_BYTES = 65536
+# The buffer of each connection. Larger bodies are read without it.
+READ_BUFFER_BYTES = 8192
+# How many turns of reading a request thread gives a body, so that most prompts need no
+# other thread.
+THREAD_TURNS = 4
 
 FORBIDDEN_IN_HEADER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+# When a request may be repeated that there was no memory for, in seconds.
+RETRY_AFTER_S = 1
 LAST_CHUNK = b"0\r\n\r\n"
 CONTENT_LENGTH = re.compile(rb"[0-9]{1,15}")
 
@@ -53,6 +72,8 @@
         self.sock = sock
         self.deadline = 0.0
         self.is_peeking = False
+        # Bytes that were read together with a body and belong to the next request.
+        self.unread = b""
 
     def readable(self) -> bool:
         """Return True, as BufferedReader requires."""
@@ -60,6 +81,11 @@
 
     def readinto(self, buffer: Any) -> int | None:
         """Wait for bytes and read them. Raises TimeoutError at the deadline."""
+        if self.unread:
+            size = min(len(buffer), len(self.unread))
+            buffer[:size] = self.unread[:size]
+            self.unread = self.unread[size:]
+            return size
         if self.is_peeking:
             return None
         remaining = self.deadline - time.monotonic()
@@ -76,26 +102,72 @@
 
     def has_data(self) -> bool:
         """Return whether the buffer contains bytes of another request."""
+        return bool(self.buffered())
+
+    def buffered(self) -> bytes:
+        """Return the bytes that can be read without the socket, and keep them."""
         self.raw.is_peeking = True
         try:
-            return bool(self.peek(1))
+            return self.peek(1) + self.raw.unread
         finally:
             self.raw.is_peeking = False
 
 
 class CallerWriter:
-    """An unbuffered socket writer, since each output is flushed anyway."""
+    """An unbuffered socket writer, since each output is flushed anyway.
 
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
+    What a caller does not read at once is accounted for while it waits.
+    """
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        self.connection = connection
+        self.sock = connection.socket
         self.closed = False
 
-    def write(self, data: bytes) -> int:
-        """Write all bytes. Raises TimeoutError if the caller does not read them."""
-        self.sock.settimeout(WRITE_TIMEOUT_S)
-        self.sock.sendall(data)
+    def write(self, data: bytes, holding: Holding | None = None) -> int:
+        """Write all bytes. Raises OSError if the caller does not read them.
+
+        ``holding`` accounts for the bytes already, if it is given.
+        """
+        self.sock.settimeout(0)
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(data):
+            self._write_rest(data, sent, holding)
         return len(data)
 
+    def _write_rest(self, data: bytes, sent: int, holding: Holding | None) -> None:
+        """Write what the socket has no room for, as the caller reads."""
+        if holding is None:
+            holding = self.connection.server.resources.account.open()
+        holding.begin_reading(self.connection.cut)
+        rest = memoryview(data)[sent:]
+        try:
+            self._hold(holding, max(holding.size, len(data)))
+            poll = select.poll()
+            poll.register(self.sock, select.POLLOUT)
+            while rest:
+                if not poll.poll(1000 * self.connection.server.limits().idle_s):
+                    raise TimeoutError("timed out")
+                try:
+                    sent = self.sock.send(rest)
+                except BlockingIOError:
+                    continue
+                holding.add_progress(sent)
+                rest = rest[sent:]
+        finally:
+            holding.release()
+
+    def _hold(self, holding: Holding, size: int) -> None:
+        """Account for an answer. Raises OSError if it cannot be held."""
+        until = time.monotonic() + MEMORY_WAIT_S
+        while not holding.resize_or_evict(size):
+            if time.monotonic() >= until:
+                raise OSError(errno.ENOBUFS, "there is no memory for the answer")
+            time.sleep(MEMORY_RETRY_S)
+
     def close(self) -> None:
         """Mark the writer as closed. The connection closes the socket itself."""
         self.closed = True
@@ -103,11 +175,12 @@
 
 def make_file(
     sock: socket.socket, mode: str = "r", size: int = READ_BUFFER_BYTES
-) -> BufferedCallerReader | CallerWriter:
-    """Return a reader or writer for the socket; replaces cheroot's MakeFile."""
+) -> BufferedCallerReader | None:
+    """Return a reader for the socket; replaces cheroot's MakeFile."""
     if "r" in mode:
         return BufferedCallerReader(CallerReader(sock), READ_BUFFER_BYTES)
-    return CallerWriter(sock)
+    # The connection makes its writer itself.
+    return None
 
 
 class StrictHeaderReader(cheroot_server.HeaderReader):
@@ -165,75 +238,142 @@
         """Send the response to an HTTP protocol error and close the connection."""
         code, _, reason = str(status).partition(" ")
         kind = ERROR_TYPES.get(code, RequestError)
-        body = json.dumps(kind(msg or reason).as_body()).encode()
+        self.send_error(status, kind(msg or reason))
+
+    def send_error(self, status: str, error: PoplarfoldError) -> None:
+        """Send an error and close the connection."""
+        body = json.dumps(error.as_body()).encode()
         self.close_connection = True
-        head = (
-            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-        )
-        try:
+        head = f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+        if error.status == 503:
+            head += f"Retry-After: {RETRY_AFTER_S}\r\n"
+        head += f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        # The caller may have disconnected.
+        with contextlib.suppress(OSError):
             self.conn.wfile.write(head.encode("latin-1") + body)
-        except OSError:
-            # The caller has disconnected.
-            pass
 
-    def respond(self) -> None:
-        """Handle the request. A chunked body is read to its end before that.
+    def parse_request(self) -> None:
+        """Read the head, if it has not been read before the body arrived."""
+        if not self.ready:
+            super().parse_request()
 
-        cheroot reads no trailer, so that the rest of the body would be taken for the
-        next request.
-        """
-        if not self.chunked_read:
-            super().respond()
-            return
-        limit_bytes = self.server.max_request_body_size
-        try:
-            body = read_chunked_body(self.conn.rfile, limit_bytes)
-        except PromptTooLargeError as error:
-            self.simple_response("413 Request Entity Too Large", str(error))
+    def respond(self) -> None:
+        """Handle the request once its body has arrived, trailer included."""
+        transfer = self.conn.begin_transfer(self.expected_body())
+        if not transfer.is_done:
             return
-        except RequestError as error:
-            self.simple_response("400 Bad Request", str(error))
+        if transfer.error is not None:
+            status = transfer.error.status
+            self.server.resources.count_rejected(status)
+            self.send_error(f"{status} {reason_phrase(status)}", transfer.error)
             return
-        self.rfile = io.BytesIO(body)
+        self.rfile = io.BytesIO(transfer.take_content())
         self.server.gateway(self).respond()
         if self.ready:
             self.ensure_headers_sent()
         if self.chunked_write:
             self.conn.wfile.write(LAST_CHUNK)
 
-    def send_headers(self) -> None:
-        """Read the rest of the request body, then send the response head.
+    def expected_body(self) -> IncomingBody:
+        """Return the decoder of the body that the head announces."""
+        if self.chunked_read:
+            return ChunkedBody(self.server.max_request_body_size)
+        return LengthBody(int(self.inheaders.get(b"Content-Length", 0)))
 
-        If the rest does not arrive, the head is sent anyway and the connection is
-        closed after the response.
-        """
-        remaining = getattr(self.rfile, "remaining", 0)
-        if remaining > 0 and not self.close_connection:
-            try:
-                self.rfile.read(remaining)
-            except OSError:
-                self.close_connection = True
-        super().send_headers()
+
+def reason_phrase(status: int) -> str:
+    """Return the standard reason phrase of a status code."""
+    return http.HTTPStatus(status).phrase
 
 
 class CallerConnection(cheroot_server.HTTPConnection):
     """A caller's connection, with a read deadline for each request."""
 
-    RequestHandlerClass = CallerRequest
     rfile: BufferedCallerReader
+    wfile: CallerWriter
     socket: Any
 
     def __init__(self, server: Any, sock: socket.socket, makefile: Any) -> None:
         super().__init__(server, sock, make_file)
+        self.wfile = CallerWriter(self)
         self.request: CallerRequest | None = None
+        # The body of the request that is being read or served.
+        self.transfer: BodyTransfer | None = None
         # When the head of the next request began to arrive, if it was not complete.
         self.head_began_at: float | None = None
+        self.requests_served = 0
+        self.idle_since = time.monotonic()
+        # Whether a whole head has arrived whose request has not been answered yet, and
+        # whether its body is complete.
+        self.is_busy = False
+        self.is_evicted = False
+        server.resources.connections.add(self)
+
+    def RequestHandlerClass(  # noqa: N802
+        self, server: Any, connection: Any
+    ) -> CallerRequest:
+        """Return the request whose body was waited for, or a new one."""
+        if self.transfer is not None and self.request is not None:
+            return self.request
+        return CallerRequest(server, connection)
+
+    def begin_transfer(self, body: IncomingBody) -> BodyTransfer:
+        """Return the transfer of the request's body, and read what has arrived.
+
+        Bounded work: what is left is read by the body reader.
+        """
+        if self.transfer is not None:
+            return self.transfer
+        limits = self.server.limits()
+        transfer = BodyTransfer(
+            self,
+            body,
+            self.server.resources.account.open(
+                self.server.resources.body_reader.check_soon
+            ),
+            limits.idle_s,
+            time.monotonic() + limits.total_s,
+        )
+        self.transfer = transfer
+        while not transfer.is_done and (data := self.rfile.buffered()):
+            self.rfile.read(transfer.feed(data))
+        self.socket.setblocking(False)
+        for _ in range(THREAD_TURNS):
+            received = len(body.content)
+            if transfer.is_done or not transfer.receive():
+                break
+            if len(body.content) == received:
+                break
+        return transfer
+
+    @property
+    def waits_for_body(self) -> bool:
+        """Whether the body of the current request has not arrived yet."""
+        return self.transfer is not None and not self.transfer.is_done
+
+    def cut(self) -> None:
+        """Break the connection. Its thread then closes it."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def evict(self) -> None:
+        """Close the connection to make room for others."""
+        self.is_evicted = True
+        self.cut()
 
     def close(self) -> None:
         """Close the connection, without a reset that the answer could be lost by."""
+        self.end_request()
+        self.server.resources.connections.remove(self)
         self.rfile.close()
-        self.server.closing_sockets.add(self.socket)
+        self.server.resources.closing_sockets.add(self.socket)
+
+    def end_request(self) -> None:
+        """Hold nothing for the current request any more."""
+        if self.transfer is not None:
+            self.transfer.holding.release()
+        self.transfer = None
+        self.request = None
 
     def encode_body_part(self, data: bytes) -> bytes:
         """Encode a part of the current response's body in its transfer coding."""
@@ -242,11 +382,17 @@
         return data
 
     def communicate(self) -> bool:
-        """Serve one request. Its read deadline starts at its first byte."""
+        """Serve one request, or begin to. The read deadline is that of its head."""
         began_at = self.head_began_at or time.monotonic()
         self.head_began_at = None
         self.rfile.raw.deadline = began_at + self.server.request_read_s
-        return bool(super().communicate())
+        is_kept = bool(super().communicate())
+        if self.waits_for_body:
+            return True
+        self.end_request()
+        self.requests_served += 1
+        self.idle_since = time.monotonic()
+        return is_kept
 
 
 class CallerGateway(Gateway_10):
@@ -269,8 +415,9 @@
         address: tuple[str, int],
         application: Callable[..., Any] | None,
         threads: int,
-        body_limit_bytes: int,
+        limits: Callable[[], CallerLimits],
         request_read_s: float,
+        resources: CallerResources,
         on_error: Callable[[str], None],
     ) -> None:
         super().__init__(
@@ -284,13 +431,18 @@
         )
         self.gateway = CallerGateway
         self.keep_alive_conn_limit = IDLE_CONNECTION_LIMIT
-        self.max_request_body_size = body_limit_bytes
+        self.limits = limits
         self.max_request_header_size = HEADER_LIMIT_BYTES
         self.request_read_s = request_read_s
-        self.closing_sockets = ClosingSockets()
-        self.head_waiter = HeadWaiter(super().process_conn, HEADER_LIMIT_BYTES)
+        self.resources = resources
+        self.head_waiter = HeadWaiter(self.serve_conn, HEADER_LIMIT_BYTES)
         self.on_error = on_error
 
+    @property
+    def max_request_body_size(self) -> int:  # type: ignore[override]
+        """The size limit of a body, which may change while the server runs."""
+        return self.limits().body_bytes
+
     # A subclass sets 0 if its callers open connections before they have requests, so
     # that the kernel does not withhold these connections.
     defer_accept_s = DEFER_ACCEPT_S
@@ -304,24 +456,53 @@
             )
         return sock
 
+    def prepare(self) -> None:
+        """Start listening and the request threads."""
+        super().prepare()
+        self.resources.add_server(self)
+
+    def stop(self) -> None:
+        """Stop listening and the request threads."""
+        self.resources.remove_server(self)
+        super().stop()
+
+    def waiting_requests(self) -> int:
+        """Return how many requests wait because all threads are occupied."""
+        return 0 if self.requests.idle else int(self.requests.qsize)
+
     def process_conn(self, conn: Any) -> None:
         """Pass a connection to a request thread once a head has arrived.
 
         Called for each new connection and each one with new bytes.
         """
-        if conn.rfile.has_data():
-            super().process_conn(conn)
+        if conn.is_evicted:
+            conn.close()
             return
         conn.socket.setblocking(False)
-        is_complete = is_head_complete(conn.socket, HEADER_LIMIT_BYTES)
+        is_complete = is_head_complete(
+            conn.socket, HEADER_LIMIT_BYTES, conn.rfile.buffered()
+        )
         if is_complete:
-            super().process_conn(conn)
+            self.serve_conn(conn)
         elif is_complete is None:
             self.put_conn(conn)
         else:
             conn.head_began_at = time.monotonic()
             self.head_waiter.add(conn, conn.head_began_at + self.request_read_s)
 
+    def serve_conn(self, conn: Any) -> None:
+        """Pass a connection to a request thread."""
+        conn.is_busy = True
+        super().process_conn(conn)
+
+    def put_conn(self, conn: Any) -> None:
+        """Wait for the body of a connection's request, or for its next request."""
+        conn.is_busy = False
+        if conn.waits_for_body and self.ready:
+            self.resources.body_reader.add(conn.transfer)
+        else:
+            super().put_conn(conn)
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
--- a/src/poplarfold/_internal/daemon/main.py
+++ b/src/poplarfold/_internal/daemon/main.py
@@ -17,6 +17,7 @@
 from poplarfold._internal.daemon.tls import PeerTls
 from poplarfold._internal.logs.writer import WriteLog, open_writer
 from poplarfold._internal.settings_file import DaemonSettings, read_settings
+from poplarfold._internal.utils.allocator import return_large_blocks
 
 __all__ = ["Daemon", "main"]
 
@@ -111,6 +112,7 @@
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
+    return_large_blocks()
     daemon.start()
     daemon.wait()
     daemon.stop()
--- a/src/poplarfold/_internal/daemon/metrics.py
+++ b/src/poplarfold/_internal/daemon/metrics.py
@@ -6,6 +6,8 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from aioprometheus.histogram import Histogram as Buckets
 
+from poplarfold._internal.http.caller_metrics import CallerMetrics
+
 __all__ = ["DaemonMetrics", "IntervalRecorder"]
 
 TTFT_BOUNDS_S = (0.05, 0.1, 0.2, 0.3, 0.46, 0.7, 1.0, 2.0, 5.0, 15.0, 60.0)
@@ -51,6 +53,7 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         registry = self.registry = Registry()
+        self.callers = CallerMetrics(registry)
         self.calls = Counter(
             "poplarfold_calls_total", "Calls by entry and result.", registry=registry
         )
@@ -128,5 +131,6 @@
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         with self.lock:
+            self.callers.sample()
             content, _ = render(self.registry, ["text/plain"])
         return bytes(content)
--- a/src/poplarfold/_internal/daemon_settings.py
+++ b/src/poplarfold/_internal/daemon_settings.py
@@ -72,5 +72,7 @@
     tls: TlsSettings | None
     request_threads: int
     body_limit_bytes: int
+    memory_bytes: int
+    max_connections: int
     timeouts: TimeoutSettings
     log_path: Path | None
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -202,6 +202,13 @@
 # Rejections for lack of capacity, time or a catalogue.
 
 
+class CallerMemoryError(PoplarfoldError):
+    """This process has no memory left for the request. It has not run."""
+
+    code = "no_memory"
+    status = 503
+
+
 class TargetUnattainableError(PoplarfoldError):
     """Even an idle engine could not meet the latency target of the call's class."""
 
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -9,7 +9,7 @@
 import time
 from pathlib import Path
 
-from poplarfold._internal.core.fleet.rows import FleetEndpoint
+from poplarfold._internal.core.fleet.rows import FleetEndpoint, RequestLimits
 from poplarfold._internal.core.fleet.server_signals import ServerSignal
 from poplarfold._internal.daemon.endpoint_client import EndpointClient
 from poplarfold._internal.daemon.socket_watcher import SocketWatcher
@@ -35,6 +35,8 @@
 from poplarfold._internal.gateway.store_reader import StoreReader
 from poplarfold._internal.gateway.topic_state import TopicState
 from poplarfold._internal.http.answer_memory import AnswerMemory
+from poplarfold._internal.http.caller_resources import CallerLimits, CallerResources
+from poplarfold._internal.http.memory_account import MemoryAccount
 from poplarfold._internal.logs.queued import QueuedStream
 from poplarfold._internal.logs.writer import EventWriter
 from poplarfold._internal.platform import (
@@ -43,6 +45,7 @@
     StoreClient,
     read_boot_file,
 )
+from poplarfold._internal.utils.allocator import return_large_blocks
 from poplarfold._internal.utils.clock import boot_time
 
 __all__ = ["Gateway", "main"]
@@ -79,11 +82,15 @@
         self.settings = settings
         self.writer = writer
         self.stopping = threading.Event()
-        client = EndpointClient(settings.connect_s, answer_memory(host.memory_mb))
+        self.resources = caller_resources(host, settings, writer)
+        client = EndpointClient(
+            settings.connect_s, answer_memory(host.memory_mb, self.resources.account)
+        )
         seed = int.from_bytes(os.urandom(8), "big")
         self.fleet = Fleet(host, settings, seed)
         self.watcher = SocketWatcher()
         self.metrics = GatewayMetrics()
+        self.metrics.callers.resources = self.resources
         self.guard = PartGuard(self.fleet.clock, writer.write_event)
         services = Services(
             self.fleet,
@@ -134,11 +141,25 @@
             handler,  # type: ignore[arg-type]
             self.stopping.is_set,
             SMALL_LISTENER_THREADS if is_small else self.settings.request_threads,
-            SMALL_BODY_LIMIT_BYTES if is_small else BODY_LIMIT_BYTES,
+            self.small_limits if is_small else self.caller_limits,
             REQUEST_READ_TIMEOUT_S,
+            self.resources,
             self.log_server_error,
         )
 
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits of a caller's request by the current configuration."""
+        table = self.fleet.directory.route_table
+        found = table.limits if table is not None else RequestLimits()
+        return CallerLimits(
+            found.body_bytes or BODY_LIMIT_BYTES,
+            found.idle_s or self.settings.caller_idle_s,
+        )
+
+    def small_limits(self) -> CallerLimits:
+        """Return the limits of a request to the readiness and metrics listeners."""
+        return CallerLimits(SMALL_BODY_LIMIT_BYTES, self.settings.caller_idle_s)
+
     def record_signal(self, endpoint: FleetEndpoint, signal: ServerSignal) -> None:
         """Record what an answer says of its endpoint, and log what is new."""
         if self.fleet.record_signal(endpoint, signal):
@@ -216,7 +237,8 @@
                 self.handler.end_open_calls()
             # Polls several times, because a request that was just read may not be
             # counted as open yet.
-            idle_polls = 0 if self.handler.open_calls else idle_polls + 1
+            is_busy = self.handler.open_calls or self.resources.body_reader.transfers
+            idle_polls = 0 if is_busy else idle_polls + 1
             lingered = boot_time() - started_at >= self.settings.stop_linger_s
             if lingered and idle_polls >= STOP_IDLE_POLLS:
                 break
@@ -234,11 +256,28 @@
         self.writer.write_event("PF2104", None, {"problem": ""})
 
 
-def answer_memory(memory_mb: float) -> AnswerMemory:
+def caller_resources(
+    host: HostSettings, settings: GatewaySettings, writer: EventWriter
+) -> CallerResources:
+    """Return what callers may take of the host's memory and descriptors."""
+    account = MemoryAccount()
+    if host.memory_mb > 0:
+        share = settings.caller_memory_share
+        account = MemoryAccount(int(share * host.memory_mb * 1_000_000))
+    connections = settings.caller_connections
+    if host.max_files > 0:
+        # Each call may have a connection to an endpoint.
+        kept = settings.kept_descriptors + settings.request_threads
+        connections = max(1, min(connections, host.max_files - kept))
+    return CallerResources(account, connections, writer.write_event)
+
+
+def answer_memory(memory_mb: float, account: MemoryAccount) -> AnswerMemory:
     """Return the memory for unfinished answers of a process with a limit in MB."""
     if memory_mb <= 0:
-        return AnswerMemory()
-    return AnswerMemory(int(ANSWER_MEMORY_SHARE * memory_mb * 1_000_000))
+        return AnswerMemory(account=account)
+    limit_bytes = int(ANSWER_MEMORY_SHARE * memory_mb * 1_000_000)
+    return AnswerMemory(limit_bytes, account)
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -255,6 +294,7 @@
         print(f"poplarfold-gateway: {error}", file=sys.stderr)
         return EXIT_SETTINGS
     threading.stack_size(THREAD_STACK_BYTES)
+    return_large_blocks()
     stream = QueuedStream(sys.stdout.fileno(), settings.log_queue_lines)
     incarnation = int(time.time() * 1000)
     writer = EventWriter(stream, host.host, incarnation)  # type: ignore[arg-type]
--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -5,6 +5,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from poplarfold._internal.http.caller_metrics import CallerMetrics
+
 __all__ = ["GatewayGauges", "GatewayMetrics"]
 
 LATENCY_BOUNDS_S = (
@@ -45,6 +47,7 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         registry = self.registry = Registry()
+        self.callers = CallerMetrics(registry)
         self.answers = Counter(
             "poplarfold_answers_total",
             "Answers by kind of call and status.",
@@ -185,5 +188,6 @@
             self.endpoints.set({}, gauges.endpoints)
             for topic, age_s in gauges.read_age_s.items():
                 self.read_age.set({"topic": topic}, round(age_s, 3))
+            self.callers.sample()
             content, _ = render(self.registry, ["text/plain"])
         return bytes(content)
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -42,11 +42,20 @@
         self.fleet = context.services.fleet
         self.tried: set[str] = set()
         self.sent_attempts = 0
+        # What this node keeps of the answers, until one has been sent.
+        self.held = context.services.client.memory.hold()
         # False as soon as an attempt may have run.
         self.is_unexecuted = True
 
     def run(self) -> None:
         """Make the call and send its answer. Raises PoplarfoldError or OSError."""
+        try:
+            self.make_attempts()
+        finally:
+            self.held.release()
+
+    def make_attempts(self) -> None:
+        """Try endpoints until one has answered. Raises PoplarfoldError or OSError."""
         failed: Answer | None = None
         error: PoplarfoldError = NotRunError("no endpoint can take the call")
         while True:
@@ -153,6 +162,7 @@
             # The client must not resend: each retry counts as an attempt of the
             # route and takes retry budget.
             retry_on_new_connection=False,
+            held=self.held,
         )
 
     def record_failure(
@@ -188,7 +198,11 @@
             raise EndpointError("an earlier attempt may have run")
         if answer.status == 421:
             raise NotRunError("the endpoint has been replaced")
-        context.exchange.send_whole(answer.status, headers, answer.body)
+        holding = self.held.detach()
+        try:
+            context.exchange.send_whole(answer.status, headers, answer.body, holding)
+        finally:
+            holding.release()
         latency_s = boot_time() - context.arrived_at
         context.services.metrics.count_answer(
             context.route.kind.value, answer.status, latency_s
--- a/src/poplarfold/_internal/gateway/server.py
+++ b/src/poplarfold/_internal/gateway/server.py
@@ -9,12 +9,16 @@
 from cheroot.workers.threadpool import ThreadPool
 
 from poplarfold._internal.daemon.http_server import CallerConnection, CallerServer
+from poplarfold._internal.http.caller_resources import CallerLimits, CallerResources
+from poplarfold._internal.http.memory_account import Holding
 
 __all__ = ["CallerExchange", "GatewayServer"]
 
 CHUNK_END = b"0\r\n\r\n"
 INITIAL_THREADS = 8
 IDLE_THREADS_MIN = 4
+# A larger body is sent apart from its head, since joining them takes its size again.
+SMALL_BODY_BYTES = 65_536
 
 
 class CallerExchange:
@@ -51,12 +55,25 @@
         return data
 
     def send_whole(
-        self, status: int, headers: list[tuple[str, str]], body: bytes
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        holding: Holding | None = None,
     ) -> None:
-        """Send a complete answer. Raises OSError if the caller has disconnected."""
+        """Send a complete answer. Raises OSError if the caller has disconnected.
+
+        ``holding`` accounts for the body, if it is given.
+        """
         rows = [*headers, ("Content-Length", str(len(body)))]
         head = self._head(status, rows)
-        self.connection.wfile.write(head if self.method == "HEAD" else head + body)
+        if self.method == "HEAD":
+            body = b""
+        if len(body) < SMALL_BODY_BYTES:
+            head, body = head + body, b""
+        self.connection.wfile.write(head)
+        if body:
+            self.connection.wfile.write(body, holding)
 
     def begin_stream(
         self, status: int, headers: list[tuple[str, str]], payload: bytes
@@ -169,12 +186,13 @@
         handler: Callable[[CallerExchange], None],
         is_closing: Callable[[], bool],
         threads: int,
-        body_limit_bytes: int,
+        limits: Callable[[], CallerLimits],
         request_read_s: float,
+        resources: CallerResources,
         on_error: Callable[[str], None],
     ) -> None:
         super().__init__(
-            address, None, threads, body_limit_bytes, request_read_s, on_error
+            address, None, threads, limits, request_read_s, resources, on_error
         )
         self.requests = GrowingPool(self, threads)
         self.gateway = ExchangeGateway
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -15,6 +15,12 @@
 
     ``request_threads`` limits the requests in progress.
 
+    Request bodies and answers may hold ``caller_memory_share`` of the process's memory.
+    At most ``caller_connections`` connections of callers are open, fewer if the host
+    allows fewer descriptors; ``kept_descriptors`` of these, and one for each request
+    thread, are kept for other uses. If the configuration does not state it, a caller
+    may pause for ``caller_idle_s`` within a body or an answer.
+
     Timeouts: ``connect_s`` for connecting to an endpoint or the store,
     ``lease_call_s`` for a call that reserves or releases a resource of an engine,
     ``prefill_s`` for a prefill, ``store_call_s`` for a call to the store. For a
@@ -41,6 +47,10 @@
     """
 
     request_threads: int = 96
+    caller_memory_share: float = 0.3
+    caller_connections: int = 4096
+    kept_descriptors: int = 200
+    caller_idle_s: float = 15.0
     metrics_port: int = 9464
     connect_s: float = 0.3
     lease_call_s: float = 0.4
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -377,5 +377,11 @@
         if stream.status >= 500 and context.route.resumable:
             raise EndpointError(f"{endpoint.address} answered {stream.status}")
         headers = caller_answer_headers(stream.headers.items())
-        context.exchange.send_whole(stream.status, headers, b"".join(parts))
+        holding = self.held.detach()
+        try:
+            context.exchange.send_whole(
+                stream.status, headers, b"".join(parts), holding
+            )
+        finally:
+            holding.release()
         return True
--- a/src/poplarfold/_internal/http/answer_memory.py
+++ b/src/poplarfold/_internal/http/answer_memory.py
@@ -7,14 +7,19 @@
 """
 
 import threading
+import time
 
 from poplarfold._internal.exceptions import AnswerTooLargeError
+from poplarfold._internal.http.memory_account import Holding, MemoryAccount
 
 __all__ = ["AnswerMemory", "HeldBytes"]
 
 DEFAULT_LIMIT_BYTES = 64_000_000
 # An answer of this size is always accepted. It is larger than most.
 SMALL_ANSWER_BYTES = 65_536
+# How long an answer waits for the memory of callers that are being closed.
+WAIT_S = 0.5
+RETRY_S = 0.01
 
 
 class AnswerMemory:
@@ -23,10 +28,17 @@
     held = AnswerMemory(1_000_000).hold()
     held.resize(200_000)
     held.release()
+
+    Answers also draw on ``account``, which they share with the callers' requests.
     """
 
-    def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
+    def __init__(
+        self,
+        limit_bytes: int = DEFAULT_LIMIT_BYTES,
+        account: MemoryAccount | None = None,
+    ) -> None:
         self.limit_bytes = limit_bytes
+        self.account = account or MemoryAccount(limit_bytes)
         self.used_bytes = 0
         self.lock = threading.Lock()
 
@@ -34,31 +46,65 @@
         """Return the account of a new answer, which holds nothing yet."""
         return HeldBytes(self)
 
-    def change(self, held: int, wanted: int) -> bool:
-        """Change what one answer holds, if the others leave enough for it."""
+    def change(self, holding: Holding, wanted: int) -> bool:
+        """Change what one answer holds; return False if callers must be closed first.
+
+        A small answer is accepted even if callers use up the account: its call has been
+        sent, and must not be given up for their sake. Raises AnswerTooLargeError if the
+        other answers do not leave enough.
+        """
         with self.lock:
+            held = holding.size
             others = self.used_bytes - held
             is_small = wanted <= max(held, SMALL_ANSWER_BYTES)
             if not is_small and wanted > (self.limit_bytes - others) / 2:
-                return False
+                raise AnswerTooLargeError(
+                    f"an answer exceeds {held} bytes, and there is no memory for more"
+                )
+            if not holding.resize_or_evict(wanted):
+                if not is_small:
+                    return False
+                holding.force(wanted)
             self.used_bytes = others + wanted
             return True
 
+    def forget(self, size: int) -> None:
+        """Leave ``size`` bytes that an answer holds to its caller."""
+        with self.lock:
+            self.used_bytes -= size
+
 
 class HeldBytes:
     """What one unfinished answer holds of the memory."""
 
     def __init__(self, memory: AnswerMemory) -> None:
         self.memory = memory
-        self.size = 0
+        self.holding = memory.account.open()
+
+    @property
+    def size(self) -> int:
+        """The number of bytes that are held."""
+        return self.holding.size
 
     def resize(self, size: int) -> None:
-        """Hold ``size`` bytes from now on. Raises AnswerTooLargeError."""
-        if not self.memory.change(self.size, size):
-            raise AnswerTooLargeError(
-                f"an answer exceeds {self.size} bytes, and there is no memory for more"
-            )
-        self.size = size
+        """Hold ``size`` bytes from now on. Raises AnswerTooLargeError.
+
+        Waits shortly for the memory of callers that are being closed.
+        """
+        until = time.monotonic() + WAIT_S
+        while not self.memory.change(self.holding, size):
+            if time.monotonic() >= until:
+                raise AnswerTooLargeError("callers hold all memory for answers")
+            time.sleep(RETRY_S)
+
+    def detach(self) -> Holding:
+        """Return what is held as a holding of its own, and hold nothing any more.
+
+        It still counts in the account, but no longer among the answers being read.
+        """
+        detached, self.holding = self.holding, self.memory.account.open()
+        self.memory.forget(detached.size)
+        return detached
 
     def release(self) -> None:
         """Hold nothing any more."""
--- a/src/poplarfold/_internal/http/closing_sockets.py
+++ b/src/poplarfold/_internal/http/closing_sockets.py
@@ -51,6 +51,18 @@
             self._started_epoll().register(sock.fileno(), select.EPOLLIN)
             self.has_sockets.notify()
 
+    def count(self) -> int:
+        """Return the number of sockets that wait."""
+        return len(self.sockets)
+
+    def close_oldest(self, count: int) -> int:
+        """Close up to ``count`` sockets before their time; return how many."""
+        with self.lock:
+            oldest = list(self.sockets)[:count]
+            for descriptor in oldest:
+                self._close(descriptor)
+        return len(oldest)
+
     def _started_epoll(self) -> select.epoll:
         """Return the epoll object, and start the thread with it. The lock is held."""
         if self.epoll is None:
--- a/src/poplarfold/_internal/http/head_waiter.py
+++ b/src/poplarfold/_internal/http/head_waiter.py
@@ -19,20 +19,28 @@
 HEAD_ENDS = (b"\n\r\n", b"\n\n")
 
 
-def is_head_complete(sock: socket.socket, limit_bytes: int) -> bool | None:
+def is_head_complete(
+    sock: socket.socket, limit_bytes: int, received: bytes = b""
+) -> bool | None:
     """Return whether a request's whole head can be read now; None without any byte.
 
-    A head that has reached the limit, and a connection that has ended, count as
-    complete: their reader finds out without waiting. The socket must be non-blocking.
+    ``received`` has been read from the socket before. A head that has reached the
+    limit, and a connection that has ended, count as complete: their reader finds out
+    without waiting. The socket must be non-blocking.
     """
     try:
         data = sock.recv(limit_bytes, socket.MSG_PEEK)
     except BlockingIOError:
-        return None
+        if not received:
+            return None
+        data = b""
     except OSError:
         return True
-    is_whole = any(end in data for end in HEAD_ENDS)
-    return is_whole or not data or len(data) >= limit_bytes
+    else:
+        if not data:
+            return True
+    data = received + data
+    return any(end in data for end in HEAD_ENDS) or len(data) >= limit_bytes
 
 
 class HeadWaiter:
@@ -77,7 +85,11 @@
             for descriptor, (connection, until) in rows:
                 if now >= until or (
                     descriptor in changed
-                    and is_head_complete(connection.socket, self.limit_bytes)
+                    and is_head_complete(
+                        connection.socket,
+                        self.limit_bytes,
+                        connection.rfile.buffered(),
+                    )
                 ):
                     self._pass_on(descriptor, connection)
 
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -568,6 +568,34 @@
         ("part", "problem"),
         "a relay could not write a suspected part to the store, and tries again",
     ),
+    EventKind(
+        "PF8201",
+        "bodies_rejected",
+        ("count", "used_bytes", "limit_bytes"),
+        "request bodies were rejected with status 503, because the memory for callers "
+        "was used up; logged at most once in 10 s",
+    ),
+    EventKind(
+        "PF8202",
+        "slow_callers_closed",
+        ("count", "used_bytes", "limit_bytes"),
+        "callers that sent a body or read an answer more slowly than others were given "
+        "up, for lack of memory or request threads; logged at most once in 10 s",
+    ),
+    EventKind(
+        "PF8203",
+        "bodies_timed_out",
+        ("count",),
+        "request bodies of which nothing arrived for too long got status 408; logged "
+        "at most once in 10 s",
+    ),
+    EventKind(
+        "PF8204",
+        "connections_closed",
+        ("count", "limit"),
+        "connections without a whole request were closed, because as many were open as "
+        "the descriptors allow; logged at most once in 10 s",
+    ),
     EventKind(
         "PF9001",
         "invariant_violated",
--- a/src/poplarfold/_internal/platform/boot.py
+++ b/src/poplarfold/_internal/platform/boot.py
@@ -44,8 +44,8 @@
 
     ``regions`` maps each failure domain to its region. On ``peer_ports`` the
     router's own nodes may listen for each other. ``link_mbps`` is the rate of the
-    host's network link in Mbit/s, and ``memory_mb`` the limit of this process's memory.
-    Both are 0 if they are not given.
+    host's network link in Mbit/s, ``memory_mb`` the limit of this process's memory, and
+    ``max_files`` that of its descriptors. They are 0 if they are not given.
     """
 
     host: str
@@ -60,6 +60,7 @@
     peer_ports: tuple[int, ...] = ()
     link_mbps: float = 0.0
     memory_mb: float = 0.0
+    max_files: int = 0
 
 
 def read_boot_file(path: str | None = None) -> HostSettings:
@@ -95,6 +96,7 @@
         peer_ports=decode_port_range(fields.get("port_range")),
         link_mbps=float(limits.get("link_mbps") or 0.0),
         memory_mb=float(limits.get("memory_mb") or 0.0),
+        max_files=int(limits.get("max_fds") or 0),
     )
 
 
--- a/src/poplarfold/_internal/platform/records.py
+++ b/src/poplarfold/_internal/platform/records.py
@@ -7,6 +7,7 @@
 from poplarfold._internal.core.fleet.rows import (
     CallKind,
     FleetEndpoint,
+    RequestLimits,
     Route,
     RouteTable,
     Service,
@@ -70,11 +71,20 @@
             version=check_integer(fields["version"], "version"),
             routes=tuple(decode_route(row) for row in fields["routes"]),
             services=services,
+            limits=decode_limits(fields.get("limits") or {}),
         )
     except MALFORMED_DOCUMENT_ERRORS as error:
         raise PlatformFormatError(f"configuration: {error!r}"[:PROBLEM_MAX]) from error
 
 
+def decode_limits(fields: dict[str, Any]) -> RequestLimits:
+    """Decode the limits of requests; a missing one is 0."""
+    return RequestLimits(
+        body_bytes=int(number_in(fields, "max_body_bytes", 0)),
+        idle_s=number_in(fields, "idle_timeout_ms", 0) / 1000,
+    )
+
+
 def decode_service(row: dict[str, Any]) -> Service:
     """Decode one service; only services with engines have ``engine``."""
     engine = row.get("engine") or {}
--- a/src/poplarfold/_internal/settings_file.py
+++ b/src/poplarfold/_internal/settings_file.py
@@ -350,6 +350,8 @@
         tls=TlsSettings(*map(Path, tls_paths)) if all(tls_paths) else None,
         request_threads=values["requests.threads"],
         body_limit_bytes=values["requests.body_limit_bytes"],
+        memory_bytes=values["requests.memory_bytes"],
+        max_connections=values["requests.max_connections"],
         timeouts=TimeoutSettings(
             *(float(values[f"timeouts.{key}"]) for key in TimeoutSettings._fields)
         ),
--- a/src/poplarfold/_internal/settings_keys.py
+++ b/src/poplarfold/_internal/settings_keys.py
@@ -92,6 +92,23 @@
         1024,
         256_000_000,
     ),
+    KeySpec(
+        "requests.memory_bytes",
+        "integer",
+        48_000_000,
+        "memory that request bodies and answers may hold in the process; at least "
+        "twice the size limit of a body",
+        1_000_000,
+        64_000_000_000,
+    ),
+    KeySpec(
+        "requests.max_connections",
+        "integer",
+        4096,
+        "open connections of callers and operators",
+        16,
+        1_000_000,
+    ),
     KeySpec(
         "timeouts.connect_s",
         "number",
--- /dev/null
+++ b/tests/unit/test_incoming_bodies.py
@@ -0,0 +1,202 @@
+"""Tests of request bodies that arrive in parts, and of the memory for them."""
+
+import io
+import socket
+
+from hypothesis import given, strategies as st
+
+from poplarfold._internal.exceptions import (
+    CallerMemoryError,
+    PoplarfoldError,
+    PromptTooLargeError,
+    RequestError,
+    RequestTimeoutError,
+)
+from poplarfold._internal.http.body_reader import BodyTransfer
+from poplarfold._internal.http.chunked_body import read_chunked_body
+from poplarfold._internal.http.closing_sockets import ClosingSockets
+from poplarfold._internal.http.incoming_body import ChunkedBody, LengthBody
+from poplarfold._internal.http.memory_account import MemoryAccount
+from poplarfold._internal.http.open_connections import OpenConnections
+
+LIMIT_BYTES = 120
+CHUNKS = st.builds(
+    lambda data, extension, zeros: (
+        b"%b%x%b\r\n%b\r\n" % (b"0" * zeros, len(data), extension, data)
+    ),
+    st.binary(min_size=1, max_size=20),
+    st.sampled_from([b"", b"", b"", b";name=value", b" "]),
+    st.sampled_from([0, 0, 0, 2]),
+)
+RUNS = st.builds(
+    lambda data, count: (b"%x\r\n%b\r\n" % (len(data), data)) * count,
+    st.binary(min_size=1, max_size=16),
+    st.integers(1, 12),
+)
+ENDS = st.sampled_from(
+    [b"0\r\n\r\n", b"0\r\nA: b\r\n\r\n", b"0\r\nbad\r\n\r\n", b"0\r\n\n", b""]
+    + [b"0\r\n" + b"A: b\r\n" * count + b"\r\n" for count in (63, 64, 65)]
+    + [b"1;" + b"x" * length + b"\r\ny\r\n0\r\n\r\n" for length in (8187, 8188, 8189)]
+)
+NOISE = st.sampled_from([b"", b"", b"", b"\r\n", b"\n", b"g\r\n", b"-1\r\n", b"x"])
+
+
+def decode_whole(data):
+    reader = io.BytesIO(data)
+    try:
+        return read_chunked_body(reader, LIMIT_BYTES), reader.read()
+    except PoplarfoldError as error:
+        return type(error)
+
+
+def decode_parts(parts):
+    body, rest = ChunkedBody(LIMIT_BYTES), b""
+    for part in parts:
+        if body.ended:
+            rest += part
+            continue
+        try:
+            rest = part[body.feed(part) :]
+        except PoplarfoldError as error:
+            return type(error)
+    return (bytes(body.content), rest) if body.ended else RequestError
+
+
+@given(
+    st.lists(st.one_of(CHUNKS, RUNS, NOISE), max_size=5),
+    ENDS,
+    st.sampled_from([b"", b"GET / HTTP/1.1\r\n"]),
+    st.data(),
+)
+def test_bodies_are_decoded_alike_however_they_are_split(rows, end, rest, draw):
+    """Guards against a second decoder that accepts or ends other bodies than the
+    strict reader, so that a request could be hidden behind a body."""
+    data = b"".join(rows) + end + rest
+    cuts = draw.draw(st.lists(st.integers(0, len(data)), max_size=8).map(sorted))
+    edges = [0, *cuts, len(data)]
+    parts = [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+    assert decode_parts(parts) == decode_whole(data)
+    if len(data) < 500:
+        assert decode_parts([data[i : i + 1] for i in range(len(data))]) == (
+            decode_whole(data)
+        )
+
+
+def test_runs_of_chunks_stay_within_the_limit():
+    """Guards against a limit that chunks which are decoded together pass by."""
+    body = ChunkedBody(LIMIT_BYTES)
+    assert decode_parts([b"1\r\nx\r\n" * LIMIT_BYTES + b"0\r\n\r\n"])[0] == (
+        b"x" * LIMIT_BYTES
+    )
+    try:
+        body.feed(b"1\r\nx\r\n" * (LIMIT_BYTES + 1))
+    except PromptTooLargeError:
+        return
+    raise AssertionError("the body was accepted")
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 0.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def test_slowest_caller_is_closed_first():
+    """Guards against callers that proceed and are closed in place of stalled ones."""
+    clock, closed = Clock(), []
+    account = MemoryAccount(300, clock)
+    rows = {
+        name: account.open(lambda name=name: closed.append(name))
+        for name in ("stalled", "slow", "fast", "sent")
+    }
+    for name, speed in (("stalled", 0), ("slow", 10), ("fast", 1000), ("sent", 0)):
+        assert rows[name].resize(70)
+        rows[name].add_progress(speed)
+    assert rows["sent"].keep()
+    late = account.open(lambda: closed.append("late"))
+    assert not late.resize_or_evict(50) and closed == []
+    clock.now_s = 1.5
+    late = account.open(lambda: closed.append("late"))
+    assert not late.resize_or_evict(50) and closed == ["stalled"]
+    # Its memory is on its way, so that no one else is closed for it.
+    assert not late.resize_or_evict(50) and closed == ["stalled"]
+    assert not rows["stalled"].keep()
+    rows["stalled"].release()
+    assert late.resize_or_evict(50)
+    clock.now_s = 4.0
+    assert not late.resize_or_evict(200) and closed == ["stalled"]
+    for name, speed in (("slow", 10), ("fast", 1000)):
+        rows[name].add_progress(speed)
+    late.add_progress(10_000)
+    assert not late.resize_or_evict(200) and closed == ["stalled", "slow", "fast"]
+    for row in (*rows.values(), late):
+        row.release()
+    assert account.used_bytes == 0 and not account.holdings
+
+
+class Connection:
+    def __init__(self, served=0, idle_since=0.0, is_busy=False):
+        self.requests_served, self.idle_since = served, idle_since
+        self.is_busy, self.is_evicted = is_busy, False
+
+    def evict(self):
+        self.is_evicted = True
+
+
+def test_connections_without_a_request_make_room_first():
+    """Guards against idle callers that lose their connections to silent ones."""
+    connections = OpenConnections(3, ClosingSockets())
+    busy, kept, silent = Connection(is_busy=True), Connection(served=1), Connection()
+    for row in (busy, kept, silent, Connection(idle_since=1.0)):
+        connections.add(row)
+    assert silent.is_evicted and not kept.is_evicted and not busy.is_evicted
+
+
+def transfer_of(body, account, idle_s=10.0):
+    near, far = socket.socketpair()
+    near.setblocking(False)
+
+    class Reader:
+        unread = b""
+
+    class Owner:
+        socket = near
+        rfile = type("File", (), {"raw": Reader()})()
+
+    holding = account.open(lambda: None)
+    return BodyTransfer(Owner, body, holding, idle_s, float("inf")), far
+
+
+def test_body_ends_with_the_bytes_of_the_next_request_kept():
+    """Guards against requests that are lost behind a body."""
+    account = MemoryAccount(100_000)
+    transfer, far = transfer_of(LengthBody(5), account)
+    with far, transfer.sock:
+        far.sendall(b"he")
+        assert transfer.receive() and not transfer.is_done
+        assert account.used_bytes > 2
+        far.sendall(b"lloGET /")
+        assert transfer.receive() and transfer.is_done
+        assert transfer.take_content() == b"hello"
+        assert transfer.connection.rfile.raw.unread == b"GET /"
+    transfer.holding.release()
+    assert account.used_bytes == 0
+
+
+def test_body_without_memory_or_progress_is_rejected():
+    """Guards against bodies that are read without room, or waited for without end."""
+    transfer, far = transfer_of(LengthBody(50_000), MemoryAccount(30_000))
+    with far, transfer.sock:
+        far.sendall(b"x" * 30_000)
+        while not transfer.is_done:
+            assert transfer.receive()
+    assert isinstance(transfer.error, CallerMemoryError)
+    assert transfer.holding.size == 0
+    waiting, far = transfer_of(LengthBody(5), MemoryAccount(), idle_s=2.0)
+    with far, waiting.sock:
+        waiting.check(waiting.progress_at + 1.9)
+        assert not waiting.is_done
+        waiting.check(waiting.progress_at + 2.1)
+    assert isinstance(waiting.error, RequestTimeoutError)
