Decode small chunks outside the request threads only, in shorter turns

Cause: with 200 callers that send 60,000 chunks of one byte with an extension, request threads that decoded them left ordinary calls without a response for 5 s (two of ten). Change: request threads read on only for bodies with a length; turns that take more than 1 ms become smaller; the reading thread pauses for as long as it works.

--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -53,8 +53,9 @@
 DEFER_ACCEPT_S = 5
 # The buffer of each connection. Larger bodies are read without it.
 READ_BUFFER_BYTES = 8192
-# How many turns of reading a request thread gives a body, so that most prompts need no
-# other thread.
+# How many turns of reading a request thread gives a body with a length, so that most
+# prompts need no other thread. Small chunks are decoded by the body reader only: many
+# threads that decode them leave no interpreter time for other calls.
 THREAD_TURNS = 4
 
 FORBIDDEN_IN_HEADER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
@@ -338,7 +339,7 @@
         while not transfer.is_done and (data := self.rfile.buffered()):
             self.rfile.read(transfer.feed(data))
         self.socket.setblocking(False)
-        for _ in range(THREAD_TURNS):
+        for _ in range(THREAD_TURNS if isinstance(body, LengthBody) else 0):
             received = len(body.content)
             if transfer.is_done or not transfer.receive():
                 break
--- a/src/poplarfold/_internal/http/body_reader.py
+++ b/src/poplarfold/_internal/http/body_reader.py
@@ -22,7 +22,7 @@
 
 __all__ = ["BodyReader", "BodyTransfer"]
 
-# How much is read and decoded in one turn of a connection.
+# How much is read and decoded in one turn of a connection, at most.
 TURN_BYTES = 16_384
 TURNS_PER_ROUND = 64
 CHECK_PERIOD_S = 0.1
@@ -30,8 +30,12 @@
 MEMORY_PAUSE_S = 0.01
 # A growing array reserves an eighth more than its size.
 GROWTH = 1.125
-# Shorter work is not worth a pause.
-PAUSE_MIN_S = 0.001
+# After this much work, the thread pauses for as long.
+PAUSE_MIN_S = 0.002
+# Turns that take longer become smaller: chunks of one byte with extensions take 1.5 us
+# each, and other bodies wait for their turns.
+TURN_MAX_S = 0.001
+TURN_BYTES_MIN = 1024
 
 
 class BodyTransfer:
@@ -58,6 +62,7 @@
         self.until = until
         self.progress_at = time.monotonic()
         self.error: PoplarfoldError | None = None
+        self.turn_bytes = TURN_BYTES
         # The whole body, once it is complete.
         self.content = b""
         self.is_done = body.ended
@@ -76,10 +81,18 @@
         return used
 
     def receive(self) -> bool:
-        """Read and decode what has arrived, up to TURN_BYTES.
+        """Read and decode what has arrived, up to the size of a turn.
 
         Returns False if the turn has to wait for memory.
         """
+        started_at = time.thread_time()
+        has_turn = self._receive()
+        if time.thread_time() - started_at > TURN_MAX_S:
+            self.turn_bytes = max(TURN_BYTES_MIN, self.turn_bytes // 2)
+        return has_turn
+
+    def _receive(self) -> bool:
+        """Read and decode, like ``receive``."""
         size = int(GROWTH * len(self.body.content)) + TURN_BYTES
         if not self.holding.resize(size):
             missing = size - self.holding.size
@@ -88,7 +101,7 @@
             self.end(CallerMemoryError("there is no memory for the body"))
             return True
         try:
-            data = self.sock.recv(TURN_BYTES)
+            data = self.sock.recv(self.turn_bytes)
         except BlockingIOError:
             self.holding.resize(size - TURN_BYTES)
             return True
@@ -173,26 +186,28 @@
             self.has_transfers.notify()
 
     def _run(self) -> None:
-        """Receive bodies in rounds. Decoding gets half of the time at most."""
+        """Receive bodies in rounds. The work gets half of the time at most."""
+        worked_s = 0.0
         while True:
             with self.lock:
                 while not self.transfers:
                     self.has_transfers.wait()
             assert self.epoll is not None
             events = self.epoll.poll(CHECK_PERIOD_S, TURNS_PER_ROUND)
-            started_at = time.thread_time()
             is_waiting = False
             for descriptor, _ in events:
+                started_at = time.thread_time()
                 is_waiting |= not self._serve(descriptor)
+                worked_s += time.thread_time() - started_at
+                if worked_s >= PAUSE_MIN_S:
+                    time.sleep(worked_s)
+                    worked_s = 0.0
             now = time.monotonic()
             if now >= self.check_at:
                 self.check_at = now + CHECK_PERIOD_S
                 self._check_transfers(now)
-            worked_s = time.thread_time() - started_at
             if is_waiting:
                 time.sleep(MEMORY_PAUSE_S)
-            elif worked_s >= PAUSE_MIN_S:
-                time.sleep(worked_s)
 
     def _serve(self, descriptor: int) -> bool:
         """Give a connection its turn; return False if it waits for memory."""
