--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from poplarfold._internal.exceptions import CallerDisconnectedError, PoplarfoldError
+from poplarfold._internal.http.caller_metrics import CallerMetrics
 
 __all__ = ["GatewayGauges", "GatewayMetrics"]
 
@@ -66,6 +67,7 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         registry = self.registry = Registry()
+        self.callers = CallerMetrics(registry)
         self.answers = Counter(
             "poplarfold_answers_total",
             "Answers by kind of call and status.",
@@ -298,5 +300,6 @@
             for service, pace in self.paces.items():
                 self.slowdown.set({"service": service}, round(pace.slowdown, 3))
                 self.avoided.set({"service": service}, pace.avoided)
+            self.callers.sample()
             content, _ = render(self.registry, ["text/plain"])
         return bytes(content)
--- a/src/poplarfold/_internal/platform/records.py
+++ b/src/poplarfold/_internal/platform/records.py
@@ -7,6 +7,7 @@
 from poplarfold._internal.core.fleet.rows import (
     CallKind,
     FleetEndpoint,
+    RequestLimits,
     Route,
     RouteTable,
     Service,
@@ -75,6 +76,7 @@
             routes=tuple(decode_route(row) for row in fields["routes"]),
             services=services,
             accounts=decode_accounts(fields.get("tenants")),
+            limits=decode_limits(fields.get("limits") or {}),
         )
     except (UnicodeDecodeError, UnicodeEncodeError) as error:
         # Its text quotes the document, which has API keys.
@@ -84,6 +86,14 @@
         raise PlatformFormatError(f"configuration: {error!r}"[:PROBLEM_MAX]) from error
 
 
+def decode_limits(fields: dict[str, Any]) -> RequestLimits:
+    """Decode the limits of requests; a missing one is 0."""
+    return RequestLimits(
+        body_bytes=int(number_in(fields, "max_body_bytes", 0)),
+        idle_s=number_in(fields, "idle_timeout_ms", 0) / 1000,
+    )
+
+
 def decode_service(row: dict[str, Any]) -> Service:
     """Decode one service; only services with engines have ``engine``."""
     engine = row.get("engine") or {}
