Explain from the logs of gateways why a call was answered as it was

Cause: a gateway has no operator API. Its log lines have the inputs of each refusal, but an operator had to know which event and field to compare. Change: `poplarfold why CALL_ID LOG...` describes each arrival of the id at a process in sentences or as JSON: route, account, version and age of the configuration, attempts, and the refusal with its inputs. Without a line it exits with 8 and lists what that can mean. It keeps only the events of the call. LogEvent gets lost_events. Conclusion: one command explains a 401, 429 or 503 with the figures that decided it.

--- a/src/poplarfold/_internal/cli/commands/__init__.py
+++ b/src/poplarfold/_internal/cli/commands/__init__.py
@@ -45,6 +45,7 @@
     CommandSpec("status", "status", "show the state of a node and its domains"),
     CommandSpec("drain", "drain", "stop a node without interrupting its calls"),
     CommandSpec("timeline", "timeline", "merge the logs of many processes"),
+    CommandSpec("why", "why", "explain why a gateway answered a call as it did"),
     CommandSpec("demo", "demo", "run sample calls on two daemons with stand-ins"),
     CommandSpec("bench", "bench", "measure latency, goodput, faults and control cost"),
 )
--- a/src/poplarfold/_internal/logs/reader.py
+++ b/src/poplarfold/_internal/logs/reader.py
@@ -11,7 +11,15 @@
 
 from poplarfold._internal.exceptions import LogFileError
 
-__all__ = ["LogEvent", "LogFiles", "ProcessKey", "parse_line", "read_logs"]
+__all__ = [
+    "TEXT_MAX_CHARS",
+    "LogEvent",
+    "LogFiles",
+    "ProcessKey",
+    "parse_line",
+    "read_events",
+    "read_logs",
+]
 
 # No line of the event writer is longer, since it truncates each string.
 LINE_LIMIT_BYTES = 262_144
@@ -33,6 +41,7 @@
     """One line of a log. Times are in seconds, from the clocks of the writer.
 
     ``order`` is the position of the event among all events that were read.
+    ``lost_events`` counts the events that the process has not written before it.
     """
 
     number: str
@@ -42,6 +51,7 @@
     monotonic: float
     wall: float
     order: int
+    lost_events: int = 0
 
 
 class LogFiles(NamedTuple):
@@ -60,20 +70,35 @@
     """Read all files. Torn lines and lines of other programs are skipped."""
     events: list[LogEvent] = []
     skipped = 0
+    try:
+        for event in read_events(paths):
+            if event is None:
+                skipped += 1
+                continue
+            events.append(event)
+            if len(events) >= EVENTS_MAX:
+                return Ok(LogFiles(events, skipped, True))
+    except LogFileError as error:
+        return Err(error)
+    return Ok(LogFiles(events, skipped, False))
+
+
+def read_events(paths: Iterable[Path]) -> Iterator[LogEvent | None]:
+    """Yield the event of each line of all files, and None for other lines.
+
+    Raises LogFileError.
+    """
+    order = 0
     for path in paths:
         try:
             with path.open("rb") as stream:
                 for line in read_lines(stream):
-                    event = parse_line(line, len(events)) if line else None
-                    if event is not None:
-                        events.append(event)
-                    else:
-                        skipped += 1
-                    if len(events) >= EVENTS_MAX:
-                        return Ok(LogFiles(events, skipped, True))
+                    event = parse_line(line, order) if line else None
+                    order += event is not None
+                    yield event
         except OSError as error:
-            return Err(LogFileError(f"{path}: cannot be read: {error.strerror}"))
-    return Ok(LogFiles(events, skipped, False))
+            message = f"{path}: cannot be read: {error.strerror}"
+            raise LogFileError(message) from error
 
 
 def read_lines(stream: IO[bytes]) -> Iterator[bytes]:
@@ -120,9 +145,16 @@
         return None
     if not (is_time(monotonic) and is_time(wall)):
         return None
-    process = ProcessKey(str(host), incarnation)
+    lost = content.get("lost_events", 0)
     return LogEvent(
-        str(number), process, call_id, fields, float(monotonic), float(wall), order
+        number=str(number),
+        process=ProcessKey(str(host), incarnation),
+        call_id=call_id,
+        fields=fields,
+        monotonic=float(monotonic),
+        wall=float(wall),
+        order=order,
+        lost_events=lost if type(lost) is int else 0,
     )
 
 
