Show the use of accounts over gateways, and the accounts of a configuration

Cause: each gateway counts only its own calls and units of an account, and nothing but the document with its API keys listed the accounts. Change: `poplarfold account usage METRICS...` sums both counters over files and HTTP addresses; a source that cannot be read is named, and decides the exit code. `poplarfold account list CONFIG` shows names, priorities, numbers of keys and limits. Two typed failures: metrics_unavailable (exit code 5) and invalid_metrics (3). PlatformFormatError exits with 3. Groups of commands are a table, no longer a special case of bench. Conclusion: the use of an account over all hosts needs no other tool.

--- a/src/poplarfold/_internal/cli/commands/__init__.py
+++ b/src/poplarfold/_internal/cli/commands/__init__.py
@@ -1,9 +1,9 @@
 """Registry of the subcommands, whose modules are imported on demand.
 
 Each module defines ``add_arguments(parser)`` and ``run(options) -> int``. The
-modules of ``poplarfold bench NAME`` are named ``bench_NAME``. A module is
-imported only when its command runs, so that ``poplarfold status`` does not load
-the benchmarks.
+modules of ``poplarfold bench NAME`` are named ``bench_NAME``, and those of
+``poplarfold account NAME`` are named ``account_NAME``. A module is imported only
+when its command runs, so that ``poplarfold status`` does not load the benchmarks.
 """
 
 import importlib
@@ -12,7 +12,15 @@
 
 from poplarfold._internal.exceptions import CommandUnavailableError
 
-__all__ = ["BENCH_COMMANDS", "COMMANDS", "CommandModule", "CommandSpec", "load"]
+__all__ = [
+    "ACCOUNT_COMMANDS",
+    "BENCH_COMMANDS",
+    "COMMANDS",
+    "GROUPS",
+    "CommandModule",
+    "CommandSpec",
+    "load",
+]
 
 
 class CommandModule(Protocol):
@@ -46,6 +54,7 @@
     CommandSpec("drain", "drain", "stop a node without interrupting its calls"),
     CommandSpec("timeline", "timeline", "merge the logs of many processes"),
     CommandSpec("why", "why", "explain why a gateway answered a call as it did"),
+    CommandSpec("account", "account", "show the accounts of gateways and their use"),
     CommandSpec("demo", "demo", "run sample calls on two daemons with stand-ins"),
     CommandSpec("bench", "bench", "measure latency, goodput, faults and control cost"),
 )
@@ -63,6 +72,15 @@
     CommandSpec("report", "bench_report", "plot the results of goodput runs"),
 )
 
+ACCOUNT_COMMANDS = _registry(
+    CommandSpec("usage", "account_usage", "show the calls and units of each account"),
+    CommandSpec("list", "account_list", "list the accounts of a configuration"),
+    CommandSpec("check", "account_check", "find quotas that hosts cannot give out"),
+)
+
+# The commands that have subcommands of their own.
+GROUPS = {"account": ACCOUNT_COMMANDS, "bench": BENCH_COMMANDS}
+
 
 def load(spec: CommandSpec) -> CommandModule:
     """Import the module of a command.
--- a/src/poplarfold/_internal/cli/exit_codes.py
+++ b/src/poplarfold/_internal/cli/exit_codes.py
@@ -29,9 +29,14 @@
     ExitCode.SUCCESS: "the command did what it was asked to do",
     ExitCode.FAILED: "the command failed, or its check did not pass",
     ExitCode.USAGE: "the command line is invalid",
-    ExitCode.INVALID_FILE: "a settings file, an entry or a log file is invalid",
+    ExitCode.INVALID_FILE: (
+        "a settings file, an entry, a log file, a metrics text or a file of the "
+        "platform is invalid"
+    ),
     ExitCode.CONFLICT: "the base revision of the amendment is not the current revision",
-    ExitCode.UNREACHABLE: "the daemon did not respond; the outcome may be unknown",
+    ExitCode.UNREACHABLE: (
+        "the daemon or a gateway did not respond; the outcome may be unknown"
+    ),
     ExitCode.REFUSED: "the daemon refused the request",
     ExitCode.INCOMPLETE: "accepted, but not in force everywhere or not drained in time",
     ExitCode.NOT_FOUND: "the named entry or call does not exist",
--- a/src/poplarfold/_internal/cli/parser.py
+++ b/src/poplarfold/_internal/cli/parser.py
@@ -7,8 +7,8 @@
 
 from poplarfold import __version__
 from poplarfold._internal.cli.commands import (
-    BENCH_COMMANDS,
     COMMANDS,
+    GROUPS,
     CommandSpec,
     load,
 )
@@ -61,8 +61,8 @@
         )
         if spec.name != chosen:
             continue
-        if spec.name == "bench" and specs is COMMANDS:
-            add_subcommands(child, BENCH_COMMANDS, nested, "bench")
+        if specs is COMMANDS and spec.name in GROUPS:
+            add_subcommands(child, GROUPS[spec.name], nested, spec.name)
             continue
         module = load(spec)
         module.add_arguments(child)
--- a/src/poplarfold/_internal/core/fleet/accounts.py
+++ b/src/poplarfold/_internal/core/fleet/accounts.py
@@ -4,6 +4,7 @@
 """
 
 import hmac
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from typing import NamedTuple
@@ -79,6 +80,11 @@
             return None
         return row[1]
 
+    def key_counts(self) -> Mapping[str, int]:
+        """Return the number of keys of each account, by account name."""
+        owners = Counter(account.name for _, account in self.by_digest.values())
+        return {name: owners[name] for name in self.accounts}
+
     def limits(self) -> Mapping[str, AccountLimit]:
         """Return the limits of the accounts that have one, by account name."""
         return {
--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -126,6 +126,18 @@
     code = "invalid_log_file"
 
 
+class MetricsUnavailableError(PoplarfoldError):
+    """A gateway's metrics cannot be read from its address."""
+
+    code = "metrics_unavailable"
+
+
+class MetricsFormatError(PoplarfoldError):
+    """A metrics text cannot be read, or is not one of a gateway."""
+
+    code = "invalid_metrics"
+
+
 # Invalid requests.
 
 
