--- a/tests/unit/test_account_commands.py
+++ b/tests/unit/test_account_commands.py
@@ -5,11 +5,14 @@
 from contextlib import contextmanager
 
 import pytest
-from tests.lib.platform_standin import configuration, tenant
+from tests.lib.platform_standin import boot_fields, configuration, tenant
 
 from poplarfold._internal.cli.account_metrics import parse_metrics, read_metrics
 from poplarfold._internal.cli.exit_codes import ExitCode
 from poplarfold._internal.cli.main import main
+from poplarfold._internal.core.fleet.account_quota import HostQuota, QuotaRule
+from poplarfold._internal.core.fleet.accounts import AccountLimit, UsageUnit
+from poplarfold._internal.core.fleet.quota_check import CallSize, check_call
 from poplarfold._internal.exceptions import (
     MetricsFormatError,
     MetricsUnavailableError,
@@ -139,3 +142,82 @@
         for path in (bad, torn, str(tmp_path / "missing")):
             run(capsys, "list", path, code=ExitCode.INVALID_FILE)
         assert "has no accounts" in run(capsys, "list", none).out
+
+
+@pytest.mark.parametrize(
+    ("limit", "bounds", "words", "expected"),
+    [
+        ({}, {}, (), None),
+        ({}, {}, ("--hosts", "82", "--stream-tokens", "5270"), None),
+        ({}, {}, ("--hosts", "400", "--stream-tokens", "5270"), "share_below_call"),
+        ({"unit": "requests", "rate_per_s": 1}, {}, (), None),
+        ({"rate_per_s": 10, "burst": 100}, {}, (), "never_fits"),
+        (
+            {"rate_per_s": 10, "burst": 100},
+            {"quota_slack": 120000},
+            (),
+            "limit_below_call",
+        ),
+        ({"rate_per_s": 0}, {}, ("--stream-tokens", "9999999"), None),
+    ],
+)
+def test_check_names_quotas_that_are_too_small(
+    capsys, tmp_path, limit, bounds, words, expected
+):
+    """Guards against a quota that is found too small only when calls are refused."""
+    config = configuration(7, tenants=[tenant("huka", KEYS[0], **limit)])
+    boots = [
+        write(tmp_path / host, json.dumps(boot(host, bounds)).encode())
+        for host in ("h1", "h2")
+    ]
+    paths = [write(tmp_path / "config", config), *boots, boots[0]]
+    code = ExitCode.FAILED if expected else ExitCode.SUCCESS
+    found = json.loads(run(capsys, "check", *paths, *words, "--json", code=code).out)
+    assert found["hosts"] == (int(words[1]) if "--hosts" in words else 2)
+    flaws = [(row["flaw"], row["hosts"]) for row in found["findings"]]
+    assert flaws == ([(expected, ["h1", "h2"])] if expected else [])
+    shown = run(capsys, "check", *paths, *words, code=code).out
+    for row in found["findings"]:
+        assert str(row["call"]["units"]) in shown
+        assert f"{row['usable']:.0f}" in shown
+    run(capsys, "check", *paths, "--hosts", "1", code=ExitCode.USAGE)
+    run(capsys, "check", paths[0], paths[0], code=ExitCode.INVALID_FILE)
+
+
+@pytest.mark.parametrize("value", [0, -1, float("nan"), float("inf")])
+def test_check_rejects_a_rule_that_makes_no_sense(capsys, tmp_path, value):
+    """Guards against quotas that pass because no comparison with the rule is true."""
+    config = write(tmp_path / "c", configuration(7, tenants=[tenant("a", KEYS[0])]))
+    fields = json.dumps(boot("h1", {"quota_window_s": value})).encode()
+    shown = run(capsys, "check", config, write(tmp_path / "b", fields), code=3)
+    assert "h1: the rule for quotas is invalid" in shown.err
+
+
+def boot(host, bounds):
+    ports = {"front": 1, "ready": 2}
+    all_bounds = {"quota_window_s": 8, "quota_over": 0.1, **bounds}
+    return boot_fields(host, ports, "127.0.0.1:3", all_bounds)
+
+
+class Dice:
+    """Draws the same number each time."""
+
+    def __init__(self, drawn):
+        self.drawn = drawn
+
+    def random(self):
+        return self.drawn
+
+
+@pytest.mark.parametrize("hosts", [1, 3, 82, 400])
+@pytest.mark.parametrize("units", [100, 5270, 30000])
+def test_check_agrees_with_the_decision_of_an_isolated_host(hosts, units):
+    """Guards against figures that differ from those by which hosts admit calls."""
+    limit = AccountLimit(UsageUnit.TOKENS, 4000.0, 4000.0, 200.0)
+    rule = QuotaRule(8.0, 0.1, 1000.0)
+    found = check_call(limit, rule, hosts, CallSize("stream", units))
+    chance = 1.0 if found is None else found.chance
+    for drawn in (chance - 1e-6, chance + 1e-6):
+        host = HostQuota(rule, Dice(drawn))
+        is_admitted = host.admit(1, limit, units, hosts, 0.0).is_ok()
+        assert is_admitted == (drawn < chance or chance == 1.0)
