Give the client of the second-attempt tests a memory account

The client of these tests has none, so all six tests failed with AttributeError. Change: the client has an AnswerMemory, as the real one.

--- a/tests/unit/test_second_attempts.py
+++ b/tests/unit/test_second_attempts.py
@@ -17,6 +17,7 @@
 from poplarfold._internal.gateway.metrics import GatewayMetrics
 from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.gateway.settings import GatewaySettings
+from poplarfold._internal.http.answer_memory import AnswerMemory
 from poplarfold._internal.http.failures import Failure
 from poplarfold._internal.platform import decode_call, decode_routes
 from poplarfold._internal.utils.clock import boot_time
@@ -46,6 +47,7 @@
                 name, 1, "registry", name, domain, EndpointRole.SERVICE, 4, False, 0.0
             )
             self.fleet.directory.apply_endpoint(name, row, boot_time())
+        self.memory = AnswerMemory()
         self.answers = {}
         self.sent = []
         self.logged = []
