Keep the statistics of endpoints apart by incarnation, and bound their number

Cause: a call to an earlier incarnation of an endpoint that ended after the restart replaced the statistics of the new one, with its open calls, cooldown and failures. A call that ended after its endpoint's removal left a row that was never deleted. Change: only a choice starts the statistics of an incarnation. What is recorded of another one is dropped. Each removal of an endpoint also deletes rows of endpoints that are not announced.

--- a/src/poplarfold/_internal/core/fleet/endpoint_stats.py
+++ b/src/poplarfold/_internal/core/fleet/endpoint_stats.py
@@ -63,22 +63,33 @@
 
 
 class EndpointStatsTable:
-    """Load and failure statistics by endpoint id, reset for each new incarnation."""
+    """Load and failure statistics by endpoint id, reset for each new incarnation.
+
+    The incarnation in use is the one that choices ask for with ``get``. Calls to an
+    earlier one may end after that, and leave no trace.
+    """
 
     def __init__(self) -> None:
         self.rows: Table[str, EndpointStats] = Table()
 
     def get(self, endpoint: FleetEndpoint) -> EndpointStats:
-        """Return the statistics of this incarnation, or new ones."""
+        """Return the statistics of an announced incarnation, or start new ones."""
+        row = self.read(endpoint)
+        self.rows.put(endpoint.endpoint_id, row)
+        return row
+
+    def read(self, endpoint: FleetEndpoint) -> EndpointStats:
+        """Return the statistics of an incarnation that may have been replaced."""
         row = self.rows.get(endpoint.endpoint_id)
         if row is None or row.incarnation != endpoint.incarnation:
-            row = EndpointStats(incarnation=endpoint.incarnation)
-            self.rows.put(endpoint.endpoint_id, row)
+            return EndpointStats(incarnation=endpoint.incarnation)
         return row
 
     def put(self, endpoint: FleetEndpoint, row: EndpointStats) -> None:
-        """Store the statistics of this incarnation."""
-        self.rows.put(endpoint.endpoint_id, row)
+        """Store the statistics of an incarnation unless it has been replaced."""
+        known = self.rows.get(endpoint.endpoint_id)
+        if known is None or known.incarnation == endpoint.incarnation:
+            self.rows.put(endpoint.endpoint_id, row)
 
     def start_call(self, endpoint: FleetEndpoint) -> None:
         """Count a call that begins."""
@@ -87,7 +98,7 @@
 
     def finish_call(self, endpoint: FleetEndpoint) -> None:
         """Remove a call that has ended from the open calls."""
-        row = self.get(endpoint)
+        row = self.read(endpoint)
         self.put(endpoint, row._replace(open_calls=max(0, row.open_calls - 1)))
 
     def record_load(
@@ -96,7 +107,7 @@
         """Record the load reported with an answer, if there is one."""
         if load is None:
             return
-        row = self.get(endpoint)
+        row = self.read(endpoint)
         other_calls = max(0, load.running + load.waiting - row.open_calls)
         row = row._replace(other_calls=other_calls, other_calls_at=now)
         if load.slowdown is not None:
@@ -112,7 +123,7 @@
         would take at an endpoint without other calls; the difference is queueing. An
         estimate below the current count is ignored.
         """
-        row = self.get(endpoint)
+        row = self.read(endpoint)
         other_calls = max(0, round(answer_s / max(0.001, alone_s)) - 1 - row.open_calls)
         age_s = now - row.other_calls_at
         if other_calls > row.other_calls * max(0.0, 1.0 - age_s / LOAD_MAX_AGE_S):
@@ -134,7 +145,7 @@
         ``slowdown`` is what the endpoint stated with the answer. One that assures that
         the call has not run may be busy or leave, which makes it no outlier.
         """
-        row = self.get(endpoint)
+        row = self.read(endpoint)
         average_s = row.answer_s + AVERAGE_WEIGHT * (answer_s - row.answer_s)
         rate = decayed_failure_rate(row, now)
         rate += AVERAGE_WEIGHT * ((0.0 if ok else 1.0) - rate)
@@ -159,12 +170,12 @@
         are, and such calls must not make outliers of the endpoints that got them.
         """
         for endpoint in endpoints:
-            row = self.get(endpoint)
+            row = self.read(endpoint)
             self.put(endpoint, row._replace(failures=row.failures.with_less(now)))
 
     def start_cooldown(self, endpoint: FleetEndpoint, now: float) -> None:
         """Start a cooldown for an endpoint that did not answer."""
-        row = self.get(endpoint)
+        row = self.read(endpoint)
         if row.cooldown_until > now:
             # This call began before the current cooldown and must not extend it.
             return
@@ -182,28 +193,32 @@
         the results of a prefill engine expire too early, all streams that use them are
         refused. The second refusal in a row starts a cooldown.
         """
-        row = self.get(endpoint)
+        row = self.read(endpoint)
         self.put(endpoint, row._replace(refusals=row.refusals + 1))
         if row.refusals + 1 >= REFUSALS_BEFORE_COOLDOWN:
             self.start_cooldown(endpoint, now)
 
     def record_stream_start(self, endpoint: FleetEndpoint) -> None:
         """Reset refusals and cooldowns, because a stream of this engine has begun."""
-        row = self.get(endpoint)
+        row = self.read(endpoint)
         self.put(endpoint, row._replace(refusals=0, cooldowns=0))
 
     def record_own_prefill(self, endpoint: FleetEndpoint, now: float) -> None:
         """Record that a decode engine prefills a prompt itself."""
-        self.put(endpoint, self.get(endpoint)._replace(own_prefill_at=now))
+        self.put(endpoint, self.read(endpoint)._replace(own_prefill_at=now))
 
     def mark_full(self, endpoint: FleetEndpoint, until: float) -> None:
         """Exclude an engine that refused a lease until the time ``until``."""
-        self.put(endpoint, self.get(endpoint)._replace(full_until=until))
+        self.put(endpoint, self.read(endpoint)._replace(full_until=until))
 
-    def remove(self, endpoint_ids: Collection[str]) -> None:
-        """Delete the statistics of endpoints that are no longer announced."""
-        for endpoint_id in endpoint_ids:
-            self.rows.pop(endpoint_id, None)
+    def remove_except(self, endpoint_ids: Collection[str]) -> None:
+        """Delete the statistics of endpoints that are no longer announced.
+
+        That includes those whose last calls ended after their removal.
+        """
+        for endpoint_id, _ in self.rows.rows():
+            if endpoint_id not in endpoint_ids:
+                del self.rows[endpoint_id]
 
 
 def decayed_failure_rate(row: EndpointStats, now: float) -> float:
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -429,7 +429,7 @@
                 if row.cooldown_until <= now:
                     service_s = self.cost.prefill_s * row.pace.slowdown_at(now)
                     wait_s = queue_wait_s(row, service_s, now)
-            own = self.endpoint_stats.get(decode)
+            own = self.endpoint_stats.read(decode)
             own_s = OWN_PREFILL_SLOWDOWN * self.cost.prefill_duration_s(prompt_tokens)
             own_s *= own.pace.slowdown_at(now)
             outlook = PrefillOutlook(wait_s, own_s, route.target_s, route.pause_s)
@@ -494,7 +494,7 @@
             self.own_cost = self.own_cost.with_prefill(seconds, tokens)
             now = self.clock()
             alone_s = self.cost.prefill_duration_s(tokens)
-            alone_s *= self.endpoint_stats.get(endpoint).pace.slowdown_at(now)
+            alone_s *= self.endpoint_stats.read(endpoint).pace.slowdown_at(now)
             self.endpoint_stats.estimate_other_calls(endpoint, seconds, alone_s, now)
 
     def outputs_to_reserve(self, hint: int, limit: int) -> int:
@@ -588,13 +588,8 @@
 
     def remove_endpoint_stats(self, changes: list[EndpointChange]) -> None:
         """Delete the statistics of removed endpoints. The lock must be held."""
-        self.endpoint_stats.remove(
-            [
-                change.before.endpoint_id
-                for change in changes
-                if change.before is not None and change.after is None
-            ]
-        )
+        if any(change.before and change.after is None for change in changes):
+            self.endpoint_stats.remove_except(self.directory.endpoints)
         self.changed.notify_all()
 
     def _choose(
--- a/tests/unit/test_fleet_decisions.py
+++ b/tests/unit/test_fleet_decisions.py
@@ -190,6 +190,21 @@
     assert endpoint_stats.get(endpoint("i-1", born=2)).cooldown_until == 0.0
 
 
+def test_late_end_of_a_call_to_an_earlier_incarnation_leaves_no_trace():
+    """Guards against statistics that a call to a restarted endpoint deletes."""
+    old, new = endpoint("i-1", born=1), endpoint("i-1", born=2)
+    endpoint_stats = EndpointStatsTable()
+    endpoint_stats.start_call(old)
+    endpoint_stats.start_call(new)
+    endpoint_stats.start_cooldown(new, 1.0)
+    before = endpoint_stats.get(new)
+    endpoint_stats.finish_call(old)
+    endpoint_stats.record_answer(old, 0.0, False, 1.0)
+    endpoint_stats.record_load(old, EndpointLoad(9, 9, 4, 5.0), 1.0)
+    endpoint_stats.forgive_failures([old], 1.0)
+    assert endpoint_stats.get(new) == before
+
+
 def test_near_endpoint_is_chosen_until_it_is_busy():
     """Guards against needless traffic between domains, which is charged for."""
     near, far = endpoint("near"), endpoint("far", "khi-a")
--- a/tests/unit/test_second_attempts.py
+++ b/tests/unit/test_second_attempts.py
@@ -165,3 +165,19 @@
     silent.call("/lookup/1")
     silent.call("/lookup/1")
     assert silent.events("PF3601") == [] and silent.fleet.gauges().paces == {}
+
+
+def test_statistics_of_removed_endpoints_do_not_pile_up():
+    """Guards against rows of endpoints whose last call ended after their removal."""
+    fleet = Gateway().fleet
+    for number in range(5):
+        row = FleetEndpoint(
+            f"c-{number}", 1, "short", "c", "lhr-a", EndpointRole.SERVICE, 4, False, 0.0
+        )
+        fleet.directory.apply_endpoint(row.endpoint_id, row, boot_time())
+        assert fleet.pick("short", EndpointRole.SERVICE) == row
+        change = fleet.directory.withdraw_endpoint(row.endpoint_id)
+        with fleet.lock:
+            fleet.remove_endpoint_stats([change])
+        fleet.finish_call(row)
+    assert len(fleet.endpoint_stats.rows) <= 1
