Learn the pace of an endpoint only from calls that have run

Cause: the time of a refusal with a status below 500 (421, 429) counted as the time of a call, so an endpoint that refuses quickly looked fast and attracted calls. The load that another endpoint at the address had stated with 421 counted for the one that was called. Change: an answer that assures that the call has not run leaves the pace alone, and an answer of another endpoint has no load.

--- a/src/poplarfold/_internal/core/fleet/endpoint_stats.py
+++ b/src/poplarfold/_internal/core/fleet/endpoint_stats.py
@@ -143,12 +143,17 @@
         """Record the answer time of a call and whether the call succeeded.
 
         ``slowdown`` is what the endpoint stated with the answer. One that assures that
-        the call has not run may be busy or leave, which makes it no outlier.
+        the call has not run may be busy or leave, which makes it no outlier. The time
+        of such an answer says nothing of the endpoint's pace.
         """
         row = self.read(endpoint)
         average_s = row.answer_s + AVERAGE_WEIGHT * (answer_s - row.answer_s)
         rate = decayed_failure_rate(row, now)
         rate += AVERAGE_WEIGHT * ((0.0 if ok else 1.0) - rate)
+        pace, failures = row.pace, row.failures
+        if not not_run:
+            pace = pace.with_answer(answer_s, slowdown, now) if ok else pace
+            failures = failures.with_outcome(ok, now)
         self.put(
             endpoint,
             row._replace(
@@ -156,10 +161,8 @@
                 cooldowns=0 if ok else row.cooldowns,
                 failure_rate=rate,
                 failure_rate_at=now,
-                pace=row.pace.with_answer(answer_s, slowdown, now) if ok else row.pace,
-                failures=row.failures
-                if not_run
-                else row.failures.with_outcome(ok, now),
+                pace=pace,
+                failures=failures,
             ),
         )
 
--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -279,7 +279,7 @@
         not_run=is_other or NOT_EXECUTED in headers,
         is_other_endpoint=is_other,
         is_encoded="Content-Encoding" in headers,
-        load=decode_load(headers.get(SERVER_LOAD)),
+        load=None if is_other else decode_load(headers.get(SERVER_LOAD)),
         signal=ServerSignal(is_leaving, retry_after_s),
     )
 
--- a/tests/unit/test_uneven_endpoints.py
+++ b/tests/unit/test_uneven_endpoints.py
@@ -21,7 +21,7 @@
 )
 from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
-from poplarfold._internal.platform.calls import decode_load
+from poplarfold._internal.platform.calls import decode_answer_metadata, decode_load
 
 SEEDS = range(3)
 
@@ -273,6 +273,19 @@
     assert slow.with_slowdown(1.0, 0.1).expected_s(0.1, 0.08, 0.1) < 0.4
 
 
+def test_calls_that_have_not_run_say_nothing_of_the_pace():
+    """Guards against quick refusals, or another endpoint's load, that attract calls."""
+    stats = EndpointStatsTable()
+    stats.record_answer(endpoint(0), 0.4, True, 1.0, 1.0)
+    before = stats.get(endpoint(0))
+    stats.record_answer(endpoint(0), 0.001, True, 2.0, 1.0, not_run=True)
+    after = stats.get(endpoint(0))
+    assert (after.pace, after.failures) == (before.pace, before.failures)
+    headers = {"Poplarfold-Server-Load": "0,0,8,50"}
+    assert decode_answer_metadata(421, headers).load is None
+    assert decode_answer_metadata(429, headers).load == EndpointLoad(0, 0, 8, 0.5)
+
+
 def test_only_free_endpoint_of_a_large_pool_is_found():
     """Guards against a sample of the pool that consists of full endpoints."""
     pool = [endpoint(number) for number in range(48)]
