Count streams that request a lease for the share of their account

Cause: a stream is charged to its account when an engine has granted its lease. While requests were under way, the next streams of the same account kept the place of the first, so an account with many waiting streams got as many leases at a time before another account's first. Change: the fair order includes the streams that request a lease; as before, they are not ahead of others. Streams without accounts are ordered as before. Result: the new test failed before and passes now, as do test_admission_load.py and test_fair_admission.py.

--- a/src/poplarfold/_internal/core/fleet/admission_queue.py
+++ b/src/poplarfold/_internal/core/fleet/admission_queue.py
@@ -110,6 +110,11 @@
     return wait_s <= timeout_s - retry_after_s
 
 
+def waiting_work(row: WaitingStream, now: float) -> WaitingWork:
+    """Return what the fair order has to know of a waiting stream."""
+    return WaitingWork(row.ticket, row.kind, row.urgency(now))
+
+
 class AdmissionQueue:
     """The admission queue of one node. Times are monotonic seconds."""
 
@@ -161,7 +166,7 @@
     def work(self, service: str, now: float) -> list[WaitingWork]:
         """Return the waiting streams of a service that request no lease now."""
         return [
-            WaitingWork(row.ticket, row.kind, row.urgency(now))
+            waiting_work(row, now)
             for row in self.waiting.values()
             if row.service == service and not row.is_requesting_lease
         ]
@@ -213,15 +218,26 @@
         )
 
     def fair_position(self, row: WaitingStream, now: float) -> int:
-        """Return the position of a stream in the fair order of the accounts."""
-        work = [
+        """Return the position of a stream in the fair order of the accounts.
+
+        Streams that are requesting a lease are not ahead of others, but their work
+        counts for their accounts, which would otherwise get many leases at a time.
+        """
+        others = [
             other
-            for other in self.work(row.service, now)
-            if other.ticket == row.ticket
-            or self.waiting[other.ticket].next_ask_at <= now
+            for other in self.waiting.values()
+            if other.service == row.service
+            and other.ticket != row.ticket
+            and (other.is_requesting_lease or other.next_ask_at <= now)
         ]
-        tickets = [other.ticket for other in self.order(row.service).sorted(work)]
-        return tickets.index(row.ticket) if row.ticket in tickets else 0
+        requesting = {other.ticket for other in others if other.is_requesting_lease}
+        work = [waiting_work(other, now) for other in (row, *others)]
+        ahead = 0
+        for other in self.order(row.service).sorted(work):
+            if other.ticket == row.ticket:
+                break
+            ahead += other.ticket not in requesting
+        return ahead
 
     def rejection_time(self, row: WaitingStream) -> float:
         """Return the time at which a stream that has no slot yet is rejected."""
--- a/tests/unit/test_fair_admission.py
+++ b/tests/unit/test_fair_admission.py
@@ -68,6 +68,18 @@
     assert [place_next(queue) for _ in range(3)] == ["new", "retry", "hopeless"]
 
 
+def test_streams_that_request_a_lease_count_for_their_account():
+    """Guards against an account that gets ahead by many requests at the same time."""
+    queue = AdmissionQueue(POLICY)
+    many = [add(queue, "many") for _ in range(3)]
+    other = add(queue, "other")
+    queue.set_requesting_lease(many[0].ticket, True)
+    assert queue.position(other.ticket, 2.0) == 0
+    assert queue.position(many[1].ticket, 2.0) == 1
+    queue.set_requesting_lease(other.ticket, True)
+    assert [queue.position(row.ticket, 2.0) for row in many[1:]] == [0, 1]
+
+
 def test_full_queue_loses_streams_of_the_account_above_its_share():
     """Guards against one account that fills the queue for the others."""
     queue = AdmissionQueue(AdmissionPolicy(queue_max=6))
