Split the choice log and the learning from streams from the fleet module

Change: core/fleet/stream_learning.py has the learned costs, waits and outputs of streams and their reports, gateway/choice_log.py the log and the gauges of choices. Behaviour is unchanged.

--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -20,13 +20,11 @@
 from poplarfold._internal.core.fleet.choice import (
     EndpointStatsTable,
     make_choice,
-    pool_view,
     queue_wait_s,
     sample_candidates,
 )
 from poplarfold._internal.core.fleet.directory import Directory, EndpointChange
 from poplarfold._internal.core.fleet.outliers import TrialBudget
-from poplarfold._internal.core.fleet.outputs import OutputForecast
 from poplarfold._internal.core.fleet.own_prefill import (
     OwnPrefillPolicy,
     PrefillOutlook,
@@ -49,39 +47,27 @@
     ServerSignal,
     ServerSignals,
 )
-from poplarfold._internal.core.fleet.slot_outlook import (
-    SetupTime,
-    SlotOutlook,
-    SlotWaits,
-    add_waits,
-    engine_room,
-)
+from poplarfold._internal.core.fleet.slot_outlook import SlotOutlook, engine_room
 from poplarfold._internal.core.fleet.slot_wait import next_ask_at
 from poplarfold._internal.core.fleet.stream_cost import (
     OWN_PREFILL_SLOWDOWN,
     StreamCost,
-    merge_costs,
 )
+from poplarfold._internal.core.fleet.stream_learning import StreamLearning
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.exceptions import (
     EndpointsAwayError,
     NoRouteTableError,
     RouteNotFoundError,
 )
-from poplarfold._internal.gateway.metrics import GatewayGauges, PaceGauges
+from poplarfold._internal.gateway.choice_log import ChoiceLog, LogEvent, pace_gauges
+from poplarfold._internal.gateway.metrics import GatewayGauges
 from poplarfold._internal.gateway.settings import GatewaySettings
-from poplarfold._internal.logs.event_limit import EventLimit
 from poplarfold._internal.platform import HostSettings
 from poplarfold._internal.utils.clock import boot_time
 
 __all__ = ["Fleet", "KnowledgeFields", "MatchedRoute", "TopicKnowledge"]
 
-LogEvent = Callable[..., None]
-"""Writes a numbered event of a call: number, fields by keyword."""
-
-# Logged choices per second of this process. One takes some 300 bytes.
-LOGGED_CHOICES_PER_S = 5.0
-
 
 class MatchedRoute(NamedTuple):
     """A route, the service selected for the call, and the configuration's version.
@@ -144,17 +130,10 @@
         self.presence = Presence(settings.unknown_nodes)
         self.budgets: dict[str, RetryBudget] = {}
         self.trials: dict[tuple[str, EndpointRole], TrialBudget] = {}
-        self.choice_limit = EventLimit(LOGGED_CHOICES_PER_S)
+        self.choice_log = ChoiceLog()
         # By the topic's name, see ``StoreTopic``.
         self.knowledge: dict[str, TopicKnowledge] = {}
-        # The cost of a stream as learned by this node, and by all nodes of its region.
-        self.own_cost = StreamCost()
-        self.region_cost = StreamCost()
-        # Recent waits for a slot at this node, and those of all nodes of its region.
-        self.own_waits = SlotWaits()
-        self.region_waits = SlotWaits()
-        self.setup_time = SetupTime()
-        self.output_forecast = OutputForecast()
+        self.learning = StreamLearning()
         # A planned stop sets the time after which new streams are rejected, and the
         # one at which all calls must have been answered.
         self.reject_streams_after = float("inf")
@@ -163,30 +142,22 @@
     @property
     def cost(self) -> StreamCost:
         """The best known cost of a stream. The lock must be held."""
-        if self.region_cost.sample_count > self.own_cost.sample_count:
-            return self.region_cost
-        return self.own_cost
+        return self.learning.cost
 
     def own_cost_report(self) -> CostReport:
         """Return what this node has learned, for its relays."""
         with self.lock:
-            return report_waits(self.own_cost.report(), self.own_waits, self.clock())
+            return self.learning.own_report(self.clock())
 
     def merge_costs(self, reports: Sequence[CostReport]) -> CostReport:
         """Combine the reports of other nodes with what this node has learned."""
-        others = [StreamCost.of_report(report) for report in reports]
         with self.lock:
-            now = self.clock()
-            self.region_cost = merge_costs([self.own_cost, *others])
-            waits = [reported_waits(report, now) for report in reports]
-            self.region_waits = add_waits([self.own_waits, *waits], now)
-            return report_waits(self.region_cost.report(), self.region_waits, now)
+            return self.learning.merge(reports, self.clock())
 
     def set_fleet_cost(self, report: CostReport) -> None:
         """Record what the nodes of the region have learned together."""
         with self.lock:
-            self.region_cost = StreamCost.of_report(report)
-            self.region_waits = reported_waits(report, self.clock())
+            self.learning.set_region(report, self.clock())
 
     @property
     def uses_forecasts(self) -> bool:
@@ -205,14 +176,17 @@
         now = self.clock()
         table = self.directory.route_table
         details = table.services.get(service) if table else None
-        own, region = self.own_waits.at_time(now), self.region_waits.at_time(now)
-        waits = region if region.weight > own.weight else own
         engines = self.callable_endpoints(service, EndpointRole.DECODE)
         sample = sample_candidates(engines, self.rng)
         stats = [self.endpoint_stats.get(row) for row in sample]
         room = engine_room(stats, details or Service(service), self.cost, now)
         room = room.scaled(len(engines))
-        return SlotOutlook(waits, room, self.setup_time.expected_s, self.cost.decode_s)
+        return SlotOutlook(
+            self.learning.waits(now),
+            room,
+            self.learning.setup_time.expected_s,
+            self.cost.decode_s,
+        )
 
     def is_waiting(self, row: WaitingStream) -> bool:
         """Return whether a stream is still in the admission queue."""
@@ -245,14 +219,15 @@
             is_fresh = not row.is_late and not is_gone
             if is_fresh and self.uses_forecasts:
                 now = self.clock()
-                self.own_waits = self.own_waits.with_wait(wait_s, is_placed, now)
+                waits = self.learning.own_waits
+                self.learning.own_waits = waits.with_wait(wait_s, is_placed, now)
             self.admission_queue.remove(row.ticket)
             self.changed.notify_all()
 
     def record_setup(self, seconds: float) -> None:
         """Record the time from a slot to the first event of a stream."""
         with self.lock:
-            self.setup_time = self.setup_time.with_setup(seconds)
+            self.learning.setup_time = self.learning.setup_time.with_setup(seconds)
 
     def gauges(self) -> GatewayGauges:
         """Return the current values of the metrics' gauges."""
@@ -265,7 +240,7 @@
                 len(self.directory.endpoints),
                 {topic: now - row.read_at for topic, row in self.knowledge.items()},
                 frozenset(table.accounts.accounts if table and table.accounts else ()),
-                self._pace_gauges(now),
+                pace_gauges(self.directory, self.endpoint_stats, now),
                 self.admission_queue.lengths(),
             )
 
@@ -365,7 +340,7 @@
             if choice is None:
                 return None
             self.endpoint_stats.start_call(choice.endpoint)
-        self._log_choice(service, role, choice, log)
+        self.choice_log.write(service, role, choice, log, self.clock())
         return choice.endpoint
 
     def pick_in_turn(
@@ -395,7 +370,9 @@
             self.endpoint_stats.start_call(choice.endpoint)
             self.admission_queue.set_requesting_lease(row.ticket, True)
             self.changed.notify_all()
-        self._log_choice(row.service, EndpointRole.DECODE, choice, log)
+        self.choice_log.write(
+            row.service, EndpointRole.DECODE, choice, log, self.clock()
+        )
         return choice.endpoint
 
     def requeue(self, row: WaitingStream) -> None:
@@ -439,7 +416,7 @@
             if choice is None:
                 return None
             self.endpoint_stats.start_call(choice.endpoint)
-        self._log_choice(service, EndpointRole.PREFILL, choice, log)
+        self.choice_log.write(service, EndpointRole.PREFILL, choice, log, self.clock())
         return choice.endpoint
 
     def finish_call(self, endpoint: FleetEndpoint) -> None:
@@ -491,7 +468,8 @@
     ) -> None:
         """Record the duration of a prefill of ``tokens`` prompt tokens."""
         with self.lock:
-            self.own_cost = self.own_cost.with_prefill(seconds, tokens)
+            own_cost = self.learning.own_cost
+            self.learning.own_cost = own_cost.with_prefill(seconds, tokens)
             now = self.clock()
             alone_s = self.cost.prefill_duration_s(tokens)
             alone_s *= self.endpoint_stats.read(endpoint).pace.slowdown_at(now)
@@ -500,33 +478,25 @@
     def outputs_to_reserve(self, hint: int, limit: int) -> int:
         """Return the number of outputs for which a new stream reserves memory."""
         with self.lock:
-            self.output_forecast = self.output_forecast.with_hint(hint)
-            return self.output_forecast.outputs_to_reserve(hint, limit)
+            return self.learning.outputs_to_reserve(hint, limit)
 
     def record_stream(
         self, seconds: float, tokens: int, outputs: int, hint: int, limit: int
     ) -> None:
         """Record a completed stream's duration, reserved tokens and outputs."""
         with self.lock:
-            self.own_cost = self.own_cost.with_stream(seconds, tokens)
-            self.output_forecast = self.output_forecast.with_outputs(
-                outputs, hint, limit
-            )
+            self.learning.record_stream(seconds, tokens, outputs, hint, limit)
 
     def record_pace(self, seconds: float, tokens: int) -> None:
-        """Record the expected duration of a stream that has just begun.
-
-        Only the first streams count: their durations are known seconds before any
-        of them ends.
-        """
+        """Record the expected duration of a stream that has just begun."""
         with self.lock:
-            if not self.cost.is_learned:
-                self.own_cost = self.own_cost.with_stream(seconds, tokens)
+            self.learning.record_pace(seconds, tokens)
 
     def record_slot_wait(self, seconds: float) -> None:
         """Record how long a stream waited for a decode slot, granted or not."""
         with self.lock:
-            self.own_cost = self.own_cost.with_slot_wait(seconds)
+            own_cost = self.learning.own_cost
+            self.learning.own_cost = own_cost.with_slot_wait(seconds)
 
     def record_refusal(self, *engines: FleetEndpoint) -> None:
         """Count a refusal for the engines of a stream refused despite its lease."""
@@ -616,43 +586,6 @@
             trials,
         )
 
-    def _log_choice(
-        self, service: str, role: EndpointRole, choice: Choice, log: LogEvent | None
-    ) -> None:
-        fields = choice.fields()
-        if fields is None or log is None:
-            return
-        with self.lock:
-            skipped = self.choice_limit.take(self.clock())
-        if skipped is not None:
-            log(
-                "PF3601",
-                service=service,
-                role=role.value,
-                choice=fields,
-                skipped=skipped,
-            )
-
-    def _pace_gauges(self, now: float) -> dict[str, PaceGauges]:
-        found = {}
-        services = {row.service for row in self.directory.endpoints.values()}
-        for service in sorted(services):
-            slowdowns, avoided = [], 0
-            for role in EndpointRole:
-                rows = [
-                    (row, self.endpoint_stats.get(row))
-                    for row in self.directory.usable_endpoints(service, role)
-                ]
-                view = pool_view(rows, now)
-                if view is not None:
-                    paces = [row.pace for _, row in rows]
-                    slowdowns += [row.slowdown for row in paces if row.is_stated]
-                    avoided += len(view.failures.outliers)
-            if slowdowns:
-                mean = sum(slowdowns) / len(slowdowns)
-                found[service] = PaceGauges(mean, avoided)
-        return found
-
     def _budget(self, service: str) -> RetryBudget:
         found = self.budgets.get(service)
         if found is None:
@@ -661,20 +594,3 @@
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
             )
         return found
-
-
-def report_waits(report: CostReport, waits: SlotWaits, now: float) -> CostReport:
-    """Return a report with recent waits, rounded so that old ones become 0."""
-    row = waits.at_time(now)
-    return report._replace(
-        recent_waited_s=round(row.waited_s, 1),
-        recent_placed=round(row.placed, 1),
-        recent_refused=round(row.refused, 1),
-    )
-
-
-def reported_waits(report: CostReport, now: float) -> SlotWaits:
-    """Return the recent waits of a report that has just arrived."""
-    return SlotWaits(
-        report.recent_waited_s, report.recent_placed, report.recent_refused, now
-    )
--- a/tests/unit/test_second_attempts.py
+++ b/tests/unit/test_second_attempts.py
@@ -12,8 +12,9 @@
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.daemon.endpoint_client import Answer
 from poplarfold._internal.exceptions import EndpointError
+from poplarfold._internal.gateway.choice_log import LOGGED_CHOICES_PER_S
 from poplarfold._internal.gateway.context import CallContext
-from poplarfold._internal.gateway.fleet import LOGGED_CHOICES_PER_S, Fleet
+from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.metrics import GatewayMetrics
 from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.gateway.settings import GatewaySettings
