Judge an engine with a new role by calls of that role only

Cause: the pace of an endpoint is kept per incarnation, and an engine changes its role without a new one. A new decode engine was judged by the times of its prefills, and the reverse, until they had faded (16 s half-life). Change: the first choice in the new role keeps the stated pace and drops the measured times; later answers to calls of the old role leave them alone. Only paced choices use these times. Result: the new test failed before and passes now; test_uneven_endpoints.py, test_second_attempts.py and test_fleet_decisions.py pass.

--- a/src/poplarfold/_internal/core/fleet/endpoint_pace.py
+++ b/src/poplarfold/_internal/core/fleet/endpoint_pace.py
@@ -83,6 +83,10 @@
             + TIME_WEIGHT_MIN * (by_measured - self.measured_error_s),
         )
 
+    def without_times(self) -> "EndpointPace":
+        """Return only what was stated, since calls of another role take other times."""
+        return EndpointPace(self.slowdown, self.stated_at, self.statements)
+
     def slowdown_at(self, now: float) -> float:
         """Return the smoothed slowdown, faded with its age to 1; 1 if never stated."""
         if not self.is_stated:
--- a/src/poplarfold/_internal/core/fleet/endpoint_stats.py
+++ b/src/poplarfold/_internal/core/fleet/endpoint_stats.py
@@ -6,6 +6,7 @@
 from poplarfold._internal.core.fleet.endpoint_pace import EndpointPace
 from poplarfold._internal.core.fleet.outliers import FailureRecord
 from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
+from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.core.state import Table
 
 __all__ = [
@@ -43,7 +44,8 @@
     in a row that used this engine and were refused although they held a lease. An
     engine that refused a lease is not asked again before ``full_until``. A decode
     engine last began to prefill a prompt itself at ``own_prefill_at``. ``pace`` and
-    ``failures`` decide only where endpoints of the service state their pace.
+    ``failures`` decide only where endpoints of the service state their pace. The times
+    of ``pace`` are those of calls in the role ``role``.
     """
 
     incarnation: int = 0
@@ -60,6 +62,7 @@
     own_prefill_at: float = float("-inf")
     pace: EndpointPace = EndpointPace()
     failures: FailureRecord = FailureRecord()
+    role: EndpointRole = EndpointRole.SERVICE
 
 
 class EndpointStatsTable:
@@ -75,6 +78,8 @@
     def get(self, endpoint: FleetEndpoint) -> EndpointStats:
         """Return the statistics of an announced incarnation, or start new ones."""
         row = self.read(endpoint)
+        if row.role is not endpoint.role:
+            row = row._replace(role=endpoint.role, pace=row.pace.without_times())
         self.rows.put(endpoint.endpoint_id, row)
         return row
 
@@ -82,7 +87,7 @@
         """Return the statistics of an incarnation that may have been replaced."""
         row = self.rows.get(endpoint.endpoint_id)
         if row is None or row.incarnation != endpoint.incarnation:
-            return EndpointStats(incarnation=endpoint.incarnation)
+            return EndpointStats(incarnation=endpoint.incarnation, role=endpoint.role)
         return row
 
     def put(self, endpoint: FleetEndpoint, row: EndpointStats) -> None:
@@ -152,7 +157,8 @@
         rate += AVERAGE_WEIGHT * ((0.0 if ok else 1.0) - rate)
         pace, failures = row.pace, row.failures
         if not not_run:
-            pace = pace.with_answer(answer_s, slowdown, now) if ok else pace
+            if ok and row.role is endpoint.role:
+                pace = pace.with_answer(answer_s, slowdown, now)
             failures = failures.with_outcome(ok, now)
         self.put(
             endpoint,
--- a/tests/unit/test_uneven_endpoints.py
+++ b/tests/unit/test_uneven_endpoints.py
@@ -286,6 +286,20 @@
     assert decode_answer_metadata(429, headers).load == EndpointLoad(0, 0, 8, 0.5)
 
 
+def test_engine_with_a_new_role_keeps_only_its_stated_pace():
+    """Guards against decode engines that are judged by the times of their prefills."""
+    prefill = endpoint(0)._replace(role=EndpointRole.PREFILL)
+    decode = prefill._replace(role=EndpointRole.DECODE)
+    stats = EndpointStatsTable()
+    stats.start_call(prefill)
+    stats.record_load(prefill, EndpointLoad(1, 0, 6, 2.0), 1.0)
+    stats.record_answer(prefill, 3.0, True, 1.0, 2.0)
+    assert stats.get(decode).pace == EndpointPace().with_slowdown(2.0, 1.0)
+    assert stats.get(decode).open_calls == 1
+    stats.record_answer(prefill, 3.0, True, 1.5, 2.0)
+    assert stats.get(decode).pace.answers == 0
+
+
 def test_only_free_endpoint_of_a_large_pool_is_found():
     """Guards against a sample of the pool that consists of full endpoints."""
     pool = [endpoint(number) for number in range(48)]
