--- a/src/poplarfold/_internal/core/fleet/account_admission.py
+++ b/src/poplarfold/_internal/core/fleet/account_admission.py
@@ -9,7 +9,12 @@
 
 from result import Err, Ok, Result
 
-from poplarfold._internal.core.fleet.accounts import AccountTable, ClientAccount
+from poplarfold._internal.core.fleet.accounts import (
+    PRIORITY_DEFAULT,
+    PRIORITY_MAX,
+    AccountTable,
+    ClientAccount,
+)
 from poplarfold._internal.core.fleet.rows import Route
 from poplarfold._internal.exceptions import ConfigurationTooOldError, UnknownKeyError
 
@@ -22,9 +27,6 @@
 RETRY_AFTER_S = 0.3
 # Retries are spread over this share of the time, so that they do not all come at once.
 RETRY_SPREAD = 1.0
-# Priority 0 is the highest; calls without any are in the middle.
-PRIORITY_DEFAULT = 5
-PRIORITY_MAX = 9
 
 
 class RevocationPolicy(NamedTuple):
--- a/src/poplarfold/_internal/core/fleet/accounts.py
+++ b/src/poplarfold/_internal/core/fleet/accounts.py
@@ -9,6 +9,8 @@
 from typing import NamedTuple
 
 __all__ = [
+    "PRIORITY_DEFAULT",
+    "PRIORITY_MAX",
     "AccountChanges",
     "AccountLimit",
     "AccountTable",
@@ -17,6 +19,9 @@
     "compare_accounts",
 ]
 
+# Priority 0 is the highest; calls without any are in the middle.
+PRIORITY_DEFAULT = 5
+PRIORITY_MAX = 9
 # An event names at most this many added and removed accounts.
 NAMES_MAX = 10
 
--- a/src/poplarfold/_internal/core/fleet/fair_order.py
+++ b/src/poplarfold/_internal/core/fleet/fair_order.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
+from poplarfold._internal.core.fleet.accounts import PRIORITY_DEFAULT, PRIORITY_MAX
 from poplarfold._internal.core.state import Table
 
 __all__ = ["FairOrder", "StreamClass", "WaitingWork", "account_weight"]
@@ -15,7 +16,6 @@
 # The weight of the lowest priority: no account may get less than 0.8 of the share of
 # another one.
 WEIGHT_MIN = 0.8
-PRIORITY_MAX = 9
 # One account may take this share of the places of a full queue, if others wait too.
 ACCOUNT_SHARE_MAX = 0.5
 
@@ -29,7 +29,7 @@
 
     account: str | None = None
     route: str = ""
-    priority: int = 5
+    priority: int = PRIORITY_DEFAULT
     work: float = 0.0
 
 
