--- a/tests/unit/test_second_attempts.py
+++ b/tests/unit/test_second_attempts.py
@@ -12,11 +12,13 @@
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.daemon.endpoint_client import Answer
 from poplarfold._internal.exceptions import EndpointError
+from poplarfold._internal.gateway.choice_log import LOGGED_CHOICES_PER_S
 from poplarfold._internal.gateway.context import CallContext
-from poplarfold._internal.gateway.fleet import LOGGED_CHOICES_PER_S, Fleet
+from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.metrics import GatewayMetrics
 from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.gateway.settings import GatewaySettings
+from poplarfold._internal.http.answer_memory import AnswerMemory
 from poplarfold._internal.http.failures import Failure
 from poplarfold._internal.platform import decode_call, decode_routes
 from poplarfold._internal.utils.clock import boot_time
@@ -46,6 +48,7 @@
                 name, 1, "registry", name, domain, EndpointRole.SERVICE, 4, False, 0.0
             )
             self.fleet.directory.apply_endpoint(name, row, boot_time())
+        self.memory = AnswerMemory()
         self.answers = {}
         self.sent = []
         self.logged = []
@@ -163,3 +166,19 @@
     silent.call("/lookup/1")
     silent.call("/lookup/1")
     assert silent.events("PF3601") == [] and silent.fleet.gauges().paces == {}
+
+
+def test_statistics_of_removed_endpoints_do_not_pile_up():
+    """Guards against rows of endpoints whose last call ended after their removal."""
+    fleet = Gateway().fleet
+    for number in range(5):
+        row = FleetEndpoint(
+            f"c-{number}", 1, "short", "c", "lhr-a", EndpointRole.SERVICE, 4, False, 0.0
+        )
+        fleet.directory.apply_endpoint(row.endpoint_id, row, boot_time())
+        assert fleet.pick("short", EndpointRole.SERVICE) == row
+        change = fleet.directory.withdraw_endpoint(row.endpoint_id)
+        with fleet.lock:
+            fleet.remove_endpoint_stats([change])
+        fleet.finish_call(row)
+    assert len(fleet.endpoint_stats.rows) <= 1
