Extend the gateway's soak by accounts, unfinished bodies and paced endpoints

Cause: no run of real processes under faults covered API keys, quotas over several gateways, callers that do not end their bodies, or a fourth load figure.

Change: the configurations have three accounts whose keys change with each version, and one caller sends several times its quota. Checks compare what endpoints got with what callers sent: keys, account names, unknown and removed keys, and the units of each quota window. Steps add callers that stop short and callers that do not read, and hide a removal from all nodes. Every process is checked against the memory and descriptors of the smallest host. Endpoints state a pace that changes with each answer, and one of them fails 30% of its calls. Eight planted faults belong to the new checks; find_planted looks at all violations instead of the first twenty. The planted fault short_answers gets the parameter that the product passes.

--- a/tests/functional/gateway_soak/__main__.py
+++ b/tests/functional/gateway_soak/__main__.py
@@ -16,6 +16,8 @@
 from pathlib import Path
 from typing import Any
 
+from tests.functional.gateway_soak.account_checks import check_accounts
+from tests.functional.gateway_soak.accounts import HeavyCaller, KeyRing
 from tests.functional.gateway_soak.backends import SoakEndpoint, SoakStore
 from tests.functional.gateway_soak.callers import Caller, ConfigWatcher
 from tests.functional.gateway_soak.checks import CHECKS
@@ -29,6 +31,8 @@
 NODES_COUNTED_AFTER_S = 6.0
 SETTLE_S = 2.0
 CHECK_PERIOD_S = 0.5
+# One plain endpoint fails this share of its calls.
+FAILING_SHARE = 0.3
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -56,6 +60,7 @@
         for role in ("prefill", "decode")
         for number in range(2 * scale)
     ]
+    plain[0].failing_share = FAILING_SHARE
     return plain + engines
 
 
@@ -72,6 +77,7 @@
         while not self.stopping.wait(CHECK_PERIOD_S):
             for node in self.nodes:
                 node.check_running()
+                node.check_memory()
 
 
 def check_logs(nodes: list[Node], records: Records) -> None:
@@ -94,18 +100,20 @@
         folder = options.folder or Path(made)
         folder.mkdir(parents=True, exist_ok=True)
         store = SoakStore()
+        keys = KeyRing(options.seed)
         endpoints = make_endpoints(records, options.nodes)
         nodes = [
             Node(number, store.address, folder, records, options.plant)
             for number in range(options.nodes)
         ]
         try:
-            steps = run_steps(options, store, endpoints, nodes, records)
+            steps = run_steps(options, store, endpoints, nodes, records, keys)
         finally:
             for node in nodes:
                 node.tear_down()
         for check in CHECKS:
             check(records)
+        check_accounts(records, keys)
         check_logs(nodes, records)
         for endpoint in endpoints:
             endpoint.link.stop()
@@ -120,8 +128,10 @@
         "steps": dict(Counter(steps)),
         "outcomes": dict(sorted(outcomes.items(), key=str)),
         "arrivals": len(records.arrivals),
+        "quota_share": round(records.highest_window_share, 3),
         "violations": records.violations[:20],
         "violation_count": len(records.violations),
+        "violated": sorted({row.partition(":")[0] for row in records.violations}),
     }
 
 
@@ -131,11 +141,12 @@
     endpoints: list[SoakEndpoint],
     nodes: list[Node],
     records: Records,
+    keys: KeyRing,
 ) -> list[str]:
     """Start all processes, run the steps, and return the names of the steps."""
     watchers = [ConfigWatcher(node, records) for node in nodes[:4]]
     faults = FaultInjector(
-        options.seed, store, endpoints, nodes, watchers, records, options.only
+        options.seed, store, endpoints, nodes, watchers, records, keys, options.only
     )
     faults.put_configuration(0)
     for endpoint in endpoints:
@@ -147,11 +158,12 @@
             records.add_violation("start", f"{node.name} did not become ready")
     time.sleep(NODES_COUNTED_AFTER_S)
     callers = [
-        Caller(options.seed * 1000 + number, nodes, records)
+        Caller(options.seed * 1000 + number, nodes, records, keys)
         for number in range(options.callers)
     ]
     monitor = ProcessMonitor(nodes)
-    threads = [*callers, *watchers, monitor]
+    heavy = [HeavyCaller(options.seed * 1000 - 1 - at, nodes, records) for at in (0, 1)]
+    threads = [*callers, *heavy, *watchers, monitor]
     for thread in threads:
         thread.start()
     faults.run(options.seconds)
--- a/tests/functional/gateway_soak/backends.py
+++ b/tests/functional/gateway_soak/backends.py
@@ -1,14 +1,19 @@
 """The platform's stand-ins, extended with the faults and records of the soak."""
 
+import random
 import time
 
+from tests.functional.gateway_soak.accounts import has_key
 from tests.functional.gateway_soak.proxy import Link, LinkMode
 from tests.functional.gateway_soak.records import Arrival, Records, total_events
 from tests.lib.platform_standin import EndpointStandIn, Handler, StoreStandIn
 
-__all__ = ["SoakEndpoint", "SoakStore"]
+__all__ = ["SLOW_PREFIX", "SoakEndpoint", "SoakStore"]
 
 EVENT_PERIOD_S = 0.03
+# Begins the request ids of callers that do not read their large answers.
+SLOW_PREFIX = "slow"
+SLOW_BODY_BYTES = 1_000_000
 
 
 class SoakStore(StoreStandIn):
@@ -54,6 +59,9 @@
         self.born = 1788179296174
         self.state = "ready"
         self.work_s = 0.01
+        self.rng = random.Random(endpoint_id)
+        # The share of plain calls that fail with status 500.
+        self.failing_share = 0.0
 
     def announce(self, store: StoreStandIn) -> None:
         """Write the endpoint's entry to the store."""
@@ -76,10 +84,35 @@
         """Record an arrival and return the request's id."""
         request_id = headers.get("Poplarfold-Request-Id", "")
         now = time.monotonic()
-        row = Arrival(request_id, self.service, self.endpoint_id, now, ran, is_prefill)
+        accounts = tuple(
+            value
+            for name, value in headers.items()
+            if name.lower().replace("_", "-") == "poplarfold-tenant"
+        )
+        row = Arrival(
+            request_id, self.service, self.endpoint_id, now, ran, is_prefill, accounts
+        )
         self.records.add(row)
         return request_id
 
+    def serve(self, request: Handler, body: bytes) -> None:
+        if has_key(dict(request.headers.items())):
+            self.records.add_violation("keys", f"{self.endpoint_id} got a key")
+        super().serve(request, body)
+
+    def proof(self, headers: dict[str, str]) -> dict[str, str]:
+        """Return the proof headers, with a pace that changes with each answer."""
+        percent = round(100 * self.rng.uniform(0.6, 4.0))
+        load = f"1,0,{self.slots},{percent}"
+        return {**super().proof(headers), "Poplarfold-Server-Load": load}
+
+    def run(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
+        if self.rng.random() >= self.failing_share:
+            super().run(request, headers, body)
+            return
+        self.add_arrival(headers, ran=True, is_prefill=False)
+        request.answer(500, b"failed", self.proof(headers))
+
     def prefill(self, request: Handler, headers: dict[str, str], number: int) -> None:
         self.add_arrival(headers, ran=False, is_prefill=True)
         super().prefill(request, headers, number)
@@ -90,6 +123,8 @@
             time.sleep(self.work_s)
 
     def whole_body(self, request_id: str) -> bytes:
+        if request_id.startswith(SLOW_PREFIX):
+            return bytes(SLOW_BODY_BYTES)
         return f"answer for {request_id}".encode()
 
     def stream(self, request: Handler, headers: dict[str, str], body: bytes) -> None:
--- a/tests/functional/gateway_soak/callers.py
+++ b/tests/functional/gateway_soak/callers.py
@@ -5,10 +5,13 @@
 import threading
 import time
 
+from tests.functional.gateway_soak.accounts import KeyRing
 from tests.functional.gateway_soak.nodes import Node
 from tests.functional.gateway_soak.records import Attempt, Records, total_events
 
-__all__ = ["Caller", "ConfigWatcher", "CONFIG_MARKER", "WATCHER_ID"]
+__all__ = [
+    "CONFIG_MARKER", "WATCHER_ID", "Caller", "ConfigWatcher", "call_status",
+]  # fmt: skip
 
 READ_LIMIT_S = 8.0
 CONFIG_MARKER = "/marker-"
@@ -23,11 +26,14 @@
 class Caller(threading.Thread):
     """A caller with one persistent connection at a time."""
 
-    def __init__(self, seed: int, nodes: list[Node], records: Records) -> None:
+    def __init__(
+        self, seed: int, nodes: list[Node], records: Records, keys: KeyRing
+    ) -> None:
         super().__init__(daemon=True)
         self.rng = random.Random(seed)
         self.nodes = nodes
         self.records = records
+        self.keys = keys
         self.stopping = threading.Event()
         self.connection: http.client.HTTPConnection | None = None
         self.node = nodes[0]
@@ -67,8 +73,9 @@
         path = f"/{kind}/{request_id[:4]}"
         sent_at = time.monotonic()
         status, body, is_whole, disconnected_at = None, b"", False, None
+        key, headers = self.keys.headers(self.rng)
         try:
-            self.send(kind, path, request_id)
+            self.send(kind, path, request_id, headers)
             assert self.connection is not None
             answer = self.connection.getresponse()
             status = answer.status
@@ -91,7 +98,7 @@
         self.records.add(
             Attempt(
                 request_id, kind, self.node.name, path, sent_at, time.monotonic(),
-                status, is_whole, body, disconnected_at,
+                status, is_whole, body, disconnected_at, key,
             )
         )  # fmt: skip
 
@@ -101,11 +108,13 @@
             return None
         return self.rng.randint(1, max(1, total_events(request_id) // 3))
 
-    def send(self, kind: str, path: str, request_id: str) -> None:
+    def send(
+        self, kind: str, path: str, request_id: str, account: dict[str, str]
+    ) -> None:
         """Send one request on the kept connection."""
         assert self.connection is not None
         method = "GET" if kind == "lookup" else "POST"
-        headers = {**HEADERS, "Poplarfold-Request-Id": request_id}
+        headers = {**HEADERS, **account, "Poplarfold-Request-Id": request_id}
         if kind == "caption":
             headers["Poplarfold-Token-Count"] = "1000,200"
         body = None if method == "GET" else b"x" * self.rng.randint(1, 3000)
@@ -153,18 +162,27 @@
 
     def fetch_status(self, version: int) -> int | None:
         """Return the status of a request to the route that only this version has."""
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self.node.ports["front"], timeout=2.0
-        )
-        try:
-            headers = {**HEADERS, "Poplarfold-Request-Id": WATCHER_ID}
-            connection.request("GET", f"{CONFIG_MARKER}{version}/", headers=headers)
-            return connection.getresponse().status
-        except (OSError, http.client.HTTPException):
-            return None
-        finally:
-            connection.close()
+        return call_status(self.node, "", f"{CONFIG_MARKER}{version}/")
 
     def is_unseen(self, version: int) -> bool:
         """Return whether the current process has not served a version yet."""
         return self.seen.get(self.node.start_count, 0) < version
+
+
+def call_status(
+    node: Node, key: str, path: str = "/lookup/1", body: bytes | None = None
+) -> int | None:
+    """Return the status of a request over a new connection, or None without one."""
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", node.ports["front"], timeout=2.0
+    )
+    headers = {**HEADERS, "Poplarfold-Request-Id": WATCHER_ID}
+    if key:
+        headers["Poplarfold-Key"] = key
+    try:
+        connection.request("GET", path, body, headers)
+        return connection.getresponse().status
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
--- a/tests/functional/gateway_soak/checks.py
+++ b/tests/functional/gateway_soak/checks.py
@@ -7,6 +7,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 
+from tests.functional.gateway_soak.backends import SLOW_PREFIX
 from tests.functional.gateway_soak.callers import WATCHER_ID
 from tests.functional.gateway_soak.nodes import BOUNDS
 from tests.functional.gateway_soak.records import (
@@ -24,7 +25,9 @@
 CANCEL_LIMIT_S = 0.5
 BUDGET_WINDOW_S = float(BOUNDS["budget_window_s"])
 NOT_RUN_STATUSES = {408, 421, 429, 503}
-SERVICES = {"filing": "registry", "lookup": "registry", "caption": "llm"}
+SERVICES = {
+    "filing": "registry", "lookup": "registry", "heavy": "registry", "caption": "llm",
+}  # fmt: skip
 
 
 def check_at_most_once(records: Records) -> None:
@@ -142,7 +145,7 @@
         )
 
 
-ROUTE_TIMEOUTS_S = {"filing": 1.5, "lookup": 1.5, "caption": 6.0}
+ROUTE_TIMEOUTS_S = {"filing": 1.5, "lookup": 1.5, "heavy": 1.5, "caption": 6.0}
 
 
 def check_budget(records: Records) -> None:
@@ -174,7 +177,9 @@
     seen: set[tuple[str, bool]] = set()
     extra = []
     for row in sorted(records.arrivals, key=lambda row: row.at):
-        if row.service != service or row.request_id == WATCHER_ID:
+        is_counted = row.request_id != WATCHER_ID
+        is_counted = is_counted and not row.request_id.startswith(SLOW_PREFIX)
+        if row.service != service or not is_counted:
             continue
         key = (row.request_id, row.is_prefill)
         if key in seen:
@@ -191,7 +196,8 @@
     answered: Counter[str] = Counter(
         row.kind for row in records.attempts if is_served(row)
     )
-    asked = Counter(row.kind for row in records.attempts)
+    # Most requests beyond the quota are rejected.
+    asked = Counter(row.kind for row in records.attempts if row.kind != "heavy")
     for kind, count in asked.items():
         if answered[kind] < count / 4:
             records.add_violation(
--- a/tests/functional/gateway_soak/faults.py
+++ b/tests/functional/gateway_soak/faults.py
@@ -7,12 +7,22 @@
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 
-from tests.functional.gateway_soak.backends import SoakEndpoint, SoakStore
-from tests.functional.gateway_soak.callers import CONFIG_MARKER, ConfigWatcher
+from tests.functional.gateway_soak.accounts import KeyRing
+from tests.functional.gateway_soak.backends import (
+    SLOW_PREFIX,
+    SoakEndpoint,
+    SoakStore,
+)
+from tests.functional.gateway_soak.callers import (
+    CONFIG_MARKER,
+    ConfigWatcher,
+    call_status,
+)
 from tests.functional.gateway_soak.checks import RECOVERY_S
 from tests.functional.gateway_soak.nodes import BOUNDS, Node
 from tests.functional.gateway_soak.proxy import Link, LinkMode
 from tests.functional.gateway_soak.records import Records, Span
+from tests.lib.caller_crowd import Crowd, chunks
 from tests.lib.platform_standin import STREAMED, configuration, route
 
 __all__ = ["FaultInjector"]
@@ -22,6 +32,11 @@
 SERVICE_FAULTS = ("not_run", "error", "cut_body", "foreign")
 STREAM_FAULTS = ("cut_stream", "lost_handle")
 LINK_MODES = tuple(mode for mode in LinkMode if mode is not LinkMode.PASS)
+REVOKE_S = BOUNDS["revoke_ms"] / 1000
+# As in tests/functional/test_unfinished_bodies.py.
+CROWD, UNENDED_BODY = 40, chunks(65_536, 45)
+# Longer than any other fault.
+SERVED_AGAIN_S = 30.0
 GARBLED = (b"", b"{", b'{"service": 7}', b"\xff\xfe", b'{"state": "lost"}')
 
 
@@ -40,6 +55,7 @@
         nodes: list[Node],
         watchers: list[ConfigWatcher],
         records: Records,
+        keys: KeyRing,
         only: Collection[str] = (),
     ) -> None:
         self.only = only
@@ -49,6 +65,9 @@
         self.nodes = nodes
         self.watchers = watchers
         self.records = records
+        self.keys = keys
+        self.put_lock = threading.Lock()
+        self.highest_put = 0
         self.version = 0
         # The newest configuration and the one before it.
         self.newest = self.older = b""
@@ -92,6 +111,7 @@
             self.kill, self.pause, self.break_link, self.break_endpoint,
             self.break_service, self.break_store, self.break_store_link,
             self.crash_endpoint, self.compact, self.garble, self.publish, self.reload,
+            self.hide_revocation, self.crowd,
         ]  # fmt: skip
         return [step for step in steps if step.__name__ in self.only] or steps
 
@@ -200,11 +220,24 @@
             route("caption", "/caption/", "streaming", "llm", **STREAMED),
             route("filing", "/filing/", "non_idempotent", "registry"),
             route("lookup", "/lookup/", "idempotent", "registry"),
-            route("marker", marker, "idempotent", "registry", max_attempts=1),
+            route(
+                "marker", marker, "idempotent", "registry", max_attempts=1, public=True
+            ),
         ]
         routes[0]["timeout_ms"] = 6000
-        self.older, self.newest = self.newest, configuration(version, routes=routes)
-        self.store.put("keyed.op", "config", self.newest)
+        with self.put_lock:
+            # Nodes ignore a version that another thread has overtaken, and so the
+            # removal of a key by it.
+            removed = self.keys.rotate() if version >= self.highest_put else []
+            self.highest_put = max(self.highest_put, version)
+            self.older, self.newest = (
+                self.newest,
+                configuration(
+                    version, routes=routes, tenants=self.keys.tenants(removed)
+                ),
+            )
+            self.store.put("keyed.op", "config", self.newest)
+            self.keys.record_removed(removed)
 
     def publish_series(self) -> None:
         """Publish several configurations in quick succession."""
@@ -320,6 +353,7 @@
             self.store.mode = "up"
             self.wait(0.2, 1.0)
             self.store.stale_records = None
+            self.keys.record_stale(stale["keyed.op"]["config"])
 
     def publish_unchecked(self) -> None:
         """Publish a configuration without checking when it is in force."""
@@ -332,6 +366,47 @@
                 row = (version, time.monotonic())
                 watcher.published = [*watcher.published[-3:], row]
 
+    def hide_revocation(self) -> None:
+        """Remove a key while no node can read the store, for longer than the bound."""
+        if self.store.mode != "up":
+            return
+        with self.span("store silent"):
+            self.store.mode = "silent"
+            # Reads that wait at the store would still get the new configuration.
+            for node in self.nodes:
+                node.store_link.reset_all()
+            self.publish_unchecked()
+            self.wait(REVOKE_S + 1.0, REVOKE_S + 3.0)
+            self.store.mode = "up"
+
+    def crowd(self) -> None:
+        """Have callers at one node that do not end their bodies or do not read, and
+        check that an ordinary call is served afterwards."""
+        node = self.pick_node()
+        if node is None:
+            return
+        start_count = node.start_count
+        front = ("127.0.0.1", node.ports["front"])
+        key = self.keys.ordinary_key()
+        head = f"Host: entry.example\r\nPoplarfold-Key: {key}\r\n"
+        head += f"Poplarfold-Request-Id: {SLOW_PREFIX}\r\n"
+        unended = f"POST /filing/1 HTTP/1.1\r\n{head}Transfer-Encoding: chunked\r\n\r\n"
+        unread = f"GET /lookup/1 HTTP/1.1\r\n{head}\r\n".encode()
+        with (
+            self.span("crowd", node.name),
+            Crowd(front, CROWD, unended.encode() + UNENDED_BODY),
+            Crowd(front, CROWD // 2, unread),
+        ):
+            self.wait(2.0, 4.0)
+        deadline = time.monotonic() + SERVED_AGAIN_S
+        while node.start_count == start_count and not node.is_stopped:
+            if call_status(node, self.keys.ordinary_key(), body=b"x" * 3000) == 200:
+                return
+            if time.monotonic() > deadline:
+                self.records.add_violation("crowd", f"{node.name} does not serve")
+                return
+            time.sleep(0.2)
+
     def garble(self) -> None:
         """Write malformed entries, for an unknown endpoint and for a known one."""
         with self.span("garbled entries"):
--- a/tests/functional/gateway_soak/find_planted.py
+++ b/tests/functional/gateway_soak/find_planted.py
@@ -26,6 +26,14 @@
     "hasty_stops": ("publish", "planned stop"),
     "fatal_reloads": ("reload", "own end"),
     "unlimited_retries": ("break_service", "budget"),
+    "passed_keys": ("publish", "keys"),
+    "claimed_accounts": ("publish", "account names"),
+    "any_keys": ("publish", "unknown keys"),
+    "ignored_revocations": ("publish", "revocation"),
+    "outdated_keys": ("hide_revocation", "revocation"),
+    "whole_quotas": ("publish", "quota"),
+    "unlimited_bodies": ("crowd", "limits"),
+    "stuck_closing": ("crowd", "crowd"),
 }
 
 
@@ -35,8 +43,7 @@
     options = build_parser().parse_args(
         ["--seconds", str(seconds), "--plant", name, "--only", only]
     )
-    violations = run(options)["violations"]
-    return any(row.startswith(guarantee) for row in violations)
+    return guarantee in run(options)["violated"]
 
 
 def main() -> int:
--- a/tests/functional/gateway_soak/nodes.py
+++ b/tests/functional/gateway_soak/nodes.py
@@ -11,6 +11,7 @@
 
 from tests.functional.gateway_soak.proxy import Link
 from tests.functional.gateway_soak.records import Records
+from tests.lib.caller_crowd import descriptors, peak_mb
 from tests.lib.platform_standin import boot_fields
 from tests.lib.ports import free_port
 
@@ -21,6 +22,8 @@
 # Within this time after a start, a signal may still have its default action, because
 # the interpreter has not yet run the program's first line.
 INTERPRETER_START_S = 0.5
+# The limits of the smallest host.
+MEMORY_MB, MAX_FDS = 128, 4100
 BOUNDS = {
     "grace_s": GRACE_S,
     "drain_ms": 2500,
@@ -29,6 +32,11 @@
     "budget_window_s": 10,
     "budget_slack": 60,
     "lease_ms": 3000,
+    "strict_revoke": True,
+    "revoke_ms": 5000,
+    "quota_window_s": 8,
+    "quota_over": 0.1,
+    "quota_slack": 3000,
 }
 
 
@@ -53,6 +61,7 @@
         self.log = folder / f"{self.name}.log"
         self.settings.write_text(f"metrics_port = {self.ports['metrics']}\n")
         fields = boot_fields(self.name, self.ports, self.store_link.address, BOUNDS)
+        fields["limits"] = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
         self.boot.write_text(json.dumps(fields))
         self.start_count = 0
         self.started_at = self.signalled_at = 0.0
@@ -131,6 +140,21 @@
         self.records.add_violation("own end", f"{self.name} ended with {code}")
         self.is_stopped = True
 
+    def check_memory(self) -> None:
+        """Report a process that has exceeded the memory or descriptors of its host."""
+        process = self.process
+        if self.is_stopped or process is None:
+            return
+        try:
+            memory_mb, files = peak_mb(process), descriptors(process)
+        except (OSError, ValueError):
+            # The process has just ended.
+            return
+        if memory_mb > MEMORY_MB or files > MAX_FDS:
+            self.records.add_violation(
+                "limits", f"{self.name} has {memory_mb:.0f} MB, {files} descriptors"
+            )
+
     def is_ready(self) -> bool:
         """Return whether the process reports that it is ready."""
         try:
--- a/tests/functional/gateway_soak/planted.py
+++ b/tests/functional/gateway_soak/planted.py
@@ -13,6 +13,13 @@
 import poplarfold_gateway  # noqa: F401
 
 from poplarfold._internal.core.fleet import rows
+from poplarfold._internal.core.fleet.account_admission import RevocationPolicy
+from poplarfold._internal.core.fleet.account_quota import HostQuota, Room
+from poplarfold._internal.core.fleet.accounts import (
+    AccountLimit,
+    AccountTable,
+    ClientAccount,
+)
 from poplarfold._internal.core.fleet.budget import RetryBudget
 from poplarfold._internal.core.fleet.directory import Directory
 from poplarfold._internal.core.fleet.keyed_view import ViewRecord
@@ -24,7 +31,8 @@
 from poplarfold._internal.gateway.main import Gateway
 from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.gateway.topic_state import TopicState
-from poplarfold._internal.platform import StoreTopic
+from poplarfold._internal.http.memory_account import Holding, MemoryAccount
+from poplarfold._internal.platform import StoreTopic, calls
 from poplarfold._internal.platform.calls import AnswerMetadata
 
 __all__ = ["PLANTS"]
@@ -54,9 +62,9 @@
     """Treats a truncated body as complete."""
     whole = endpoint_client.read_response_body
 
-    def read_response_body(response: Any) -> bytes:
+    def read_response_body(response: Any, held: Any) -> bytes:
         try:
-            return whole(response)
+            return whole(response, held)
         except endpoint_client.NETWORK_ERRORS:
             return b"ha"
 
@@ -161,12 +169,73 @@
     patch(PlainCall, "may_try", may_try)
 
 
+def passed_keys() -> None:
+    """Forwards the caller's API key to endpoints."""
+    names = calls.ROUTER_HEADERS - {calls.API_KEY.lower()}
+    patch(calls, "ROUTER_HEADERS", names)
+
+
+def claimed_accounts() -> None:
+    """Forwards an account name that the caller states in another spelling."""
+    patch(calls, "is_router_header", lambda name: name.lower() in calls.ROUTER_HEADERS)
+
+
+def any_keys() -> None:
+    """Takes a call without a valid key as one of the first account."""
+    find = AccountTable.find
+
+    def find_any(self: AccountTable, digest: bytes | None) -> ClientAccount | None:
+        return find(self, digest) or next(iter(self.accounts.values()))
+
+    patch(AccountTable, "find", find_any)
+
+
+def ignored_revocations() -> None:
+    """Accepts each key that any configuration has held."""
+    find = AccountTable.find
+    known: dict[bytes, ClientAccount] = {}
+
+    def find_known(self: AccountTable, digest: bytes | None) -> ClientAccount | None:
+        known.update({key: row[1] for key, row in self.by_digest.items()})
+        return find(self, digest) or known.get(digest or b"")
+
+    patch(AccountTable, "find", find_known)
+
+
+def outdated_keys() -> None:
+    """Serves calls by key however old the configuration is."""
+    patch(RevocationPolicy, "age_limit_s", float("inf"))
+
+
+def whole_quotas() -> None:
+    """Lets each host use the whole quota alone."""
+
+    def room(
+        self: HostQuota, key: int, limit: AccountLimit, nodes: int, now: float
+    ) -> Room:
+        return Room(self.rule.usable(limit) - self.own.window_sum(key, now), 0.0, 0.0)
+
+    patch(HostQuota, "room", room)
+
+
+def unlimited_bodies() -> None:
+    """Holds request bodies without regard to the memory of the host."""
+    patch(Holding, "resize", lambda self, size: self.force(size) or True)
+
+
+def stuck_closing() -> None:
+    """Waits for a slow caller while it is closed, with the lock of the memory held."""
+    patch(MemoryAccount, "_evict", lambda self, row: time.sleep(60.0))
+
+
 PLANTS: dict[str, Callable[[], None]] = {
     plant.__name__: plant
     for plant in (
         repeated_filings, false_refusals, foreign_answers, short_answers,
         lost_events, leaving_endpoints, unseen_leavers, older_configurations,
         late_configurations, hasty_stops, fatal_reloads, unlimited_retries,
+        passed_keys, claimed_accounts, any_keys, ignored_revocations, outdated_keys,
+        whole_quotas, unlimited_bodies, stuck_closing,
     )
 }  # fmt: skip
 
--- a/tests/functional/gateway_soak/records.py
+++ b/tests/functional/gateway_soak/records.py
@@ -11,7 +11,8 @@
 
     ``status`` is None if no complete head of an answer was received. ``is_whole``
     is whether the answer was received completely. ``disconnected_at`` is set if the
-    caller closed the connection before that.
+    caller closed the connection before that. ``key`` is the API key that was sent, and
+    ``units`` what the request counts as if its account has a quota.
     """
 
     request_id: str
@@ -24,10 +25,15 @@
     is_whole: bool
     body: bytes
     disconnected_at: float | None = None
+    key: str = ""
+    units: int = 0
 
 
 class Arrival(NamedTuple):
-    """One request at an endpoint; ``ran`` is false for prefills and refusals."""
+    """One request at an endpoint; ``ran`` is false for prefills and refusals.
+
+    ``accounts`` are the account names that its headers state.
+    """
 
     request_id: str
     service: str
@@ -35,6 +41,7 @@
     at: float
     ran: bool
     is_prefill: bool
+    accounts: tuple[str, ...] = ()
 
 
 class Span(NamedTuple):
@@ -65,6 +72,8 @@
         # When an endpoint was announced as leaving.
         self.leaving: dict[str, float] = {}
         self.violations: list[str] = []
+        # The highest use of a quota in any window, as a share of what the rule allows.
+        self.highest_window_share = 0.0
 
     def add(self, row: Attempt | Arrival | Span) -> None:
         """Append a row to its list."""
