Begin no request on a connection that is being closed for others

Cause: the connections to close were chosen under the lock and closed after it. A request whose head or body became complete in between was passed to a request thread, ran, and its answer was cut. Change: they are marked under the lock, and a request begins only on a connection that isn't marked (OpenConnections.begin_request). Result: the new test fails before (it needs begin_request) and passes after; tests/unit/test_incoming_bodies.py passes.

--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -492,9 +492,11 @@
             self.head_waiter.add(conn, conn.head_began_at + self.request_read_s)
 
     def serve_conn(self, conn: Any) -> None:
-        """Pass a connection to a request thread."""
-        conn.is_busy = True
-        super().process_conn(conn)
+        """Pass a connection to a request thread, unless it is closed for others."""
+        if self.resources.connections.begin_request(conn):
+            super().process_conn(conn)
+        else:
+            conn.close()
 
     def put_conn(self, conn: Any) -> None:
         """Wait for the body of a connection's request, or for its next request."""
--- a/src/poplarfold/_internal/http/open_connections.py
+++ b/src/poplarfold/_internal/http/open_connections.py
@@ -44,6 +44,16 @@
         with self.lock:
             self.connections.pop(connection, None)
 
+    def begin_request(self, connection: Any) -> bool:
+        """Keep a connection while its request is served; return False if it is closed.
+
+        A request on a connection that is closed for others must not run, since its
+        answer could not be sent.
+        """
+        with self.lock:
+            connection.is_busy = not connection.is_evicted
+            return bool(connection.is_busy)
+
     def _evict(self, count: int, newest: Any) -> None:
         """Close connections without a whole request, those of no use first."""
         with self.lock:
@@ -55,5 +65,7 @@
             rows.sort(key=lambda row: (row.requests_served > 0, row.idle_since))
             victims = rows[:count]
             self.evicted += len(victims)
+            for row in victims:
+                row.is_evicted = True
         for row in victims:
             row.evict()
--- a/tests/unit/test_incoming_bodies.py
+++ b/tests/unit/test_incoming_bodies.py
@@ -154,6 +154,22 @@
     assert silent.is_evicted and not kept.is_evicted and not busy.is_evicted
 
 
+def test_request_is_not_begun_on_a_connection_that_is_being_closed():
+    """Guards against a request that runs although its connection is cut."""
+    connections = OpenConnections(2, ClosingSockets())
+    rows = [Connection(idle_since=1.0) for _ in range(3)]
+    begun = []
+    # The whole head of the second one arrives while the first one is closed.
+    rows[0].evict = lambda: begun.append(connections.begin_request(rows[1]))
+    connections.limit = 10
+    for row in rows:
+        connections.add(row)
+    connections.limit = 1
+    connections.add(Connection(idle_since=2.0))
+    assert rows[1].is_evicted and begun == [False] and not rows[1].is_busy
+    assert connections.begin_request(Connection())
+
+
 def transfer_of(body, account, idle_s=10.0):
     near, far = socket.socketpair()
     near.setblocking(False)
