Close the newest connection if all others are serving requests

Cause: only connections without a whole request are closed for new ones. Callers that send whole requests faster than they are answered took the count past the limit, up to the descriptors of the process. From there each accept fails, and the listener tries again at once and logs each failure. Change: the new connection is closed if the others that are kept reach the limit.

--- a/src/poplarfold/_internal/http/open_connections.py
+++ b/src/poplarfold/_internal/http/open_connections.py
@@ -16,7 +16,8 @@
 
     A new connection takes the place of one whose socket is closing, else of one that
     has not sent a whole request, else of the one that has been idle for longest.
-    Connections whose request is being served are kept.
+    Connections whose request is being served are kept. If that leaves too many, the new
+    one is closed: beyond the limit of the process, none could be accepted or opened.
     """
 
     def __init__(self, limit: int, closing_sockets: ClosingSockets) -> None:
@@ -57,13 +58,12 @@
     def _evict(self, count: int, newest: Any) -> None:
         """Close connections without a whole request, those of no use first."""
         with self.lock:
-            rows = [
-                row
-                for row in self.connections
-                if not row.is_busy and not row.is_evicted and row is not newest
-            ]
+            kept = [row for row in self.connections if not row.is_evicted]
+            rows = [row for row in kept if not row.is_busy and row is not newest]
             rows.sort(key=lambda row: (row.requests_served > 0, row.idle_since))
             victims = rows[:count]
+            if len(kept) - len(victims) > self.limit:
+                victims.append(newest)
             self.evicted += len(victims)
             for row in victims:
                 row.is_evicted = True
--- a/tests/unit/test_incoming_bodies.py
+++ b/tests/unit/test_incoming_bodies.py
@@ -154,6 +154,15 @@
     assert silent.is_evicted and not kept.is_evicted and not busy.is_evicted
 
 
+def test_connection_beyond_the_limit_is_closed_if_all_others_are_busy():
+    """Guards against accepting until the process has no descriptors left."""
+    connections = OpenConnections(2, ClosingSockets())
+    busy, newest = [Connection(is_busy=True) for _ in range(2)], Connection()
+    for row in (*busy, newest):
+        connections.add(row)
+    assert newest.is_evicted and not any(row.is_evicted for row in busy)
+
+
 def test_request_is_not_begun_on_a_connection_that_is_being_closed():
     """Guards against a request that runs although its connection is cut."""
     connections = OpenConnections(2, ClosingSockets())
