Return units of a quota only while their call is in the window

Cause: returned units were subtracted from the newest slot. A call that was rejected some time after its admission left the window before its return did, and the account had room for as many units more until the return left it as well: with a call of 5,000 units that was returned 3 s after its admission, and another that ran, the window had 0 in place of 5,000 units at its end; after 9 s it had 0 at once. Change: units are taken from the slot of their admission on, and by relays from the oldest slots, never more than these have. Result: the new test fails before (it needs the age of the call; the sums above are from the code before) and passes after, with all of test_account_quota.py and test_quota_of_calls.py.

--- a/src/poplarfold/_internal/core/fleet/account_quota.py
+++ b/src/poplarfold/_internal/core/fleet/account_quota.py
@@ -366,9 +366,10 @@
                 rooms.append(row.room._replace(units=row.room.units - used))
         return min(rooms, default=Room(math.inf, 0.0, 0.0))
 
-    def give_back(self, key: int, units: int, now: float) -> None:
-        """Return the units of a call that has certainly not run."""
-        self._count(UsageRow(key, -units, 0), now)
+    def give_back(self, key: int, units: int, now: float, age_s: float = 0.0) -> None:
+        """Return the units of a call, admitted ``age_s`` ago, that has not run."""
+        for counter in (self.own, self.ledger.local):
+            counter.give_back(key, units, now - age_s, now)
 
     def record_levels(
         self, relay: str, rows: list[LevelRow], sent_at: float, now: float
--- a/src/poplarfold/_internal/core/fleet/usage_window.py
+++ b/src/poplarfold/_internal/core/fleet/usage_window.py
@@ -57,20 +57,36 @@
     def add(self, row: UsageRow, now: float, is_recent: bool = True) -> None:
         """Count units; negative ones return units that were counted before.
 
-        Units of any time within the window are no demand of now.
+        Units of any time within the window are no demand of now. Units are returned
+        from the oldest slots first, and no more than these have, so that the units of
+        other calls count until they leave the window.
         """
+        self._add(row, now, is_recent, -math.inf)
+
+    def give_back(self, key: int, units: int, counted_at: float, now: float) -> None:
+        """Return units that were counted at a time, if they are in the window still."""
+        first = math.floor(counted_at / SLOT_S)
+        if (first + 1) * SLOT_S > now - self.window_s:
+            self._add(UsageRow(key, -units, 0), now, True, first)
+
+    def _add(self, row: UsageRow, now: float, is_recent: bool, first: float) -> None:
+        """Count units; negative ones are returned from the slots since ``first``."""
         use = self.uses.setdefault(row.key, AccountUse())
         self._expire(use, now)
         number = math.floor(now / SLOT_S)
         if not use.slots or use.slots[-1][0] < number:
             use.slots.append([number, 0, 0])
             use.asked, use.asked_before = 0, use.asked
-        use.slots[-1][1] += row.admitted
+        admitted = row.admitted
+        if admitted < 0:
+            admitted = -take_units(use, -admitted, first)
+        else:
+            use.slots[-1][1] += admitted
         if is_recent:
-            use.slots[-1][2] += row.admitted + row.refused
+            use.slots[-1][2] += admitted + row.refused
             use.asked = use.slots[-1][2]
-        use.in_window += row.admitted
-        use.admitted += row.admitted
+        use.in_window += admitted
+        use.admitted += admitted
         use.refused += row.refused
 
     def window_sum(self, key: int, now: float) -> int:
@@ -162,3 +178,14 @@
     def _expire(self, use: AccountUse, now: float) -> None:
         while use.slots and (use.slots[0][0] + 1) * SLOT_S <= now - self.window_s:
             use.in_window -= use.slots.popleft()[1]
+
+
+def take_units(use: AccountUse, units: int, first: float) -> int:
+    """Take admitted units from the slots since ``first``; return how many."""
+    left = units
+    for slot in use.slots:
+        if slot[0] >= first:
+            taken = min(left, slot[1])
+            slot[1] -= taken
+            left -= taken
+    return units - left
--- a/src/poplarfold/_internal/gateway/account_usage.py
+++ b/src/poplarfold/_internal/gateway/account_usage.py
@@ -99,13 +99,19 @@
         self.metrics.count_account_units(account.name, outcome, count)
         return result
 
-    def give_back(self, account: ClientAccount, units: float) -> None:
-        """Return the units of an admitted call that has certainly not run."""
+    def give_back(
+        self, account: ClientAccount, units: float, age_s: float = 0.0
+    ) -> None:
+        """Return the units of a call that has certainly not run.
+
+        It was admitted ``age_s`` ago.
+        """
         if account.limit is None:
             return
         count = whole_units(units)
         with self.lock:
-            self.quota.give_back(account_key(account.name), count, self.fleet.clock())
+            key, now = account_key(account.name), self.fleet.clock()
+            self.quota.give_back(key, count, now, age_s)
         self.metrics.count_account_units(account.name, "returned", count)
 
     def describe(self, account: ClientAccount) -> KnownUse:
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -25,6 +25,7 @@
 from poplarfold._internal.gateway.server import CallerExchange
 from poplarfold._internal.gateway.stream_calls import StreamCall
 from poplarfold._internal.platform import CallerCall, decode_call
+from poplarfold._internal.utils.clock import boot_time
 
 __all__ = ["CallHandler"]
 
@@ -115,6 +116,7 @@
         units = account.limit.units(
             call.prompt_tokens, call.max_outputs, call.has_token_count
         )
+        admitted_at = boot_time()
         result = usage.admit(account, units)
         if result.is_err():
             error = result.unwrap_err()
@@ -138,7 +140,7 @@
         except (PoplarfoldError, OSError) as error:
             is_rejected = isinstance(error, PoplarfoldError) and error.status == 503
             if is_rejected or not context.was_sent:
-                usage.give_back(account, units)
+                usage.give_back(account, units, boot_time() - admitted_at)
             raise
 
     def serve_admitted(self, context: CallContext) -> None:
--- a/tests/unit/test_account_quota.py
+++ b/tests/unit/test_account_quota.py
@@ -194,6 +194,21 @@
     assert relay.ledger.local.window_sum(KEY, 11.0) == 0
 
 
+@pytest.mark.parametrize("age_s", [3.0, 9.0])
+def test_returned_units_make_no_room_beyond_the_window(age_s):
+    """Guards against units that are returned late, whose call has left the window, or
+    does so before the return: they would make room for as many more."""
+    quota, relay = (HostQuota(RULE, random.Random(1)) for _ in range(2))
+    for now in (10.0, 10.0 + age_s):
+        assert quota.admit(KEY, LIMITS["large"], 5_000, 1, now).is_ok()
+        relay.ledger.record_report("h", quota.take_report("r", now), now)
+    quota.give_back(KEY, 5_000, now, age_s)
+    for later in (now, now + 4.0, now + 8.0):
+        relay.ledger.record_report("h", quota.take_report("r", later), later)
+        for counter in (quota.own, quota.ledger.local, relay.ledger.local):
+            assert counter.window_sum(KEY, later) == 5_000
+
+
 def test_new_relay_learns_the_whole_window():
     """Guards against a new relay that grants what its hosts have used before."""
     quota, relay = (HostQuota(RULE, random.Random(1)) for _ in range(2))
