Return the units of plain calls that all endpoints have refused

Cause: if every endpoint refuses a plain call, the last refusal is forwarded, which is no exception, and only calls that ended with one returned their units. Change: CallContext.is_refused is set for a forwarded refusal as well. Result: the new test of forwarded refusals fails before and passes after.

--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -47,7 +47,8 @@
     """One call in progress. Times are monotonic seconds.
 
     ``abort`` interrupts the call's blocking I/O when the caller disconnects.
-    ``was_sent`` tells whether the request may have reached an endpoint.
+    ``was_sent`` tells whether the request may have reached an endpoint, and
+    ``is_refused`` whether it is certain that no endpoint has run it or will.
     ``account`` is None on public routes, and ``account`` and ``priority`` are None if
     the deployment has no accounts.
     """
@@ -77,6 +78,7 @@
             wait_s = min(wait_s, call.deadline_s)
         self.deadline_at = self.arrived_at + wait_s
         self.was_sent = False
+        self.is_refused = False
         self.caller_gone = threading.Event()
         self.abort = AbortHandle()
 
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -140,8 +140,11 @@
         except (PoplarfoldError, OSError) as error:
             is_rejected = isinstance(error, PoplarfoldError) and error.status == 503
             if is_rejected or not context.was_sent:
-                usage.give_back(account, units, boot_time() - admitted_at)
+                context.is_refused = True
             raise
+        finally:
+            if context.is_refused:
+                usage.give_back(account, units, boot_time() - admitted_at)
 
     def serve_admitted(self, context: CallContext) -> None:
         """Serve a call whose account is known. Raises PoplarfoldError or OSError."""
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -254,6 +254,7 @@
             raise EndpointError("an earlier attempt may have run")
         if answer.status == 421:
             raise NotRunError("the endpoint has been replaced")
+        context.is_refused = metadata.not_run
         holding = self.held.detach()
         try:
             context.exchange.send_whole(answer.status, headers, answer.body, holding)
--- a/tests/unit/test_quota_of_calls.py
+++ b/tests/unit/test_quota_of_calls.py
@@ -24,8 +24,10 @@
     pack,
     unpack,
 )
+from poplarfold._internal.core.fleet.rows import CallKind
 from poplarfold._internal.core.fleet.usage_rows import pack_rows, unpack_rows
 from poplarfold._internal.core.message_codec import MessageCodec
+from poplarfold._internal.daemon.endpoint_client import Answer
 from poplarfold._internal.exceptions import (
     CallerDisconnectedError,
     CallTimeoutError,
@@ -38,8 +40,11 @@
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.handler import CallHandler
 from poplarfold._internal.gateway.metrics import GatewayMetrics
+from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.gateway.settings import GatewaySettings
+from poplarfold._internal.http.answer_memory import AnswerMemory
 from poplarfold._internal.platform.boot import Bounds
+from poplarfold._internal.platform.calls import NOT_EXECUTED
 
 LIMIT = AccountLimit(UsageUnit.TOKENS, 100.0, 200.0, plain_tokens=200.0)
 ACCOUNT = ClientAccount("moa", limit=LIMIT)
@@ -67,6 +72,7 @@
         account=ACCOUNT,
         call=call,
         was_sent=was_sent,
+        is_refused=False,
         version=1,
         log=lambda number, **fields: None,
     )
@@ -100,6 +106,29 @@
     assert result.is_ok() is is_returned
 
 
+@pytest.mark.parametrize("headers", [{NOT_EXECUTED: "1"}, {}])
+def test_units_are_returned_if_the_answer_is_a_refusal(usage, headers):
+    """Guards against calls that use up the quota although their callers get the
+    endpoint's assurance that they have not run."""
+    handler = CallHandler(SimpleNamespace(usage=usage))
+    call = PlainCall.__new__(PlainCall)
+    metrics = SimpleNamespace(count_answer=lambda *row: None)
+
+    def forward(context):
+        context.exchange = SimpleNamespace(send_whole=lambda *answer: None)
+        context.services = SimpleNamespace(metrics=metrics)
+        context.route = SimpleNamespace(kind=CallKind.IDEMPOTENT)
+        context.arrived_at = 0.0
+        call.context, call.is_unexecuted = context, bool(headers)
+        call.held = AnswerMemory().hold()
+        call.forward(Answer(429, headers, b""))
+
+    handler.serve_admitted = forward
+    for _ in range(5):
+        handler.serve_within_quota(context_of(True))
+    assert usage.admit(ACCOUNT, QUOTA).is_ok() is bool(headers)
+
+
 def test_call_over_the_quota_does_not_run(usage):
     """Guards against a refused call that goes on to an endpoint, and against a token
     count that is left out of the sum."""
