Record the progress of callers under the lock of the account

Cause: one thread recorded the bytes of a transfer while another compared the speeds, and both could advance the transfer's window. It then began in the future, the speed became negative or its divisor zero, and a fast caller could be closed first. Change: progress is recorded under the account's lock. Result: the new test fails before and passes after.

--- a/src/poplarfold/_internal/http/memory_account.py
+++ b/src/poplarfold/_internal/http/memory_account.py
@@ -165,8 +165,11 @@
 
     def add_progress(self, size: int) -> None:
         """Record that ``size`` bytes have been transferred."""
-        self._advance(self.account.now())
-        self.current_bytes += size
+        # Another thread may be comparing the speeds. Two that advance the window at the
+        # same time would move it past the present.
+        with self.account.lock:
+            self._advance(self.account.now())
+            self.current_bytes += size
 
     def bytes_per_s(self, now: float) -> float:
         """Return the speed over the current window and the one before."""
--- a/tests/unit/test_incoming_bodies.py
+++ b/tests/unit/test_incoming_bodies.py
@@ -2,6 +2,7 @@
 
 import io
 import socket
+import threading
 
 from hypothesis import given, strategies as st
 
@@ -136,6 +137,20 @@
     assert account.used_bytes == 0 and not account.holdings
 
 
+def test_progress_is_not_recorded_while_speeds_are_compared():
+    """Guards against a window that two threads advance, which gives a fast caller a
+    negative speed and has it closed first."""
+    account = MemoryAccount(300)
+    holding = account.open()
+    thread = threading.Thread(target=holding.add_progress, args=(10,))
+    with account.lock:
+        thread.start()
+        thread.join(0.1)
+        assert thread.is_alive() and holding.current_bytes == 0
+    thread.join()
+    assert holding.current_bytes == 10
+
+
 class Connection:
     def __init__(self, served=0, idle_since=0.0, is_busy=False):
         self.requests_served, self.idle_since = served, idle_since
