Answer requests whose bodies have not arrived at the end of a planned stop

Cause: a planned stop waits for bodies that are being read, but at its end the process exited and closed their connections without an answer. Change: when the open calls are ended, the bodies that have not arrived are ended with status 503 as well (BodyReader.end_all). Rejected bodies are counted by the type of the error, so that these don't count as rejected for memory. Result: the new functional test fails before (the connection closes) and passes after; test_body_arrival.py and test_incoming_bodies.py pass.

--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -265,7 +265,7 @@
             return
         if transfer.error is not None:
             status = transfer.error.status
-            self.server.resources.count_rejected(status)
+            self.server.resources.count_rejected(transfer.error)
             self.send_error(f"{status} {reason_phrase(status)}", transfer.error)
             return
         self.rfile = io.BytesIO(transfer.take_content())
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -17,6 +17,7 @@
     ListenError,
     PlatformFormatError,
     SettingsError,
+    StoppingError,
 )
 from poplarfold._internal.gateway.account_usage import AccountUsage
 from poplarfold._internal.gateway.announcer import Announcer
@@ -230,7 +231,8 @@
 
         Requests that still arrive on open connections are served, and their
         answers close these connections. Calls that are open at the end are ended and
-        answered, so that no caller of a plain call is left without an answer.
+        answered, so that no caller of a plain call is left without an answer, and so
+        are requests whose bodies have not arrived by then.
         """
         started_at = boot_time()
         limit_s = self.host.bounds.grace_s - self.settings.stop_margin_s
@@ -247,6 +249,8 @@
             if not has_ended_calls and boot_time() >= self.fleet.stop_ends_at:
                 has_ended_calls = True
                 self.handler.end_open_calls()
+                stopping = StoppingError("the node is shutting down")
+                self.resources.body_reader.end_all(stopping)
             # Polls several times, because a request that was just read may not be
             # counted as open yet.
             is_busy = self.handler.open_calls or self.resources.body_reader.transfers
--- a/src/poplarfold/_internal/http/body_reader.py
+++ b/src/poplarfold/_internal/http/body_reader.py
@@ -148,6 +148,8 @@
 
     def check(self, now: float) -> None:
         """End the transfer if it is evicted, or if nothing has arrived for too long."""
+        if self.is_done:
+            return
         if self.holding.is_evicted:
             self.end(CallerMemoryError("the body arrives too slowly to be held"))
         elif now >= min(self.until, self.progress_at + self.idle_s):
@@ -171,6 +173,13 @@
         self.transfers: dict[int, BodyTransfer] = {}
         self.epoll: select.epoll | None = None
         self.check_at = 0.0
+        # The error that bodies end with which have not arrived yet, once it is set.
+        self.end_error: PoplarfoldError | None = None
+
+    def end_all(self, error: PoplarfoldError) -> None:
+        """End all bodies that have not arrived yet, from now on, with an error."""
+        self.end_error = error
+        self.check_soon()
 
     def check_soon(self) -> None:
         """Check all bodies after the next round, since one has been evicted."""
@@ -234,6 +243,8 @@
         with self.lock:
             rows = list(self.transfers.values())
         for transfer in rows:
+            if self.end_error is not None:
+                transfer.end(self.end_error)
             transfer.check(now)
             if transfer.is_done:
                 self._pass_on(transfer)
--- a/src/poplarfold/_internal/http/caller_resources.py
+++ b/src/poplarfold/_internal/http/caller_resources.py
@@ -4,6 +4,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from poplarfold._internal.exceptions import (
+    CallerMemoryError,
+    PoplarfoldError,
+    RequestTimeoutError,
+)
 from poplarfold._internal.http.body_reader import BodyReader
 from poplarfold._internal.http.closing_sockets import ClosingSockets
 from poplarfold._internal.http.memory_account import MemoryAccount
@@ -79,11 +84,11 @@
             if server in self.servers:
                 self.servers.remove(server)
 
-    def count_rejected(self, status: int) -> None:
+    def count_rejected(self, error: PoplarfoldError) -> None:
         """Count a body that was rejected for its time or for lack of memory."""
         with self.lock:
-            self.rejected_bodies += status == 503
-            self.timed_out_bodies += status == 408
+            self.rejected_bodies += isinstance(error, CallerMemoryError)
+            self.timed_out_bodies += isinstance(error, RequestTimeoutError)
 
     def counts(self) -> CallerCounts:
         """Return the counts since the start."""
--- a/tests/functional/test_body_arrival.py
+++ b/tests/functional/test_body_arrival.py
@@ -1,5 +1,6 @@
 """Tests of request bodies that arrive apart from their heads."""
 
+import signal
 import socket
 import time
 
@@ -91,3 +92,13 @@
 
 def metrics(fleet):
     return fleet.get("metrics", "/metrics").data
+
+
+def test_body_that_has_not_arrived_at_the_end_of_a_stop_is_rejected(fleet):
+    """Guards against callers whose connections are closed without an answer."""
+    with connect(fleet) as sock:
+        sock.sendall(HEAD + b"Content-Length: 20000\r\n\r\n" + b"x" * 10_000)
+        assert fleet.call("GET", "/lookup/1").status == 200
+        fleet.process.send_signal(signal.SIGTERM)
+        assert read_until(sock, 1, b"\r\n\r\n").startswith(b"HTTP/1.1 503")
+    assert fleet.process.wait(10) == 0
