Check only the head that has new bytes while connections wait for heads

Cause: each byte of a head had the rows of all waiting connections looked at. Change: only connections with new bytes are checked at once, and the times of all ten times per second.

--- a/src/poplarfold/_internal/http/head_waiter.py
+++ b/src/poplarfold/_internal/http/head_waiter.py
@@ -74,24 +74,35 @@
     def _run(self) -> None:
         """Pass on connections whose heads are complete or whose time is over."""
         assert self.epoll is not None
+        check_at = 0.0
         while True:
             with self.lock:
                 while not self.connections:
                     self.has_connections.wait()
-            changed = {descriptor for descriptor, _ in self.epoll.poll(CHECK_PERIOD_S)}
+            for descriptor, _ in self.epoll.poll(CHECK_PERIOD_S):
+                self._check_head(descriptor)
             now = time.monotonic()
-            with self.lock:
-                rows = list(self.connections.items())
-            for descriptor, (connection, until) in rows:
-                if now >= until or (
-                    descriptor in changed
-                    and is_head_complete(
-                        connection.socket,
-                        self.limit_bytes,
-                        connection.rfile.buffered(),
-                    )
-                ):
-                    self._pass_on(descriptor, connection)
+            if now >= check_at:
+                check_at = now + CHECK_PERIOD_S
+                self._pass_on_late(now)
+
+    def _check_head(self, descriptor: int) -> None:
+        """Pass on a connection with new bytes if its head is complete."""
+        row = self.connections.get(descriptor)
+        if row is None:
+            return
+        connection, _ = row
+        received = connection.rfile.buffered()
+        if is_head_complete(connection.socket, self.limit_bytes, received):
+            self._pass_on(descriptor, connection)
+
+    def _pass_on_late(self, now: float) -> None:
+        """Pass on the connections whose time is over."""
+        with self.lock:
+            rows = list(self.connections.items())
+        for descriptor, (connection, until) in rows:
+            if now >= until:
+                self._pass_on(descriptor, connection)
 
     def _pass_on(self, descriptor: int, connection: Any) -> None:
         """Stop waiting for a connection."""
