Close a connection that cannot be waited for, in place of ending its listener

Cause: the epoll objects of the body reader and of the sockets being closed are made with the first connection that needs them, by a request thread. Without a descriptor for them the exception ended the request thread, and cheroot then stops the whole listener. Change: such a connection is closed, with an event of the HTTP server (PF9003). Result: the new test fails before (OSError) and passes after.

--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -501,10 +501,15 @@
     def put_conn(self, conn: Any) -> None:
         """Wait for the body of a connection's request, or for its next request."""
         conn.is_busy = False
-        if conn.waits_for_body and self.ready:
-            self.resources.body_reader.add(conn.transfer)
-        else:
-            super().put_conn(conn)
+        try:
+            if conn.waits_for_body and self.ready:
+                self.resources.body_reader.add(conn.transfer)
+            else:
+                super().put_conn(conn)
+        except OSError as error:
+            # An exception would end the request thread, and the listener with it.
+            self.on_error(f"a connection cannot be waited for: {error}")
+            conn.close()
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
--- a/src/poplarfold/_internal/http/body_reader.py
+++ b/src/poplarfold/_internal/http/body_reader.py
@@ -186,16 +186,16 @@
         self.check_at = 0.0
 
     def add(self, transfer: BodyTransfer) -> None:
-        """Receive the rest of a body."""
+        """Receive the rest of a body. Raises OSError without a descriptor for it."""
         transfer.sock.setblocking(False)
         descriptor = transfer.sock.fileno()
         with self.lock:
             if self.epoll is None:
                 self.epoll = select.epoll()
                 threading.Thread(target=self._run, name="bodies", daemon=True).start()
-            self.transfers[descriptor] = transfer
             # Level-triggered: what is not read in one turn is reported again.
             self.epoll.register(descriptor, select.EPOLLIN)
+            self.transfers[descriptor] = transfer
             self.has_transfers.notify()
 
     def _run(self) -> None:
--- a/src/poplarfold/_internal/http/closing_sockets.py
+++ b/src/poplarfold/_internal/http/closing_sockets.py
@@ -47,8 +47,13 @@
         with self.lock:
             if len(self.sockets) >= SOCKETS_MAX:
                 self._close(next(iter(self.sockets)))
+            try:
+                self._started_epoll().register(sock.fileno(), select.EPOLLIN)
+            except OSError:
+                # The process has no descriptor left for the epoll object.
+                sock.close()
+                return
             self.sockets[sock.fileno()] = (sock, time.monotonic() + LINGER_S)
-            self._started_epoll().register(sock.fileno(), select.EPOLLIN)
             self.has_sockets.notify()
 
     def count(self) -> int:
--- a/tests/unit/test_incoming_bodies.py
+++ b/tests/unit/test_incoming_bodies.py
@@ -1,11 +1,15 @@
 """Tests of request bodies that arrive in parts, and of the memory for them."""
 
+import errno
 import io
+import select
 import socket
 import threading
+from types import SimpleNamespace
 
 from hypothesis import given, strategies as st
 
+from poplarfold._internal.daemon.http_server import CallerServer
 from poplarfold._internal.exceptions import (
     CallerMemoryError,
     PoplarfoldError,
@@ -13,7 +17,7 @@
     RequestError,
     RequestTimeoutError,
 )
-from poplarfold._internal.http.body_reader import BodyTransfer
+from poplarfold._internal.http.body_reader import BodyReader, BodyTransfer
 from poplarfold._internal.http.chunked_body import read_chunked_body
 from poplarfold._internal.http.closing_sockets import ClosingSockets
 from poplarfold._internal.http.incoming_body import ChunkedBody, LengthBody
@@ -236,6 +240,32 @@
     return BodyTransfer(Owner, body, holding, idle_s, float("inf")), far
 
 
+def test_request_threads_live_on_without_descriptors(monkeypatch):
+    """Guards against a listener that ends when a body has to be waited for, or a
+    connection closed, while the process has no descriptor left."""
+
+    def fail():
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(select, "epoll", fail)
+    transfer, far = transfer_of(LengthBody(5), MemoryAccount())
+    sockets, problems = ClosingSockets(), []
+    server = SimpleNamespace(
+        ready=True,
+        resources=SimpleNamespace(body_reader=BodyReader()),
+        on_error=problems.append,
+    )
+    connection = SimpleNamespace(
+        transfer=transfer,
+        waits_for_body=True,
+        close=lambda: sockets.add(transfer.sock),
+    )
+    with far:
+        CallerServer.put_conn(server, connection)
+        assert transfer.sock.fileno() == -1 and len(problems) == 1
+        assert sockets.count() == 0 and not server.resources.body_reader.transfers
+
+
 def test_body_ends_with_the_bytes_of_the_next_request_kept():
     """Guards against requests that are lost behind a body."""
     account = MemoryAccount(100_000)
