Accept as many connections beyond the limit as there are request threads

Cause: closed each new connection as soon as those being served reached the limit. On a host with few descriptors the limit is small (4 in the test of unread answers), and test_unread_answers_do_not_fill_the_memory failed 3 of 3 times: the ordinary request's connection was closed. Change: connections whose requests are being served may exceed the limit by the number of request threads, which the descriptors kept for the process's own work cover.

--- a/src/poplarfold/_internal/daemon/frontend.py
+++ b/src/poplarfold/_internal/daemon/frontend.py
@@ -249,7 +249,10 @@
             max(settings.memory_bytes, 2 * settings.body_limit_bytes)
         )
         resources = CallerResources(
-            account, settings.max_connections, runtime.write_log
+            account,
+            settings.max_connections,
+            runtime.write_log,
+            settings.request_threads,
         )
         runtime.metrics.callers.resources = resources
         read_s = settings.timeouts.request_read_s
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -288,7 +288,9 @@
     if host.memory_mb > 0:
         fitting = max(CONNECTIONS_MIN, account.limit_bytes // CONNECTION_BYTES)
         connections = min(connections, fitting)
-    return CallerResources(account, connections, writer.write_event)
+    return CallerResources(
+        account, connections, writer.write_event, settings.request_threads
+    )
 
 
 def answer_memory(memory_mb: float, account: MemoryAccount) -> AnswerMemory:
--- a/src/poplarfold/_internal/http/caller_resources.py
+++ b/src/poplarfold/_internal/http/caller_resources.py
@@ -50,7 +50,8 @@
 class CallerResources:
     """The resources that callers take, bounded for the whole process.
 
-    ``on_counts`` gets the counts if they have changed.
+    ``write_event`` gets the counts if they have changed. Connections whose requests are
+    being served may exceed the limit by ``request_threads``.
     """
 
     def __init__(
@@ -58,10 +59,13 @@
         account: MemoryAccount,
         connections_max: int,
         write_event: WriteEvent | None = None,
+        request_threads: int = 0,
     ) -> None:
         self.account = account
         self.closing_sockets = ClosingSockets()
-        self.connections = OpenConnections(connections_max, self.closing_sockets)
+        self.connections = OpenConnections(
+            connections_max, self.closing_sockets, request_threads
+        )
         self.body_reader = BodyReader()
         self.write_event = write_event
         self.rejected_bodies = 0
--- a/src/poplarfold/_internal/http/open_connections.py
+++ b/src/poplarfold/_internal/http/open_connections.py
@@ -16,12 +16,16 @@
 
     A new connection takes the place of one whose socket is closing, else of one that
     has not sent a whole request, else of the one that has been idle for longest.
-    Connections whose request is being served are kept. If that leaves too many, the new
-    one is closed: beyond the limit of the process, none could be accepted or opened.
+    Connections whose request is being served are kept, also beyond the limit. If that
+    leaves more than ``busy_extra`` too many, the new one is closed. Without a bound,
+    the process would have no descriptors left.
     """
 
-    def __init__(self, limit: int, closing_sockets: ClosingSockets) -> None:
+    def __init__(
+        self, limit: int, closing_sockets: ClosingSockets, busy_extra: int = 0
+    ) -> None:
         self.limit = limit
+        self.busy_extra = busy_extra
         self.closing_sockets = closing_sockets
         self.lock = threading.Lock()
         # In the order of their opening.
@@ -62,7 +66,7 @@
             rows = [row for row in kept if not row.is_busy and row is not newest]
             rows.sort(key=lambda row: (row.requests_served > 0, row.idle_since))
             victims = rows[:count]
-            if len(kept) - len(victims) > self.limit:
+            if len(kept) - len(victims) > self.limit + self.busy_extra:
                 victims.append(newest)
             self.evicted += len(victims)
             for row in victims:
