--- a/src/poplarfold/_internal/daemon/http_server.py
+++ b/src/poplarfold/_internal/daemon/http_server.py
@@ -265,7 +265,7 @@
             return
         if transfer.error is not None:
             status = transfer.error.status
-            self.server.resources.count_rejected(status)
+            self.server.resources.count_rejected(transfer.error)
             self.send_error(f"{status} {reason_phrase(status)}", transfer.error)
             return
         self.rfile = io.BytesIO(transfer.take_content())
@@ -492,17 +492,24 @@
             self.head_waiter.add(conn, conn.head_began_at + self.request_read_s)
 
     def serve_conn(self, conn: Any) -> None:
-        """Pass a connection to a request thread."""
-        conn.is_busy = True
-        super().process_conn(conn)
+        """Pass a connection to a request thread, unless it is closed for others."""
+        if self.resources.connections.begin_request(conn):
+            super().process_conn(conn)
+        else:
+            conn.close()
 
     def put_conn(self, conn: Any) -> None:
         """Wait for the body of a connection's request, or for its next request."""
         conn.is_busy = False
-        if conn.waits_for_body and self.ready:
-            self.resources.body_reader.add(conn.transfer)
-        else:
-            super().put_conn(conn)
+        try:
+            if conn.waits_for_body and self.ready:
+                self.resources.body_reader.add(conn.transfer)
+            else:
+                super().put_conn(conn)
+        except OSError as error:
+            # An exception would end the request thread, and the listener with it.
+            self.on_error(f"a connection cannot be waited for: {error}")
+            conn.close()
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
--- a/src/poplarfold/_internal/http/caller_resources.py
+++ b/src/poplarfold/_internal/http/caller_resources.py
@@ -4,6 +4,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from poplarfold._internal.exceptions import (
+    CallerMemoryError,
+    PoplarfoldError,
+    RequestTimeoutError,
+)
 from poplarfold._internal.http.body_reader import BodyReader
 from poplarfold._internal.http.closing_sockets import ClosingSockets
 from poplarfold._internal.http.memory_account import MemoryAccount
@@ -45,7 +50,8 @@
 class CallerResources:
     """The resources that callers take, bounded for the whole process.
 
-    ``on_counts`` gets the counts if they have changed.
+    ``write_event`` gets the counts if they have changed. Connections whose requests are
+    being served may exceed the limit by ``request_threads``.
     """
 
     def __init__(
@@ -53,10 +59,13 @@
         account: MemoryAccount,
         connections_max: int,
         write_event: WriteEvent | None = None,
+        request_threads: int = 0,
     ) -> None:
         self.account = account
         self.closing_sockets = ClosingSockets()
-        self.connections = OpenConnections(connections_max, self.closing_sockets)
+        self.connections = OpenConnections(
+            connections_max, self.closing_sockets, request_threads
+        )
         self.body_reader = BodyReader()
         self.write_event = write_event
         self.rejected_bodies = 0
@@ -79,11 +88,11 @@
             if server in self.servers:
                 self.servers.remove(server)
 
-    def count_rejected(self, status: int) -> None:
+    def count_rejected(self, error: PoplarfoldError) -> None:
         """Count a body that was rejected for its time or for lack of memory."""
         with self.lock:
-            self.rejected_bodies += status == 503
-            self.timed_out_bodies += status == 408
+            self.rejected_bodies += isinstance(error, CallerMemoryError)
+            self.timed_out_bodies += isinstance(error, RequestTimeoutError)
 
     def counts(self) -> CallerCounts:
         """Return the counts since the start."""
--- a/src/poplarfold/_internal/http/open_connections.py
+++ b/src/poplarfold/_internal/http/open_connections.py
@@ -16,11 +16,16 @@
 
     A new connection takes the place of one whose socket is closing, else of one that
     has not sent a whole request, else of the one that has been idle for longest.
-    Connections whose request is being served are kept.
+    Connections whose request is being served are kept, also beyond the limit. If that
+    leaves more than ``busy_extra`` too many, the new one is closed. Without a bound,
+    the process would have no descriptors left.
     """
 
-    def __init__(self, limit: int, closing_sockets: ClosingSockets) -> None:
+    def __init__(
+        self, limit: int, closing_sockets: ClosingSockets, busy_extra: int = 0
+    ) -> None:
         self.limit = limit
+        self.busy_extra = busy_extra
         self.closing_sockets = closing_sockets
         self.lock = threading.Lock()
         # In the order of their opening.
@@ -44,16 +49,27 @@
         with self.lock:
             self.connections.pop(connection, None)
 
+    def begin_request(self, connection: Any) -> bool:
+        """Keep a connection while its request is served; return False if it is closed.
+
+        A request on a connection that is closed for others must not run, since its
+        answer could not be sent.
+        """
+        with self.lock:
+            connection.is_busy = not connection.is_evicted
+            return bool(connection.is_busy)
+
     def _evict(self, count: int, newest: Any) -> None:
         """Close connections without a whole request, those of no use first."""
         with self.lock:
-            rows = [
-                row
-                for row in self.connections
-                if not row.is_busy and not row.is_evicted and row is not newest
-            ]
+            kept = [row for row in self.connections if not row.is_evicted]
+            rows = [row for row in kept if not row.is_busy and row is not newest]
             rows.sort(key=lambda row: (row.requests_served > 0, row.idle_since))
             victims = rows[:count]
+            if len(kept) - len(victims) > self.limit + self.busy_extra:
+                victims.append(newest)
             self.evicted += len(victims)
+            for row in victims:
+                row.is_evicted = True
         for row in victims:
             row.evict()
--- a/tests/unit/test_incoming_bodies.py
+++ b/tests/unit/test_incoming_bodies.py
@@ -1,10 +1,15 @@
 """Tests of request bodies that arrive in parts, and of the memory for them."""
 
+import errno
 import io
+import select
 import socket
+import threading
+from types import SimpleNamespace
 
 from hypothesis import given, strategies as st
 
+from poplarfold._internal.daemon.http_server import CallerServer
 from poplarfold._internal.exceptions import (
     CallerMemoryError,
     PoplarfoldError,
@@ -12,11 +17,11 @@
     RequestError,
     RequestTimeoutError,
 )
-from poplarfold._internal.http.body_reader import BodyTransfer
+from poplarfold._internal.http.body_reader import BodyReader, BodyTransfer
 from poplarfold._internal.http.chunked_body import read_chunked_body
 from poplarfold._internal.http.closing_sockets import ClosingSockets
 from poplarfold._internal.http.incoming_body import ChunkedBody, LengthBody
-from poplarfold._internal.http.memory_account import MemoryAccount
+from poplarfold._internal.http.memory_account import Holding, MemoryAccount
 from poplarfold._internal.http.open_connections import OpenConnections
 
 LIMIT_BYTES = 120
@@ -136,6 +141,47 @@
     assert account.used_bytes == 0 and not account.holdings
 
 
+def test_waiting_answers_seldom_compare_all_callers(monkeypatch):
+    """Guards against many answers that wait for memory and occupy the interpreter by
+    comparing all callers every few milliseconds."""
+    clock, compared = Clock(), []
+    account = MemoryAccount(100, clock)
+    for _ in range(100):
+        account.open(lambda: None).resize(1)
+    may_evict = Holding.may_evict
+
+    def counted(row, now):
+        compared.append(row)
+        return may_evict(row, now)
+
+    monkeypatch.setattr(Holding, "may_evict", counted)
+    answer = account.open()
+    for _ in range(50):
+        assert not answer.resize_or_evict(10)
+        clock.now_s += 0.01
+    assert len(compared) <= 10 * 100 + 100
+    clock.now_s = 2.0
+    assert not answer.resize_or_evict(10)
+    assert account.evicted == 10 == account.closing_bytes
+    for row in list(account.holdings):
+        row.release()
+    assert account.closing_bytes == account.used_bytes == 0
+
+
+def test_progress_is_not_recorded_while_speeds_are_compared():
+    """Guards against a window that two threads advance, which gives a fast caller a
+    negative speed and has it closed first."""
+    account = MemoryAccount(300)
+    holding = account.open()
+    thread = threading.Thread(target=holding.add_progress, args=(10,))
+    with account.lock:
+        thread.start()
+        thread.join(0.1)
+        assert thread.is_alive() and holding.current_bytes == 0
+    thread.join()
+    assert holding.current_bytes == 10
+
+
 class Connection:
     def __init__(self, served=0, idle_since=0.0, is_busy=False):
         self.requests_served, self.idle_since = served, idle_since
@@ -154,6 +200,31 @@
     assert silent.is_evicted and not kept.is_evicted and not busy.is_evicted
 
 
+def test_connection_beyond_the_limit_is_closed_if_all_others_are_busy():
+    """Guards against accepting until the process has no descriptors left."""
+    connections = OpenConnections(2, ClosingSockets(), busy_extra=1)
+    busy, newest = [Connection(is_busy=True) for _ in range(3)], Connection()
+    for row in (*busy, newest):
+        connections.add(row)
+    assert newest.is_evicted and not any(row.is_evicted for row in busy)
+
+
+def test_request_is_not_begun_on_a_connection_that_is_being_closed():
+    """Guards against a request that runs although its connection is cut."""
+    connections = OpenConnections(2, ClosingSockets())
+    rows = [Connection(idle_since=1.0) for _ in range(3)]
+    begun = []
+    # The whole head of the second one arrives while the first one is closed.
+    rows[0].evict = lambda: begun.append(connections.begin_request(rows[1]))
+    connections.limit = 10
+    for row in rows:
+        connections.add(row)
+    connections.limit = 1
+    connections.add(Connection(idle_since=2.0))
+    assert rows[1].is_evicted and begun == [False] and not rows[1].is_busy
+    assert connections.begin_request(Connection())
+
+
 def transfer_of(body, account, idle_s=10.0):
     near, far = socket.socketpair()
     near.setblocking(False)
@@ -169,6 +240,32 @@
     return BodyTransfer(Owner, body, holding, idle_s, float("inf")), far
 
 
+def test_request_threads_live_on_without_descriptors(monkeypatch):
+    """Guards against a listener that ends when a body has to be waited for, or a
+    connection closed, while the process has no descriptor left."""
+
+    def fail():
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(select, "epoll", fail)
+    transfer, far = transfer_of(LengthBody(5), MemoryAccount())
+    sockets, problems = ClosingSockets(), []
+    server = SimpleNamespace(
+        ready=True,
+        resources=SimpleNamespace(body_reader=BodyReader()),
+        on_error=problems.append,
+    )
+    connection = SimpleNamespace(
+        transfer=transfer,
+        waits_for_body=True,
+        close=lambda: sockets.add(transfer.sock),
+    )
+    with far:
+        CallerServer.put_conn(server, connection)
+        assert transfer.sock.fileno() == -1 and len(problems) == 1
+        assert sockets.count() == 0 and not server.resources.body_reader.transfers
+
+
 def test_body_ends_with_the_bytes_of_the_next_request_kept():
     """Guards against requests that are lost behind a body."""
     account = MemoryAccount(100_000)
