Promise nothing for a stream whose earlier attempt may have run

Cause: only an endpoint's error passed through final_error. Change: such a refusal becomes an endpoint error once an attempt may have run. Measured: the four new cases fail without the change and pass with it.

--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -36,6 +36,8 @@
 
 __all__ = ["StreamCall"]
 
+# Answers with these statuses promise that the call has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # After this many events, the pace of a stream tells how long it will take.
 PACE_EVENTS = 3
 
@@ -73,6 +75,8 @@
                 error: PoplarfoldError = EndpointError("the stream ended too early")
             except EndpointError as failure:
                 error = failure
+            except PoplarfoldError as failure:
+                raise self.without_promise(failure) from None
             if not self.may_retry(error):
                 raise self.final_error(error)
 
@@ -82,6 +86,16 @@
             return error
         return NotRunError(str(error))
 
+    def without_promise(self, error: PoplarfoldError) -> PoplarfoldError:
+        """Return an error that does not deny an earlier attempt that may have run.
+
+        A further attempt may fail because the node stops or no engine has room. The
+        status of these errors would say that the stream has not run.
+        """
+        if self.is_unexecuted or error.status not in NOT_RUN_STATUSES:
+            return error
+        return EndpointError(f"an earlier attempt may have run; {error}")
+
     def may_retry(self, error: PoplarfoldError) -> bool:
         """Return whether another attempt is allowed; may take a retry."""
         context = self.context
--- /dev/null
+++ b/tests/unit/test_stream_promises.py
@@ -0,0 +1,51 @@
+"""Tests of the status that a stream ends with if a further attempt is not made."""
+
+import pytest
+
+from poplarfold._internal.exceptions import (
+    DecodePoolFullError,
+    EndpointError,
+    EndpointsAwayError,
+    PromptBlockedError,
+    StoppingError,
+)
+from poplarfold._internal.gateway.stream_calls import NOT_RUN_STATUSES, StreamCall
+
+REFUSALS = [
+    StoppingError("the node is shutting down"),
+    DecodePoolFullError("all decode engines are full"),
+    EndpointsAwayError("all endpoints have asked for a pause", 1.0),
+    PromptBlockedError("a part of the prompt is blocked", 1.0),
+]
+
+
+class FailingStream(StreamCall):
+    """A stream whose attempts fail with the given errors, one after the other."""
+
+    def __init__(self, errors, has_run):
+        self.errors = list(errors)
+        self.is_unexecuted = not has_run
+
+    def attempt(self):
+        raise self.errors.pop(0)
+
+    def may_retry(self, error):
+        return bool(self.errors)
+
+
+@pytest.mark.parametrize("refusal", REFUSALS, ids=lambda error: error.code)
+def test_refusal_of_a_further_attempt_promises_nothing(refusal):
+    """Guards against a 503 for a stream that an engine has begun to run, if the next
+    attempt finds the node stopping or no room."""
+    stream = FailingStream([EndpointError("stalled"), refusal], has_run=True)
+    with pytest.raises(EndpointError) as caught:
+        stream.run()
+    assert caught.value.status not in NOT_RUN_STATUSES
+
+
+@pytest.mark.parametrize("refusal", REFUSALS, ids=lambda error: error.code)
+def test_refusal_of_a_first_attempt_is_passed_on(refusal):
+    """Guards against callers that are not told that a stream has not run."""
+    with pytest.raises(type(refusal)) as caught:
+        FailingStream([refusal], has_run=False).run()
+    assert caught.value is refusal
