--- a/src/poplarfold/_internal/core/fleet/endpoint_pace.py
+++ b/src/poplarfold/_internal/core/fleet/endpoint_pace.py
@@ -19,8 +19,8 @@
 # Stated figures outside of these limits are taken for the limit, so that a faulty one
 # neither attracts all calls nor excludes an endpoint.
 SLOWDOWN_LIMITS = (0.1, 20.0)
-# Half-life of the difference between an endpoint and its service. In simulated loads,
-# 8 s sent more calls to endpoints that were still slow, and served fewer on time.
+# Half-life of the difference between an endpoint and its service. A shorter one sends
+# more calls to endpoints that are still slow.
 PACE_HALF_LIFE_S = 16.0
 
 
--- a/src/poplarfold/_internal/core/fleet/slot_wait.py
+++ b/src/poplarfold/_internal/core/fleet/slot_wait.py
@@ -15,11 +15,11 @@
 __all__ = ["WaitLimits", "WaitPlan", "next_ask_at", "plan_wait"]
 
 # A stream that can be on time pauses for this share of its remaining time between two
-# rounds of requests. With 0.3, fewer were on time in trials, since slots stayed unused.
+# rounds of requests. With longer pauses, slots stay unused and fewer are on time.
 PAUSE_SHARE = 0.1
 # A retry pauses for this multiple of the expected wait of a stream that can be on time,
 # and at most for a share of the mean decode time. Without the second bound, more
-# streams were refused for good in trials.
+# streams are refused for good.
 LATE_PAUSE_FACTOR = 1.0
 LATE_PAUSE_DECODES_MAX = 0.15
 
--- a/src/poplarfold/_internal/http/memory_account.py
+++ b/src/poplarfold/_internal/http/memory_account.py
@@ -16,8 +16,8 @@
 # Progress is measured over this time. A younger transfer is not closed for being slow.
 WINDOW_S = 1.0
 # After a comparison that has found too little to close, another one that closes no more
-# callers is made this much later. It takes 3 ms for 3,000 callers on the development
-# machine, and each answer that waits for memory asks for it every 10 ms.
+# callers is made this much later. It takes milliseconds for thousands of callers, and
+# each answer that waits for memory asks for it every 10 ms.
 COMPARE_PERIOD_S = 0.05
 
 
@@ -68,9 +68,9 @@
         With ``is_forced`` there need not be room.
         """
         with self.lock:
-            is_kept = is_forced or size <= holding.size
+            is_allowed = is_forced or size <= holding.size
             wanted = self.used_bytes - holding.size + size
-            if not is_kept and wanted > self.limit_bytes:
+            if not is_allowed and wanted > self.limit_bytes:
                 return False
             self.used_bytes = wanted
             if holding.is_evicted:
