Keep at least half of the usable descriptors for callers' connections

With 300 descriptors and 96 request threads the limit was four connections, and the crowd, which connects again and again, displaced the ordinary connection before its request was read. Change: the descriptors that are kept for calls to endpoints leave callers at least half of what kept_descriptors leaves; hosts with 4,100 descriptors keep their limit of 3,804.

--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -282,9 +282,11 @@
         account = MemoryAccount(int(share * host.memory_mb * 1_000_000))
     connections = settings.caller_connections
     if host.max_files > 0:
-        # Each call may have a connection to an endpoint.
-        kept = settings.kept_descriptors + settings.request_threads
-        connections = max(1, min(connections, host.max_files - kept))
+        # Each call may have a connection to an endpoint. On a host with few descriptors
+        # that would leave so few for callers that they displace each other.
+        usable = max(2, host.max_files - settings.kept_descriptors)
+        allowed = max(usable // 2, usable - settings.request_threads)
+        connections = min(connections, allowed)
     if host.memory_mb > 0:
         fitting = max(CONNECTIONS_MIN, account.limit_bytes // CONNECTION_BYTES)
         connections = min(connections, fitting)
