--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -18,8 +18,9 @@
     Request bodies and answers may hold ``caller_memory_share`` of the process's memory.
     At most ``caller_connections`` connections of callers are open, fewer if the host
     allows fewer descriptors; ``kept_descriptors`` of these, and one for each request
-    thread (at most half of the rest), are kept for other uses. If the configuration does not state it, a caller
-    may pause for ``caller_idle_s`` within a body or an answer.
+    thread (at most half of the rest), are kept for other uses. If the configuration
+    does not state it, a caller may pause for ``caller_idle_s`` within a body or an
+    answer.
 
     Timeouts: ``connect_s`` for connecting to an endpoint or the store,
     ``lease_call_s`` for a call that reserves or releases a resource of an engine,
