Share the remaining time of errors whose callers may come back

Cause: four errors repeated one constructor, and the handler listed them to find their Retry-After. Change: a common base; behaviour is unchanged.

--- a/src/poplarfold/_internal/exceptions.py
+++ b/src/poplarfold/_internal/exceptions.py
@@ -62,6 +62,14 @@
         return self
 
 
+class RetryLaterError(Exception):
+    """Mixin of errors whose calls have not run, and may succeed in ``remaining_s``."""
+
+    def __init__(self, message: str, remaining_s: float) -> None:
+        super().__init__(message)
+        self.remaining_s = remaining_s
+
+
 class SettingsProblem(NamedTuple):
     """One problem in a file. ``key`` is empty for a problem of the whole file."""
 
@@ -476,7 +484,7 @@
     status = 401
 
 
-class ConfigurationTooOldError(PoplarfoldError):
+class ConfigurationTooOldError(RetryLaterError, PoplarfoldError):
     """This node's configuration is too old to check an API key. The call has not run.
 
     The node may know a current one after ``remaining_s``.
@@ -485,10 +493,6 @@
     code = "configuration_too_old"
     status = 503
 
-    def __init__(self, message: str, remaining_s: float) -> None:
-        super().__init__(message)
-        self.remaining_s = remaining_s
-
 
 class RouteNotFoundError(PoplarfoldError):
     """No published route matches the host and path of the call."""
@@ -504,7 +508,7 @@
     status = 503
 
 
-class PromptBlockedError(PoplarfoldError):
+class PromptBlockedError(RetryLaterError, PoplarfoldError):
     """A part of the prompt crashes engines. The call has not run.
 
     Requests with the part are rejected for ``remaining_s`` more.
@@ -513,12 +517,8 @@
     code = "prompt_blocked"
     status = 503
 
-    def __init__(self, message: str, remaining_s: float) -> None:
-        super().__init__(message)
-        self.remaining_s = remaining_s
-
 
-class QuotaExceededError(PoplarfoldError):
+class QuotaExceededError(RetryLaterError, PoplarfoldError):
     """The account's quota over all hosts is used up. The call has not run.
 
     Units of the account are expected to be free again in ``remaining_s``.
@@ -527,12 +527,8 @@
     code = "quota_exceeded"
     status = 429
 
-    def __init__(self, message: str, remaining_s: float) -> None:
-        super().__init__(message)
-        self.remaining_s = remaining_s
 
-
-class EndpointsAwayError(PoplarfoldError):
+class EndpointsAwayError(RetryLaterError, PoplarfoldError):
     """All endpoints of the service have asked for a pause. The call has not run.
 
     The first of them wants calls again in ``remaining_s``.
@@ -541,10 +537,6 @@
     code = "endpoints_away"
     status = 503
 
-    def __init__(self, message: str, remaining_s: float) -> None:
-        super().__init__(message)
-        self.remaining_s = remaining_s
-
 
 class DecodePoolFullError(PoplarfoldError):
     """All decode engines are full. The call has not run.
--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -8,13 +8,11 @@
     CallerDisconnectedError,
     ConfigurationTooOldError,
     DecodePoolFullError,
-    EndpointsAwayError,
     NoRouteTableError,
     NotRunError,
     PoplarfoldError,
-    PromptBlockedError,
-    QuotaExceededError,
     RequestError,
+    RetryLaterError,
     StoppingError,
     UnknownKeyError,
 )
@@ -212,13 +210,7 @@
             retry_after_s = SHORT_RETRY_AFTER_S
         elif isinstance(error, StoppingError):
             retry_after_s = OTHER_NODE_RETRY_AFTER_S
-        elif isinstance(
-            error,
-            EndpointsAwayError
-            | PromptBlockedError
-            | ConfigurationTooOldError
-            | QuotaExceededError,
-        ):
+        elif isinstance(error, RetryLaterError):
             retry_after_s = error.remaining_s
         elif isinstance(error, DecodePoolFullError) and error.remaining_s is not None:
             retry_after_s = error.remaining_s
