--- /dev/null
+++ b/tests/functional/test_lost_answers.py
@@ -0,0 +1,153 @@
+"""Tests of calls that were taken and must not end without an answer."""
+
+import fcntl
+import http.client
+import os
+import signal
+import threading
+import time
+
+import pytest
+from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.platform_standin import EndpointStandIn
+
+GRACE_S = 6.0
+# Longer than the pause after which a stream looks for another engine.
+PAUSE_S = 3.5
+# A stop without open calls decides to end after 3.0 s.
+STOP_DECIDES_S = 3.1
+CALLS = 40
+CALL_PERIOD_S = 0.03
+# A call that begins as the process ends is cut if it lasts as long as this.
+WORK_S = 0.4
+SMALLEST_PIPE_BYTES = 4096
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with ready_fleet(tmp_path, {"grace_s": GRACE_S}) as found:
+        yield found
+
+
+@pytest.mark.parametrize("after_events", [0, 2])
+def test_silent_engine_is_not_given_up_while_no_other_has_room(fleet, after_events):
+    """Guards against a sound stream that is cut, since its engine paused."""
+    full = EndpointStandIn("i-decode-2", "decode")
+    fleet.decode.pause_after, fleet.decode.pause_s = after_events, PAUSE_S
+    full.faults.add("no_room")
+    fleet.announce(full, "llm")
+    wait_until(lambda: b"i-decode-2" in fleet.log.read_bytes(), 5.0)
+    try:
+        answer = fleet.caption()
+        assert answer.status == 200
+        assert answer.data.count(b"id: ") == fleet.decode.events
+        assert len(fleet.decode.runs) == 1
+    finally:
+        full.stop()
+
+
+def test_silent_engine_is_left_for_one_that_has_room(fleet):
+    """Guards against a stream that waits for a silent engine while another is free."""
+    free = EndpointStandIn("i-decode-2", "decode")
+    free.faults.add("no_room")
+    fleet.announce(free, "llm")
+    wait_until(lambda: b"i-decode-2" in fleet.log.read_bytes(), 5.0)
+    fleet.decode.pause_after, fleet.decode.pause_s = 2, 10.0
+    try:
+        connection = fleet.open(
+            "POST", "/caption/1", {"Poplarfold-Token-Count": "1000,200"}, b"prompt"
+        )
+        answer = connection.getresponse()
+        free.faults.clear()
+        assert answer.read().count(b"id: ") == fleet.decode.events
+        (resumed,) = free.runs
+        assert resumed[2]["Last-Event-Id"] == "2"
+    finally:
+        free.stop()
+
+
+class KeptConnection:
+    """A caller that makes one call now and another one later on the same connection."""
+
+    def __init__(self, fleet, number):
+        self.number = number
+        address = ("127.0.0.1", fleet.ports["front"])
+        self.connection = http.client.HTTPConnection(*address, timeout=5)
+        self.status = self.call("first")
+        self.thread = threading.Thread(target=self.call_again)
+
+    def call(self, name):
+        request_id = f"{name}-{self.number}"
+        headers = {"Host": "entry.example", "Poplarfold-Request-Id": request_id}
+        # A connection that has been closed meanwhile is not opened anew.
+        self.connection.auto_open = name == "first"
+        try:
+            self.connection.request("GET", "/lookup/1", headers=headers)
+            answer = self.connection.getresponse()
+            answer.read()
+        except (OSError, http.client.HTTPException):
+            return None
+        return answer.status
+
+    def call_again(self):
+        self.status = self.call("second")
+
+
+def test_stop_cuts_no_call_while_its_log_is_written(fleet):
+    """Guards against calls that are passed on after a stop has decided to end."""
+    log_read, log_write = os.pipe()
+    fcntl.fcntl(log_write, fcntl.F_SETPIPE_SZ, SMALLEST_PIPE_BYTES)
+    fleet.process.kill()
+    fleet.process.wait()
+    fleet.start(stdout=log_write)
+    reader = LogReader(log_read)
+    reader.start()
+    fleet.wait_ready()
+    reader.pause()
+    callers = [KeptConnection(fleet, number) for number in range(CALLS)]
+    for endpoint in fleet.plain:
+        endpoint.work_s = WORK_S
+    fleet.process.send_signal(signal.SIGTERM)
+    time.sleep(STOP_DECIDES_S)
+    for caller in callers:
+        caller.thread.start()
+        time.sleep(CALL_PERIOD_S)
+        if fleet.process.poll() is not None:
+            break
+    started = [caller for caller in callers if caller.thread.ident]
+    for caller in started:
+        caller.thread.join(10.0)
+    assert fleet.process.wait(GRACE_S) == 0
+    reader.stop()
+    ids = [
+        headers["Poplarfold-Request-Id"]
+        for e in fleet.plain
+        for *_, headers, _ in e.runs
+    ]
+    cut = [
+        c.number for c in started if c.status is None and f"second-{c.number}" in ids
+    ]
+    assert cut == []
+
+
+class LogReader(threading.Thread):
+    """Reads a pipe until it is paused, and holds the pipe open until it is stopped."""
+
+    def __init__(self, descriptor):
+        super().__init__(daemon=True)
+        self.descriptor = descriptor
+        self.is_paused = threading.Event()
+        self.is_over = threading.Event()
+
+    def run(self):
+        while not self.is_paused.is_set() and os.read(self.descriptor, 65536):
+            pass
+        self.is_over.wait(30.0)
+        os.close(self.descriptor)
+
+    def pause(self):
+        """Read no more. The log of the first calls then fills the pipe."""
+        self.is_paused.set()
+
+    def stop(self):
+        self.is_over.set()
--- a/tests/lib/gateway_process.py
+++ b/tests/lib/gateway_process.py
@@ -59,13 +59,14 @@
         entry = endpoint.entry(service, **changes)
         self.store.put("keyed.servers", endpoint.endpoint_id, entry)
 
-    def start(self):
+    def start(self, stdout=None):
+        """Start the process. Its log goes to ``self.log``, or to a descriptor."""
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, str(ROOT / "poplarfold_gateway.py")]
                 + ["--settings", str(self.settings)],
                 env={**os.environ, "POPLARFOLD_BOOT": str(self.boot)},
-                stdout=log,
+                stdout=log if stdout is None else stdout,
                 stderr=subprocess.STDOUT,
             )
 
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -258,6 +258,9 @@
         self.events = 5
         self.event_period_s = EVENT_PERIOD_S
         self.first_event_s = 0.0
+        # A stream pauses once for ``pause_s`` after this many events.
+        self.pause_after = 0
+        self.pause_s = 0.0
         # Headers that are added to all answers.
         self.answer_headers: dict[str, str] = {}
         # How long a plain call takes.
@@ -493,6 +496,9 @@
                     self.faults.discard("drip_stream")
                     self.send_without_end(request, b"", b"1\r\nx\r\n", 0.1)
                     return
+                if number == self.pause_after + 1 and self.pause_s:
+                    time.sleep(self.pause_s)
+                    next_at = time.monotonic()
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
                 request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
                 request.wfile.flush()
