Do not end a call for the close of an earlier connection

The watcher takes events out of the kernel in batches and looks up the call by its descriptor. If the caller of the event has been removed meanwhile and a new connection got its descriptor, the new call was taken for one whose caller had left. Many callers that leave at once make the batch, and so the gap, long.

The socket that has the descriptor now is asked again, under the lock that keeps it registered.

--- a/src/poplarfold/_internal/daemon/socket_watcher.py
+++ b/src/poplarfold/_internal/daemon/socket_watcher.py
@@ -82,5 +82,6 @@
                     return
                 with self.lock:
                     callback = self.callbacks.get(descriptor)
-                    if callback is not None:
+                    # The event may be of an earlier connection with this descriptor.
+                    if callback is not None and has_closed(descriptor):
                         callback()
