Pass no call on once a planned stop has decided to end

The process looked at its open calls, wrote its last event, waited up to 0.5 s for its log and exited; it served callers all the while. With a log that is read slowly, each host of a rolling stop cut the calls of half a second.

The decision and the refusal of later calls are now one step under the lock that counts the calls: either a call is counted and the stop waits for it, or it gets a 503 that says it has not run.

--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -40,6 +40,8 @@
         self.services = services
         self.lock = threading.Lock()
         self.open_calls = 0
+        # Whether the process is about to end and takes no calls any more.
+        self.is_closed = False
         # The open calls whose requests have been read.
         self.contexts: set[CallContext] = set()
 
@@ -72,6 +74,8 @@
         except ValueError as error:
             exchange.close_after_request()
             raise RequestError(str(error)) from None
+        if self.is_closed:
+            raise StoppingError("the node has ended its planned stop")
         matched = fleet.match(call.host, call.path.partition("?")[0])
         caller = self.admit_account(call, matched)
         context = CallContext(self.services, exchange, call, matched, body, caller)
@@ -184,6 +188,22 @@
         if not is_stream and context.deadline_at > self.services.fleet.stop_ends_at:
             raise StoppingError("the node is shutting down before the call's deadline")
 
+    def close_if_idle(self) -> bool:
+        """Take no calls any more, unless one is open; return whether none is.
+
+        Requests still arrive until the process has ended. What is passed on then would
+        lose its answer.
+        """
+        with self.lock:
+            if not self.open_calls:
+                self.is_closed = True
+            return self.is_closed
+
+    def close(self) -> None:
+        """Take no calls any more, although some may be open."""
+        with self.lock:
+            self.is_closed = True
+
     def end_open_calls(self) -> None:
         """End the open calls, so that each gets a whole answer before a stop ends.
 
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -257,7 +257,9 @@
             idle_polls = 0 if is_busy else idle_polls + 1
             lingered = boot_time() - started_at >= self.settings.stop_linger_s
             if lingered and idle_polls >= STOP_IDLE_POLLS:
-                break
+                if self.handler.close_if_idle():
+                    break
+        self.handler.close()
         self.writer.write_event("PF2103", None, {"open_calls": self.handler.open_calls})
 
     def reload(self) -> None:
