Keep a silent engine's stream until another engine has a slot for it

After 2 s without a whole event, the gateway closed the connection to the engine and only then looked for a slot elsewhere. While engines preempt requests none is granted, and the caller's connection was closed, although the engine would have gone on.

A slot is now looked for while the stream stays open, every 0.2 s and within the retry budget; the stream leaves its engine once it is granted, and only if nothing has come meanwhile. The wait for the head of the answer does the same. The tests of promises call make_attempts, which holds the loop that run held.

--- a/src/poplarfold/_internal/core/fleet/budget.py
+++ b/src/poplarfold/_internal/core/fleet/budget.py
@@ -38,14 +38,18 @@
 
         ``nodes`` is the number of nodes that share the slack.
         """
-        self._expire(now)
-        allowed = self.ratio * RATIO_SAFETY_FACTOR * len(self.requests)
-        allowed += self.slack / max(1, nodes)
-        if len(self.retries) + 1 > allowed:
+        if not self.may_spend(nodes, now):
             return False
         self.retries.append(now)
         return True
 
+    def may_spend(self, nodes: int, now: float) -> bool:
+        """Return whether the node's share allows one more retry now."""
+        self._expire(now)
+        allowed = self.ratio * RATIO_SAFETY_FACTOR * len(self.requests)
+        allowed += self.slack / max(1, nodes)
+        return len(self.retries) + 1 <= allowed
+
     def count_retry(self, now: float) -> None:
         """Charge a call that has already been sent, such as a rejected prefill.
 
--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -32,6 +32,7 @@
 __all__ = [
     "AbortHandle",
     "Answer",
+    "AwaitAnswer",
     "EndpointClient",
     "EndpointStream",
     "Failure",
@@ -45,6 +46,8 @@
 
 OwnAnswerCheck = Callable[[int, Mapping[str, str]], bool]
 """Returns, by status and headers, whether a response belongs to the request."""
+AwaitAnswer = Callable[[socket.socket], bool]
+"""Waits for the first bytes of a response; returns False if there will be none."""
 
 
 class Target(NamedTuple):
@@ -188,8 +191,13 @@
         headers: Mapping[str, str],
         idle_timeout_s: float,
         handle: AbortHandle | None = None,
+        await_answer: AwaitAnswer | None = None,
     ) -> Result[EndpointStream, Failure]:
-        """Make one request on a new connection and return its response as a stream."""
+        """Make one request on a new connection and return its response as a stream.
+
+        The head of the response must come within ``idle_timeout_s``, which begins once
+        ``await_answer`` has returned, if it is given.
+        """
         connection = self._new_connection(target.address)
         sent = self._send(connection, target, body, headers, idle_timeout_s, handle)
         sock = connection.sock
@@ -199,6 +207,13 @@
                 EndpointError(f"{target.address} closed the connection"), sent=True
             )
             return Err(sent or closed)
+        if await_answer is not None:
+            if not await_answer(sock):
+                connection.close()
+                stalled = EndpointStalledError(f"{target.address} did not respond")
+                return Err(Failure(stalled, sent=True))
+            if isinstance(sock, DeadlineSocket):
+                sock.deadline = time.monotonic() + idle_timeout_s
         try:
             # EndpointStream needs the read buffer, which urllib3's response hides.
             response = http.client.HTTPConnection.getresponse(connection)
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -318,6 +318,13 @@
                 self.presence.node_count(), self.clock()
             )
 
+    def may_spend_retry(self, service: str) -> bool:
+        """Return whether a service's budget has a retry left."""
+        with self.lock:
+            return self._budget(service).may_spend(
+                self.presence.node_count(), self.clock()
+            )
+
     def charge_failed_prefill(self, service: str) -> None:
         """Charge a prefill that failed at a reachable engine to the retry budget."""
         with self.lock:
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -1,5 +1,8 @@
 """Model output streams: relayed event by event, and resumed after a failure."""
 
+import select
+import socket
+
 from result import Err, Result
 
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
@@ -25,6 +28,7 @@
 from poplarfold._internal.gateway.context import CallContext
 from poplarfold._internal.gateway.events import EventSplitter
 from poplarfold._internal.gateway.part_evidence import PartEvidence
+from poplarfold._internal.gateway.stream_failover import StreamFailover
 from poplarfold._internal.gateway.stream_setup import PreparedDecode, StreamSetup
 from poplarfold._internal.platform import (
     CallTarget,
@@ -52,6 +56,7 @@
         self.settings = self.fleet.settings
         self.splitter = EventSplitter(context.call.resume_after)
         self.setup = StreamSetup(context)
+        self.failover = StreamFailover(context, self.setup)
         self.attempts = 0
         self.is_unexecuted = True
         self.has_started = False
@@ -68,6 +73,13 @@
 
     def run(self) -> None:
         """Serve the stream. Raises PoplarfoldError or OSError."""
+        try:
+            self.make_attempts()
+        finally:
+            self.failover.release()
+
+    def make_attempts(self) -> None:
+        """Make attempts until one completes. Raises PoplarfoldError or OSError."""
         while True:
             try:
                 if self.attempt():
@@ -98,23 +110,31 @@
 
     def may_retry(self, error: PoplarfoldError) -> bool:
         """Return whether another attempt is allowed; may take a retry."""
-        context = self.context
         self.context.check_caller()
+        if self.failover.reservation is not None:
+            return True
+        return self.is_repeatable() and self.context.try_spend_retry()
+
+    def is_repeatable(self) -> bool:
+        """Return whether another attempt is allowed, if the retry budget has room."""
+        route = self.context.route
         if not self.evidence.may_repeat():
             return False
-        if self.attempts >= max(context.route.max_attempts, 1 + self.is_unexecuted):
+        if self.attempts >= max(route.max_attempts, 1 + self.is_unexecuted):
             return False
-        if not self.is_unexecuted and not context.route.resumable:
+        if not self.is_unexecuted and not route.resumable:
             return False
-        if boot_time() >= context.deadline_at:
-            return False
-        return context.try_spend_retry()
+        return boot_time() < self.context.deadline_at
+
+    def is_too_late(self) -> bool:
+        """Return whether a planned stop takes this stream no more."""
+        return not self.has_started and boot_time() >= self.fleet.reject_streams_after
 
     def attempt(self) -> bool:
         """Make one attempt; return whether the stream was completed."""
-        if not self.has_started and boot_time() >= self.fleet.reject_streams_after:
+        if self.is_too_late():
             raise StoppingError("the node is shutting down and takes no streams")
-        reservation = self.setup.reserve()
+        reservation = self.failover.take() or self.setup.reserve()
         prepared = PreparedDecode(reservation)
         used = False
         try:
@@ -140,6 +160,7 @@
         self.attempts += 1
         started_at = boot_time()
         self.evidence.begin(started_at)
+        self.failover.begin(endpoint)
         context.was_sent = True
         abort = context.abort
         target = CallTarget(
@@ -158,6 +179,7 @@
             endpoint_headers(context.call, target),
             self.read_timeout_s(self.settings.first_output_s),
             abort,
+            self.await_answer if context.route.resumable else None,
         )
         if result.is_err():
             failure = result.unwrap_err()
@@ -167,9 +189,7 @@
             is_reachable = context.caller_gone.is_set()
             self.setup.release(prepared, is_reachable)
             self.context.check_caller()
-            self.evidence.record_break(endpoint, failure)
-            self.fleet.record_unresponsive(endpoint)
-            context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
+            self.record_break(endpoint, failure)
             raise failure.error
         stream = result.unwrap()
         try:
@@ -179,6 +199,39 @@
             stream.close()
             self.held.release()
 
+    def record_break(self, endpoint: FleetEndpoint, failure: Failure) -> None:
+        """Record a stream that broke off, or is taken away from a silent engine."""
+        self.evidence.record_break(endpoint, failure)
+        if not self.failover.has_noticed:
+            self.fleet.record_unresponsive(endpoint)
+        self.context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
+
+    def await_answer(self, sock: socket.socket) -> bool:
+        """Wait until an answer begins; return False if the engine is given up.
+
+        That is at the deadline, or once there is a slot for the stream elsewhere.
+        """
+        sent_at = boot_time()
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        while True:
+            left_s = self.context.deadline_at - boot_time()
+            wait_s = self.failover.wait_s(sent_at, self.settings.first_output_s)
+            if left_s <= 0:
+                return False
+            if poll.poll(1000 * max(0.0, min(wait_s, left_s))):
+                return True
+            if wait_s <= 0 and self.find_failover(sock):
+                return False
+
+    def find_failover(self, sock: socket.socket) -> bool:
+        """Look for a slot elsewhere while the engine is silent; return whether found.
+
+        ``sock`` is the connection to the silent engine.
+        """
+        may_repeat = self.is_repeatable() and not self.is_too_late()
+        return self.failover.find(sock, may_repeat)
+
     def read_timeout_s(self, usual_s: float) -> float:
         """Return a read's timeout; ``usual_s`` limits resumable streams only."""
         left = self.context.remaining_s()
@@ -217,9 +270,7 @@
             self.context.check_caller()
             if result.is_err():
                 failure = result.unwrap_err()
-                self.evidence.record_break(endpoint, failure)
-                self.fleet.record_unresponsive(endpoint)
-                context.log_failure(endpoint.endpoint_id, failure.error, True)
+                self.record_break(endpoint, failure)
                 self.splitter.restart()
                 context.remaining_s()
                 raise failure.error
@@ -231,6 +282,7 @@
                 self.splitter.restart()
             if event_bytes:
                 progress_at = boot_time()
+                self.failover.record_event()
                 self.send_events(stream, event_bytes, prepared, started_at)
             self.hold_rest(endpoint)
         if stream.is_truncated:
@@ -263,16 +315,26 @@
         """Read bytes of a stream that sent its last whole event at ``progress_at``.
 
         Bytes that complete no event are no progress. Without progress, a stream that
-        can be resumed ends after the timeout, any other one at the deadline.
+        can be resumed ends once there is a slot for it elsewhere. Any stream ends at
+        the deadline.
         """
         settings = self.settings
         usual_s = settings.silence_s if self.has_started else settings.first_output_s
-        idle_s = usual_s - (boot_time() - progress_at)
-        if self.context.route.resumable and idle_s <= 0:
-            stalled = EndpointStalledError(f"{stream.address} completes no event")
-            return Err(Failure(stalled, sent=True))
-        stream.idle_timeout_s = self.read_timeout_s(idle_s)
-        return stream.read()
+        while True:
+            wait_s = left_s = self.context.remaining_s()
+            if self.context.route.resumable:
+                wait_s = self.failover.wait_s(progress_at, usual_s)
+                if wait_s <= 0 and self.find_failover(stream.sock):
+                    moved = EndpointStalledError(f"{stream.address} completes no event")
+                    return Err(Failure(moved, sent=True))
+            stream.idle_timeout_s = max(0.0, min(wait_s, left_s))
+            result = stream.read()
+            self.context.check_caller()
+            is_silent = result.is_err() and isinstance(
+                result.unwrap_err().error, EndpointStalledError
+            )
+            if not is_silent or boot_time() >= self.context.deadline_at:
+                return result
 
     def split_events(self, data: bytes, endpoint: FleetEndpoint) -> bytes:
         """Return the events that are complete now. Raises EventTooLongError."""
--- /dev/null
+++ b/src/poplarfold/_internal/gateway/stream_failover.py
@@ -0,0 +1,113 @@
+"""The move of a stream to another engine while its own one is silent.
+
+An engine that sends nothing for a while may have lost the connection, or may only be
+slow: it preempts requests when its memory runs out, and sends on later. So a stream is
+taken away from it only once there is a slot for it elsewhere.
+"""
+
+import select
+import socket
+
+from poplarfold._internal.core.fleet.rows import FleetEndpoint
+from poplarfold._internal.core.model import EndpointRole
+from poplarfold._internal.gateway.context import CallContext
+from poplarfold._internal.gateway.stream_setup import (
+    PreparedDecode,
+    Reservation,
+    StreamSetup,
+)
+from poplarfold._internal.utils.clock import boot_time
+
+__all__ = ["StreamFailover"]
+
+# How long a stream of a silent engine waits before it looks for a slot once more.
+RECHECK_PERIOD_S = 0.2
+
+
+class StreamFailover:
+    """Looks for a slot elsewhere for one stream, while its engine is silent.
+
+    ``begin`` must be called when an attempt is sent to an engine.
+    """
+
+    def __init__(self, context: CallContext, setup: StreamSetup) -> None:
+        self.context = context
+        self.fleet = context.services.fleet
+        self.setup = setup
+        # The slot for the next attempt, whose retry has been paid for.
+        self.reservation: Reservation | None = None
+        self.endpoint: FleetEndpoint | None = None
+        self.check_at = 0.0
+        self.has_noticed = False
+
+    def begin(self, endpoint: FleetEndpoint) -> None:
+        """Begin an attempt at an engine."""
+        self.endpoint = endpoint
+        self.record_event()
+
+    def record_event(self) -> None:
+        """Record that the engine has just sent a whole event."""
+        self.check_at = 0.0
+        self.has_noticed = False
+
+    def wait_s(self, progress_at: float, silence_s: float) -> float:
+        """Return for how long the engine may stay silent before the next look.
+
+        It sent its last whole event at ``progress_at``; ``silence_s`` is the pause
+        after which a slot is looked for.
+        """
+        return max(progress_at + silence_s, self.check_at) - boot_time()
+
+    def find(self, sock: socket.socket, may_repeat: bool) -> bool:
+        """Look for a slot elsewhere; return whether the stream goes on there.
+
+        ``sock`` is the connection to the silent engine. Without ``may_repeat`` no other
+        attempt is allowed.
+        """
+        self.check_at = boot_time() + RECHECK_PERIOD_S
+        self._notice()
+        if not may_repeat or not self.fleet.may_spend_retry(self.context.service):
+            return False
+        endpoint = self.fleet.pick(
+            self.context.service, EndpointRole.DECODE, log=self.context.log
+        )
+        if endpoint is None:
+            return False
+        found = self.setup.take_lease(endpoint)
+        if found is None:
+            return False
+        if has_data(sock) or not self.context.try_spend_retry():
+            self._release(found)
+            return False
+        self.reservation = found
+        return True
+
+    def take(self) -> Reservation | None:
+        """Return the slot that was found for the next attempt, if there is one."""
+        found, self.reservation = self.reservation, None
+        return found
+
+    def release(self) -> None:
+        """Give a slot back that was found and is not used."""
+        found = self.take()
+        if found is not None:
+            self._release(found)
+
+    def _release(self, reservation: Reservation) -> None:
+        self.fleet.finish_call(reservation.endpoint)
+        self.setup.release(PreparedDecode(reservation))
+
+    def _notice(self) -> None:
+        """Log the first look since the last event; others avoid the engine then."""
+        if self.has_noticed or self.endpoint is None:
+            return
+        self.has_noticed = True
+        self.fleet.record_unresponsive(self.endpoint)
+        self.context.log("PF1112", endpoint=self.endpoint.endpoint_id)
+
+
+def has_data(sock: socket.socket) -> bool:
+    """Return whether bytes, or the end of the connection, can be read now."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -444,6 +444,13 @@
         "an engine's process ended before it had answered a stream for long; the "
         "parts of its prompt are suspect",
     ),
+    EventKind(
+        "PF1112",
+        "engine_silent",
+        ("endpoint",),
+        "an engine has sent no whole event for so long that a slot is looked for at "
+        "another one; the stream stays until there is one",
+    ),
     EventKind(
         "PF2101",
         "gateway_started",
--- a/src/poplarfold/_internal/logs/event_sentences.py
+++ b/src/poplarfold/_internal/logs/event_sentences.py
@@ -272,6 +272,10 @@
         f"The process of {as_text(fields.get('endpoint'))} ended under the stream; the "
         "parts of its prompt are suspect."
     ),
+    "PF1112": lambda fields: (
+        f"{as_text(fields.get('endpoint'))} has been silent for so long that another "
+        "engine is looked for; the stream stays until there is one."
+    ),
     "PF1201": describe_key,
     "PF1202": describe_unchecked_key,
     "PF1211": describe_quota,
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -20,6 +20,7 @@
 CALL_PERIOD_S = 0.03
 # A call that begins as the process ends is cut if it lasts as long as this.
 WORK_S = 0.4
+TOKENS = {"Poplarfold-Token-Count": "1000,200"}
 SMALLEST_PIPE_BYTES = 4096
 
 
@@ -32,18 +33,15 @@
 @pytest.mark.parametrize("after_events", [0, 2])
 def test_silent_engine_is_not_given_up_while_no_other_has_room(fleet, after_events):
     """Guards against a sound stream that is cut, since its engine paused."""
-    full = EndpointStandIn("i-decode-2", "decode")
+    fleet.wait_counted()
     fleet.decode.pause_after, fleet.decode.pause_s = after_events, PAUSE_S
-    full.faults.add("no_room")
-    fleet.announce(full, "llm")
-    wait_until(lambda: b"i-decode-2" in fleet.log.read_bytes(), 5.0)
-    try:
-        answer = fleet.caption()
-        assert answer.status == 200
-        assert answer.data.count(b"id: ") == fleet.decode.events
-        assert len(fleet.decode.runs) == 1
-    finally:
-        full.stop()
+    connection = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
+    wait_until(lambda: fleet.decode.runs, 5.0)
+    fleet.decode.faults.add("no_room")
+    answer = connection.getresponse()
+    assert answer.status == 200
+    assert answer.read().count(b"id: ") == fleet.decode.events
+    assert len(fleet.decode.runs) == 1
 
 
 def test_silent_engine_is_left_for_one_that_has_room(fleet):
@@ -51,12 +49,11 @@
     free = EndpointStandIn("i-decode-2", "decode")
     free.faults.add("no_room")
     fleet.announce(free, "llm")
+    fleet.wait_counted()
     wait_until(lambda: b"i-decode-2" in fleet.log.read_bytes(), 5.0)
     fleet.decode.pause_after, fleet.decode.pause_s = 2, 10.0
     try:
-        connection = fleet.open(
-            "POST", "/caption/1", {"Poplarfold-Token-Count": "1000,200"}, b"prompt"
-        )
+        connection = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
         answer = connection.getresponse()
         free.faults.clear()
         assert answer.read().count(b"id: ") == fleet.decode.events
@@ -151,3 +148,29 @@
 
     def stop(self):
         self.is_over.set()
+
+
+def test_process_whose_log_is_not_read_ends_within_its_grace(fleet):
+    """Guards against a process that is killed, since it waits for its log too long."""
+    log_read, log_write = os.pipe()
+    fcntl.fcntl(log_write, fcntl.F_SETPIPE_SZ, SMALLEST_PIPE_BYTES)
+    fleet.process.kill()
+    fleet.process.wait()
+    fleet.start(stdout=log_write)
+    reader = LogReader(log_read)
+    reader.start()
+    fleet.wait_ready()
+    reader.pause()
+    for number in range(CALLS):
+        KeptConnection(fleet, number)
+    # A stream that lasts beyond the grace.
+    fleet.decode.pause_s = 2 * GRACE_S
+    stream = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
+    wait_until(lambda: fleet.decode.runs, 5.0)
+    started_at = time.monotonic()
+    fleet.process.send_signal(signal.SIGTERM)
+    fleet.process.wait(2 * GRACE_S)
+    ended_after_s = time.monotonic() - started_at
+    reader.stop()
+    stream.close()
+    assert ended_after_s <= GRACE_S
--- a/tests/unit/test_stream_promises.py
+++ b/tests/unit/test_stream_promises.py
@@ -39,7 +39,7 @@
     attempt finds the node stopping or no room."""
     stream = FailingStream([EndpointError("stalled"), refusal], has_run=True)
     with pytest.raises(EndpointError) as caught:
-        stream.run()
+        stream.make_attempts()
     assert caught.value.status not in NOT_RUN_STATUSES
 
 
@@ -47,5 +47,5 @@
 def test_refusal_of_a_first_attempt_is_passed_on(refusal):
     """Guards against callers that are not told that a stream has not run."""
     with pytest.raises(type(refusal)) as caught:
-        FailingStream([refusal], has_run=False).run()
+        FailingStream([refusal], has_run=False).make_attempts()
     assert caught.value is refusal
