--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -69,6 +69,10 @@
 # How often a planned stop checks whether all open calls have ended.
 STOP_POLL_S = 0.05
 STOP_IDLE_POLLS = 6
+# How long an exit waits for the log to be written, at most.
+LOG_CLOSE_S = 0.5
+# What is kept of the grace time for the exit itself, after the log has been written.
+EXIT_MARGIN_S = 0.1
 READY_PATH = "/v1/readyz"
 METRICS_PATH = "/metrics"
 
@@ -88,6 +92,8 @@
         self.settings = settings
         self.writer = writer
         self.stopping = threading.Event()
+        # When the process must end, once a planned stop has begun.
+        self.ends_at = float("inf")
         self.resources = caller_resources(host, settings, writer)
         client = EndpointClient(
             settings.connect_s, answer_memory(host.memory_mb, self.resources.account)
@@ -235,6 +241,7 @@
         are requests whose bodies have not arrived by then.
         """
         started_at = boot_time()
+        self.ends_at = started_at + self.host.bounds.grace_s - EXIT_MARGIN_S
         limit_s = self.host.bounds.grace_s - self.settings.stop_margin_s
         with self.fleet.lock:
             self.fleet.reject_streams_after = started_at + self.settings.stop_streams_s
@@ -339,7 +346,7 @@
     while signals.get() == signal.SIGHUP:
         gateway.reload()
     gateway.stop_gracefully()
-    stream.close()
+    stream.close(min(LOG_CLOSE_S, max(0.0, gateway.ends_at - boot_time())))
     # A normal exit would wait for listener threads that hold idle connections.
     os._exit(0)
 
