Answer a call that fails with an unexpected error

What callers saw, if it happens: no answer. The handler answers the errors of the project and of the network; any other exception went to the HTTP library, which is kept from answering by itself, and closed the connection. By reading; no input was found that raises such an error today.

Such a call gets status 500 now, which promises nothing, is logged as PF9004 with its traceback, and no longer stays open for a planned stop.

--- a/src/poplarfold/_internal/gateway/handler.py
+++ b/src/poplarfold/_internal/gateway/handler.py
@@ -1,6 +1,7 @@
 """Handles a caller's request: matches its route and runs the call."""
 
 import threading
+import traceback
 
 from poplarfold._internal.core.fleet.account_admission import AdmittedCaller
 from poplarfold._internal.core.fleet.rows import CallKind
@@ -48,7 +49,14 @@
     def __call__(self, exchange: CallerExchange) -> None:
         """Serve one request. Raises OSError if the caller has disconnected."""
         self.change_open_calls(1)
-        call = decode_call(exchange.method, exchange.target, exchange.headers)
+        try:
+            call = decode_call(exchange.method, exchange.target, exchange.headers)
+            self.serve_or_reject(exchange, call)
+        finally:
+            self.change_open_calls(-1)
+
+    def serve_or_reject(self, exchange: CallerExchange, call: CallerCall) -> None:
+        """Serve one call, or answer with its error. Raises OSError."""
         try:
             self.serve(exchange, call)
         except CallerDisconnectedError as error:
@@ -61,8 +69,14 @@
                 call, CallerDisconnectedError(f"the caller has disconnected: {error}")
             )
             exchange.close_after_request()
-        finally:
-            self.change_open_calls(-1)
+        except Exception as error:
+            # The HTTP library would close the connection without an answer.
+            self.services.write_log(
+                "PF9004",
+                call.request_id,
+                {"problem": repr(error), "traceback": traceback.format_exc()},
+            )
+            self.reject(exchange, call, PoplarfoldError("internal error"))
 
     def serve(self, exchange: CallerExchange, call: CallerCall) -> None:
         """Serve one call. Raises PoplarfoldError or OSError."""
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -710,6 +710,13 @@
         "the HTTP server raised an unexpected exception",
         alert=True,
     ),
+    EventKind(
+        "PF9004",
+        "call_failed",
+        ("problem", "traceback"),
+        "a call failed with an unexpected error, and its caller got status 500",
+        alert=True,
+    ),
 )
 
 EVENTS: dict[str, EventKind] = {kind.number: kind for kind in _ALL}
