Log the limits that endpoints name in their answers

The log could not tell a host that does not read a limit from one that takes too large a share of it. PF7113 names the endpoint, its incarnation and the limit, when it is first named, changed or ended. An answer to a call that was sent before the last naming ends nothing. No decision uses it yet. Server-Limit is not passed on to callers or endpoints.

--- a/src/poplarfold/_internal/core/fleet/server_signals.py
+++ b/src/poplarfold/_internal/core/fleet/server_signals.py
@@ -22,10 +22,15 @@
 
 
 class ServerSignal(NamedTuple):
-    """What one answer says: that the endpoint leaves, and how long not to call it."""
+    """What one answer says: that the endpoint leaves, and how long not to call it.
+
+    ``limit_per_s`` is how many calls a second the endpoint takes from all hosts
+    together, or None without a limit; see ``core/fleet/server_limits``.
+    """
 
     is_leaving: bool = False
     retry_after_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class SignalRow(NamedTuple):
--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -26,7 +26,8 @@
 __all__ = ["CallContext", "Services"]
 
 
-RecordSignal = Callable[[FleetEndpoint, ServerSignal], None]
+RecordSignal = Callable[[FleetEndpoint, ServerSignal, float], None]
+"""Records what the answer to a call, sent at a time, says of its endpoint."""
 
 
 class Services(NamedTuple):
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -42,6 +42,7 @@
     Route,
     Service,
 )
+from poplarfold._internal.core.fleet.server_limits import ServerLimits
 from poplarfold._internal.core.fleet.server_signals import (
     RETURN_SPREAD,
     ServerSignal,
@@ -123,6 +124,7 @@
         self.directory = Directory()
         self.endpoint_stats = EndpointStatsTable()
         self.signals = ServerSignals()
+        self.limits = ServerLimits()
         self.own_prefill_policy = OwnPrefillPolicy(
             settings.prefill_wait_share, settings.own_prefill_pause_share
         )
@@ -537,6 +539,15 @@
             now = self.clock()
             return self.signals.record(endpoint, signal, now, self.rng.random())
 
+    def record_limit(
+        self, endpoint: FleetEndpoint, limit_per_s: float | None, sent_at: float
+    ) -> bool:
+        """Record the limit in the answer to a call; return whether it has changed."""
+        if limit_per_s is None and not self.limits.rows:
+            return False
+        with self.lock:
+            return self.limits.record(endpoint, limit_per_s, sent_at, self.clock())
+
     def callable_endpoints(
         self, service: str, role: EndpointRole
     ) -> Sequence[FleetEndpoint]:
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -179,8 +179,20 @@
         """Return the limits of a request to the readiness and metrics listeners."""
         return CallerLimits(SMALL_BODY_LIMIT_BYTES, self.settings.caller_idle_s)
 
-    def record_signal(self, endpoint: FleetEndpoint, signal: ServerSignal) -> None:
-        """Record what an answer says of its endpoint, and log what is new."""
+    def record_signal(
+        self, endpoint: FleetEndpoint, signal: ServerSignal, sent_at: float
+    ) -> None:
+        """Record what the answer to a call says of its endpoint, and log what is new.
+
+        ``sent_at`` is the time of the call.
+        """
+        if self.fleet.record_limit(endpoint, signal.limit_per_s, sent_at):
+            limit = {
+                "endpoint": endpoint.endpoint_id,
+                "born": endpoint.incarnation,
+                "limit_per_s": signal.limit_per_s,
+            }
+            self.writer.write_event("PF7113", None, limit)
         if self.fleet.record_signal(endpoint, signal):
             fields = {
                 "endpoint": endpoint.endpoint_id,
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -147,7 +147,8 @@
             return None, self.error_for_caller(failure)
         answer = result.unwrap()
         metadata = decode_answer_metadata(answer.status, answer.headers)
-        context.services.record_signal(endpoint, metadata.signal)
+        if not metadata.is_other_endpoint:
+            context.services.record_signal(endpoint, metadata.signal, started_at)
         self.sent_attempts += 1
         self.is_unexecuted = self.is_unexecuted and metadata.not_run
         ok = answer.status < SERVER_ERROR
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -251,7 +251,8 @@
         if not metadata.belongs_to(context.call):
             self.is_unexecuted = False
             raise ResponseMismatchError("the answer does not belong to the request")
-        context.services.record_signal(endpoint, metadata.signal)
+        if not metadata.is_other_endpoint:
+            context.services.record_signal(endpoint, metadata.signal, started_at)
         if metadata.load is not None and metadata.load.slowdown is not None:
             self.fleet.record_load(endpoint, metadata.load)
         self.is_unexecuted = self.is_unexecuted and metadata.not_run
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -641,6 +641,13 @@
         "an endpoint said in an answer that it leaves, or for how long it wants no "
         "calls; this incarnation gets none meanwhile",
     ),
+    EventKind(
+        "PF7113",
+        "endpoint_limit",
+        ("endpoint", "born", "limit_per_s"),
+        "an endpoint named in an answer how many calls a second it takes from all "
+        "hosts together, or no limit any more",
+    ),
     EventKind(
         "PF7201",
         "part_blocked",
--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -35,6 +35,7 @@
 SERVER_LOAD = "Poplarfold-Server-Load"
 NOT_EXECUTED = "Poplarfold-Not-Executed"
 SERVER_LEAVING = "Server-Leaving"
+SERVER_LIMIT = "Server-Limit"
 RETRY_AFTER = "Retry-After"
 TOO_BUSY_STATUS = 503
 
@@ -74,6 +75,7 @@
         "upgrade",
         # What an endpoint tells the router of itself.
         SERVER_LEAVING.lower(),
+        SERVER_LIMIT.lower(),
         "expect",
         "content-length",
     )
@@ -130,7 +132,7 @@
 
     ``not_run`` is the endpoint's assurance that the call has not run and will not
     run. ``is_other_endpoint`` means that the address now belongs to another
-    endpoint.
+    endpoint, and that the answer says nothing of the one that was called.
     """
 
     request_id: str | None
@@ -269,10 +271,6 @@
 def decode_answer_metadata(status: int, headers: Mapping[str, str]) -> AnswerMetadata:
     """Decode what an answer says about its origin, execution, encoding and endpoint."""
     is_other = status == 421
-    # The answer of another endpoint at the address says nothing of the one called.
-    is_leaving = headers.get(SERVER_LEAVING) == "1" and not is_other
-    is_busy = status == TOO_BUSY_STATUS
-    retry_after_s = decode_number(headers.get(RETRY_AFTER)) if is_busy else None
     return AnswerMetadata(
         request_id=headers.get(REQUEST_ID),
         is_stamped=SERVER_STAMP in headers,
@@ -280,7 +278,17 @@
         is_other_endpoint=is_other,
         is_encoded="Content-Encoding" in headers,
         load=None if is_other else decode_load(headers.get(SERVER_LOAD)),
-        signal=ServerSignal(is_leaving, retry_after_s),
+        signal=ServerSignal() if is_other else decode_signal(status, headers),
+    )
+
+
+def decode_signal(status: int, headers: Mapping[str, str]) -> ServerSignal:
+    """Decode what an endpoint says of itself. A malformed limit counts as none."""
+    is_busy = status == TOO_BUSY_STATUS
+    return ServerSignal(
+        headers.get(SERVER_LEAVING) == "1",
+        decode_number(headers.get(RETRY_AFTER)) if is_busy else None,
+        decode_number(headers.get(SERVER_LIMIT)),
     )
 
 
--- a/src/poplarfold/_internal/platform/engines.py
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -26,6 +26,7 @@
     decode_answer_metadata,
     endpoint_headers,
 )
+from poplarfold._internal.utils.clock import boot_time
 
 __all__ = ["EngineClient", "Lease", "OrderRequest", "PrefillResult"]
 
@@ -63,13 +64,13 @@
 class EngineClient:
     """Client for the router's own calls to engines. Thread-safe.
 
-    ``on_signal`` gets what each answer says of its engine.
+    ``on_signal`` gets what each answer says of its engine, and when it was called.
     """
 
     def __init__(
         self,
         endpoint_client: EndpointClient,
-        on_signal: Callable[[FleetEndpoint, ServerSignal], None],
+        on_signal: Callable[[FleetEndpoint, ServerSignal, float], None],
     ) -> None:
         self.endpoint_client = endpoint_client
         self.on_signal = on_signal
@@ -89,6 +90,7 @@
         """
         body = json.dumps({"tokens": tokens, "ttl_ms": int(ttl_s * 1000)}).encode()
         headers = {**JSON_HEADERS, TARGET_INSTANCE: engine.endpoint_id}
+        sent_at = boot_time()
         result = self.endpoint_client.exchange(
             Target(engine.address, "POST", "/v1/hold-take"),
             body,
@@ -99,7 +101,7 @@
         if result.is_err():
             return Err(result.unwrap_err())
         answer = result.unwrap()
-        metadata = self._decode_metadata(engine, answer)
+        metadata = self._decode_metadata(engine, answer, sent_at)
         lease_id = answer.json().get("hold")
         if answer.status == 200 and isinstance(lease_id, str):
             return Ok(Lease(lease_id, metadata.load))
@@ -127,6 +129,7 @@
 
         ``target`` must have the role of a prefill engine.
         """
+        sent_at = boot_time()
         result = self.endpoint_client.exchange(
             Target(engine.address, call.method, call.path),
             body,
@@ -138,7 +141,7 @@
         if result.is_err():
             return Err(result.unwrap_err())
         answer = result.unwrap()
-        metadata = self._decode_metadata(engine, answer)
+        metadata = self._decode_metadata(engine, answer, sent_at)
         found = answer.json()
         kv_handle = found.get("handle")
         is_own = metadata.request_id in (None, call.request_id)
@@ -156,6 +159,7 @@
         Returns None if the engine does not report that, or while it is carrying out
         an order.
         """
+        sent_at = boot_time()
         result = self.endpoint_client.exchange(
             Target(engine.address, "GET", "/v1/report"),
             None,
@@ -164,7 +168,7 @@
         )
         if result.is_err():
             return None
-        metadata = self._decode_metadata(engine, result.unwrap())
+        metadata = self._decode_metadata(engine, result.unwrap(), sent_at)
         if metadata.signal.is_leaving or result.unwrap().status != 200:
             return None
         report = result.unwrap().json()
@@ -187,6 +191,7 @@
             "fence": request.fencing_number,
             "expect": request.accepted,
         }
+        sent_at = boot_time()
         result = self.endpoint_client.exchange(
             Target(engine.address, "POST", "/v1/order"),
             json.dumps(body).encode(),
@@ -196,7 +201,7 @@
         )
         if result.is_err():
             return None
-        self._decode_metadata(engine, result.unwrap())
+        self._decode_metadata(engine, result.unwrap(), sent_at)
         return result.unwrap().status
 
     def has_ended(self, address: str, timeout_s: float) -> bool:
@@ -210,10 +215,13 @@
             return False
         return False
 
-    def _decode_metadata(self, engine: FleetEndpoint, answer: Answer) -> AnswerMetadata:
+    def _decode_metadata(
+        self, engine: FleetEndpoint, answer: Answer, sent_at: float
+    ) -> AnswerMetadata:
         """Decode an answer's metadata, and pass on what it says of its engine."""
         metadata = decode_answer_metadata(answer.status, answer.headers)
-        self.on_signal(engine, metadata.signal)
+        if not metadata.is_other_endpoint:
+            self.on_signal(engine, metadata.signal, sent_at)
         return metadata
 
     def _delete(self, address: str, path: str, timeout_s: float) -> bool:
--- a/tests/unit/test_second_attempts.py
+++ b/tests/unit/test_second_attempts.py
@@ -70,7 +70,7 @@
         statuses = []
         services = SimpleNamespace(
             fleet=self.fleet, client=self, metrics=GatewayMetrics(),
-            record_signal=self.fleet.record_signal,
+            record_signal=lambda *given: self.fleet.record_signal(*given[:2]),
             write_log=lambda number, _, fields: self.logged.append((number, fields)),
         )  # fmt: skip
         exchange = SimpleNamespace(send_whole=lambda *row: statuses.append(row[0]))
