--- a/tests/functional/test_quota_over_hosts.py
+++ b/tests/functional/test_quota_over_hosts.py
@@ -1,23 +1,12 @@
 """Quotas of accounts over several router processes of two regions, on loopback."""
 
-import contextlib
-import http.client
 import json
-import os
-import re
-import subprocess
-import sys
 import time
 
 import pytest
-from tests.lib.gateway_process import ROOT, wait_until
-from tests.lib.platform_standin import (
-    EndpointStandIn,
-    StoreStandIn,
-    boot_fields,
-    configuration,
-)
-from tests.lib.ports import free_port
+from tests.lib.gateway_nodes import Node
+from tests.lib.gateway_process import wait_until
+from tests.lib.platform_standin import EndpointStandIn, StoreStandIn, configuration
 from tests.lib.relay_nodes import RelayNode
 
 START_LIMIT_S = 20.0
@@ -25,58 +14,9 @@
 RATE_PER_S, BURST, OVER, SLACK = 2.0, 4.0, 0.1, 10.0
 QUOTA = RATE_PER_S * WINDOW_S + BURST
 BOUND = QUOTA * (1 + OVER) + SLACK
-ZONES = {"lhr-a": "lahore", "khi-a": "karachi"}
 BOUNDS = {"quota_window_s": WINDOW_S, "quota_over": OVER, "quota_slack": SLACK}
 
 
-class Node:
-    """One router process with its own folder, ports and log."""
-
-    def __init__(self, folder, name, zone, store):
-        self.ports = {kind: free_port() for kind in ("front", "ready", "metrics")}
-        fields = boot_fields(name, self.ports, store.address, BOUNDS)
-        fields |= {"zone": zone, "region": ZONES[zone], "zones": ZONES}
-        boot = folder / f"{name}.json"
-        boot.write_text(json.dumps(fields))
-        settings = folder / f"{name}.toml"
-        settings.write_text(f"metrics_port = {self.ports['metrics']}\n")
-        self.log = folder / f"{name}.log"
-        with self.log.open("wb") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "poplarfold_gateway.py")]
-                + ["--settings", str(settings)],
-                env={**os.environ, "POPLARFOLD_BOOT": str(boot)},
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
-
-    def request(self, listener, path, headers=None):
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self.ports[listener], timeout=5
-        )
-        connection.request("GET", path, headers=headers or {})
-        answer = connection.getresponse()
-        answer.data = answer.read()
-        connection.close()
-        return answer
-
-    def call(self, key):
-        return self.request(
-            "front", "/lookup/1", {"Host": "entry.example", "Poplarfold-Key": key}
-        )
-
-    def heard_hosts(self):
-        """Return how many hosts' usage the node hears, or 0 before it listens."""
-        with contextlib.suppress(OSError):
-            text = self.request("metrics", "/metrics").data.decode()
-            found = re.search(r"^poplarfold_quota_hosts (\S+)", text, re.MULTILINE)
-            return float(found[1]) if found else 0
-        return 0
-
-    def logged(self, number):
-        return f'"{number}"'.encode() in self.log.read_bytes()
-
-
 def account(name, **changes):
     return {
         "name": name,
@@ -111,7 +51,7 @@
         changes = {} if accounts is None else {"tenants": accounts}
         store.put("keyed.op", "config", configuration(**changes))
         for name, zone in (("h1", "lhr-a"), ("h2", "lhr-a"), ("h3", "khi-a")):
-            nodes.append(Node(tmp_path, name, zone, store))
+            nodes.append(Node(tmp_path, name, zone, store, BOUNDS))
         return nodes
 
     yield run
