Keep to the limits that endpoints name, over all hosts together

Nobody read its limit.

Each host now has a share of a limit that needs no message: all rank each other by the endpoint's id, and as many of the first ones as the limit has room for send an equal part of it. The rest try at times whether it has ended. Every call counts, those that reserve or release something too. A call that finds no room anywhere is rejected at once with the time until there is some.

PF7113 has the host's share as well, and a metric counts the limits that hold.

--- a/src/poplarfold/_internal/core/fleet/presence.py
+++ b/src/poplarfold/_internal/core/fleet/presence.py
@@ -33,6 +33,8 @@
     def __init__(self, assumed_count: int) -> None:
         self.assumed_count = assumed_count
         self.rows: Table[str, PresenceRow] = Table()
+        # The names of the nodes, made anew when they change.
+        self._names: frozenset[str] = frozenset()
 
     def update(self, offsets: Mapping[str, int], now: float) -> bool:
         """Record the newest offset of each node; return whether the count changed."""
@@ -46,6 +48,12 @@
                 del self.rows[node]
         return self.node_count() != before
 
+    def names(self) -> frozenset[str]:
+        """Return the names of the nodes; none while they are unknown."""
+        if self._names != self.rows.keys():
+            self._names = frozenset(self.rows)
+        return self._names
+
     def node_count(self) -> int:
         """Return the number of nodes, or the assumed count while it is unknown."""
         return len(self.rows) or self.assumed_count
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -42,7 +42,11 @@
     Route,
     Service,
 )
-from poplarfold._internal.core.fleet.server_limits import ServerLimits
+from poplarfold._internal.core.fleet.server_limits import (
+    LimitHosts,
+    LimitShare,
+    ServerLimits,
+)
 from poplarfold._internal.core.fleet.server_signals import (
     RETURN_SPREAD,
     ServerSignal,
@@ -244,6 +248,7 @@
                 frozenset(table.accounts.accounts if table and table.accounts else ()),
                 pace_gauges(self.directory, self.endpoint_stats, now),
                 self.admission_queue.lengths(),
+                len(self.limits.rows),
             )
 
     def node_count(self) -> int:
@@ -546,38 +551,92 @@
         if limit_per_s is None and not self.limits.rows:
             return False
         with self.lock:
-            return self.limits.record(endpoint, limit_per_s, sent_at, self.clock())
+            now = self.clock()
+            return self.limits.record(
+                endpoint, limit_per_s, sent_at, now, self.rng.random()
+            )
+
+    def limit_share(self, endpoint: FleetEndpoint) -> LimitShare | None:
+        """Return this host's share of an endpoint's limit; None without a limit."""
+        with self.lock:
+            return self.limits.share(endpoint, self.limit_hosts())
+
+    def count_call(self, endpoint: FleetEndpoint) -> None:
+        """Count a call towards an endpoint's limit that was not chosen by ``pick``."""
+        with self.lock:
+            self._charge(endpoint)
 
     def callable_endpoints(
         self, service: str, role: EndpointRole
     ) -> Sequence[FleetEndpoint]:
-        """Return the endpoints that may get work now. The lock must be held."""
+        """Return the endpoints that may get work now, by what they have said.
+
+        Those whose limits leave no room at the moment are included. The lock must be
+        held.
+        """
         found = self.directory.usable_endpoints(service, role)
         if not self.signals.rows:
             return found
         now = self.clock()
         return [row for row in found if self.signals.may_use(row, now)]
 
-    def check_pool(self, service: str, role: EndpointRole) -> None:
-        """Raise EndpointsAwayError if all endpoints of a role have asked for a pause.
+    def check_pool(
+        self, service: str, role: EndpointRole, within_s: float = 0.0
+    ) -> None:
+        """Raise EndpointsAwayError if no endpoint of a role wants a call soon.
 
-        Such a call cannot be served before the first of them wants calls again.
+        That is because all of them have asked for a pause, or have named limits that
+        leave no room within a time.
         """
         with self.lock:
             now = self.clock()
-            found = self.directory.usable_endpoints(service, role)
-            waits = [self.signals.away_s(row, now) for row in found]
-            known = [wait_s for wait_s in waits if wait_s is not None]
-            if known and min(known) > 0.0:
-                remaining_s = min(known) * (1.0 + RETURN_SPREAD * self.rng.random())
-                raise EndpointsAwayError(
-                    "all endpoints of the service have asked for a pause", remaining_s
+            rows = self.directory.usable_endpoints(service, role)
+            waits = {row: self.signals.away_s(row, now) for row in rows}
+            staying = {row: wait for row, wait in waits.items() if wait is not None}
+            if not staying:
+                return
+            away_s = min(staying.values())
+            if away_s <= 0.0:
+                away_s = self._limit_wait_s(
+                    [row for row, wait_s in staying.items() if wait_s <= 0.0]
                 )
+                if away_s <= within_s:
+                    return
+            remaining_s = away_s * (1.0 + RETURN_SPREAD * self.rng.random())
+            raise EndpointsAwayError(
+                "all endpoints of the service have asked for fewer calls", remaining_s
+            )
+
+    def _limit_wait_s(self, endpoints: Sequence[FleetEndpoint]) -> float:
+        """Return when the limit of some endpoint has room again.
+
+        Another host may have room before this one, but seldom before the time between
+        two uses by a host that has a share of the limit.
+        """
+        now, hosts = self.clock(), self.limit_hosts()
+        waits = []
+        for row in endpoints:
+            share = self.limits.share(row, hosts)
+            wait_s = self.limits.wait_s(row, hosts, now)
+            waits.append(wait_s if share is None else min(wait_s, share.pace_s))
+        return min(waits)
+
+    def limit_hosts(self) -> LimitHosts:
+        """Return the hosts that share limits. The lock must be held."""
+        names = self.presence.names()
+        if names:
+            names |= {self.host.host}
+        return LimitHosts(self.host.host, names, self.presence.node_count())
+
+    def _charge(self, endpoint: FleetEndpoint) -> None:
+        if self.limits.rows:
+            self.limits.charge(endpoint, self.limit_hosts(), self.clock())
 
     def remove_endpoint_stats(self, changes: list[EndpointChange]) -> None:
         """Delete the statistics of removed endpoints. The lock must be held."""
         if any(change.before and change.after is None for change in changes):
             self.endpoint_stats.remove_except(self.directory.endpoints)
+            self.limits.remove_except(self.directory.endpoints)
         self.changed.notify_all()
 
     def _choose(
@@ -592,8 +651,14 @@
         trials = None
         if not excluded:
             trials = self.trials.setdefault((service, role), TrialBudget())
-        return make_choice(
-            sample_candidates(self.callable_endpoints(service, role), self.rng),
+        endpoints = self.callable_endpoints(service, role)
+        if self.limits.rows:
+            now, hosts = self.clock(), self.limit_hosts()
+            endpoints = [
+                row for row in endpoints if self.limits.may_use(row, hosts, now)
+            ]
+        choice = make_choice(
+            sample_candidates(endpoints, self.rng),
             self.endpoint_stats,
             domain or self.host.failure_domain,
             self.host.regions,
@@ -603,6 +668,9 @@
             self.rng,
             trials,
         )
+        if choice is not None:
+            self._charge(choice.endpoint)
+        return choice
 
     def _budget(self, service: str) -> RetryBudget:
         found = self.budgets.get(service)
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -187,12 +187,7 @@
         ``sent_at`` is the time of the call.
         """
         if self.fleet.record_limit(endpoint, signal.limit_per_s, sent_at):
-            limit = {
-                "endpoint": endpoint.endpoint_id,
-                "born": endpoint.incarnation,
-                "limit_per_s": signal.limit_per_s,
-            }
-            self.writer.write_event("PF7113", None, limit)
+            self.log_limit(endpoint, signal.limit_per_s)
         if self.fleet.record_signal(endpoint, signal):
             fields = {
                 "endpoint": endpoint.endpoint_id,
@@ -202,6 +197,19 @@
             }
             self.writer.write_event("PF7112", None, fields)
 
+    def log_limit(self, endpoint: FleetEndpoint, limit_per_s: float | None) -> None:
+        """Log an endpoint's limit and this host's share of it."""
+        share = self.fleet.limit_share(endpoint)
+        fields = {
+            "endpoint": endpoint.endpoint_id,
+            "born": endpoint.incarnation,
+            "limit_per_s": limit_per_s,
+            "share_per_s": None if share is None else round(share.calls_per_s, 4),
+            "is_trial": None if share is None else share.is_trial,
+            "hosts": self.fleet.node_count_assumed(),
+        }
+        self.writer.write_event("PF7113", None, fields)
+
     def log_server_error(self, message: str) -> None:
         """Log an error that the HTTP server reports."""
         self.writer.write_event("PF9003", None, {"message": message, "traceback": None})
--- a/src/poplarfold/_internal/gateway/metrics.py
+++ b/src/poplarfold/_internal/gateway/metrics.py
@@ -49,7 +49,8 @@
     ``read_age_s`` is the time since the last successful read, by topic. ``accounts``
     are the names of the accounts of the configuration, and ``paces`` has the services
     whose endpoints state their pace. ``waiting`` is the number of streams that wait
-    for a slot, by service and route.
+    for a slot, by service and route. ``limited_endpoints`` is the number of endpoints
+    that have named a limit of their calls.
     """
 
     routes_version: int
@@ -59,6 +60,7 @@
     accounts: frozenset[str]
     paces: dict[str, PaceGauges]
     waiting: Mapping[tuple[str, str], int]
+    limited_endpoints: int = 0
 
 
 class GatewayMetrics:
@@ -162,6 +164,11 @@
         self.endpoints = Gauge(
             "poplarfold_endpoints", "Announced endpoints.", registry=registry
         )
+        self.limited_endpoints = Gauge(
+            "poplarfold_limited_endpoints",
+            "Endpoints that have named a limit of their calls.",
+            registry=registry,
+        )
         self.read_age = Gauge(
             "poplarfold_store_read_age_seconds",
             "Time since a topic was last read, by topic.",
@@ -288,6 +295,7 @@
             self.routes_version.set({}, gauges.routes_version)
             self.nodes.set({}, gauges.nodes)
             self.endpoints.set({}, gauges.endpoints)
+            self.limited_endpoints.set({}, gauges.limited_endpoints)
             self.drop_accounts_except(gauges.accounts)
             self.waiting.values.clear()
             for (service, route), count in gauges.waiting.items():
--- a/src/poplarfold/_internal/gateway/role_orders.py
+++ b/src/poplarfold/_internal/gateway/role_orders.py
@@ -158,12 +158,14 @@
     def send_order(self, change: RoleChange, fence: int, claimed_at: float) -> None:
         """Send one order if the claim is still valid and the engine answers."""
         endpoint = change.endpoint
+        self.fleet.count_call(endpoint)
         seen = self.engines.accepted_orders(endpoint, ORDER_TIMEOUT_S)
         if seen is None or not self.lease.may_order(claimed_at, self.fleet.clock()):
             problem = f"{endpoint.endpoint_id} is busy, or the claim has expired"
             self.write_log("PF3502", None, {"problem": problem})
             return
         request = OrderRequest(change.role, self.fleet.host.host, fence, seen)
+        self.fleet.count_call(endpoint)
         status = self.engines.order_role(endpoint, request, ORDER_TIMEOUT_S)
         self.write_log(
             "PF3501",
--- a/src/poplarfold/_internal/gateway/slot_turn.py
+++ b/src/poplarfold/_internal/gateway/slot_turn.py
@@ -46,9 +46,13 @@
         until = self.policy.rejection_time(now, target_s, self.is_late)
         return WaitPlan(min(until, context.deadline_at), until)
 
+    def left_s(self) -> float:
+        """Return for how long the stream still waits; less than 0 if it is over."""
+        return self.plan.until - self.fleet.clock()
+
     def check(self) -> float:
         """Return the time that is left. Raises DecodePoolFullError if none is."""
-        left_s = self.plan.until - self.fleet.clock()
+        left_s = self.left_s()
         if not self.fleet.is_waiting(self.row):
             raise self.refusal("queue_full")
         if self.uses_forecasts and not self.fleet.has_decode_engine(self.row):
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -162,6 +162,7 @@
         self.evidence.begin(started_at)
         self.failover.begin(endpoint)
         context.was_sent = True
+        self.fleet.count_call(endpoint)
         abort = context.abort
         target = CallTarget(
             endpoint.endpoint_id,
--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -99,7 +99,7 @@
                     return reservation
                 fleet.requeue(row)
             if endpoint is None:
-                fleet.check_pool(row.service, EndpointRole.DECODE)
+                fleet.check_pool(row.service, EndpointRole.DECODE, turn.left_s())
             left_s = turn.check()
             if endpoint is None:
                 with fleet.lock:
@@ -243,6 +243,8 @@
         engines = self.services.engines
         release_timeout_s = self.settings.lease_call_s
         endpoint, lease_id = prepared.reservation
+        if is_reachable:
+            self.fleet.count_call(endpoint)
         is_dropped = is_reachable and engines.release_lease(
             endpoint.address, lease_id, release_timeout_s
         )
@@ -251,6 +253,7 @@
         if prepared.handle is not None and prepared.prefill is not None:
             self.services.metrics.count_wasted_tokens(self.context.call.prompt_tokens)
             engine = prepared.prefill
+            self.fleet.count_call(engine)
             if not engines.release_prefill(
                 engine.address, prepared.handle, release_timeout_s
             ):
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -644,9 +644,17 @@
     EventKind(
         "PF7113",
         "endpoint_limit",
-        ("endpoint", "born", "limit_per_s"),
+        (
+            "endpoint",
+            "born",
+            "limit_per_s",
+            "share_per_s",
+            "is_trial",
+            "hosts",
+        ),
         "an endpoint named in an answer how many calls a second it takes from all "
-        "hosts together, or no limit any more",
+        "hosts together, or no limit any more; this host has a share of it, or only "
+        "tries at times whether the limit has ended",
     ),
     EventKind(
         "PF7201",
