Log headers of the platform that this release does not know

The class of the exceeded limits: what an endpoint says of itself was looked at header by header, and an unknown demand was dropped without a trace. PF7114 names each header of the platform that is unknown, once, as an alert.

--- a/src/poplarfold/_internal/gateway/context.py
+++ b/src/poplarfold/_internal/gateway/context.py
@@ -1,7 +1,7 @@
 """The services shared by all calls of a process, and the context of one call."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 from poplarfold._internal.core.fleet.account_admission import AdmittedCaller
@@ -26,8 +26,9 @@
 __all__ = ["CallContext", "Services"]
 
 
-RecordSignal = Callable[[FleetEndpoint, ServerSignal, float], None]
-"""Records what the answer to a call, sent at a time, says of its endpoint."""
+RecordSignal = Callable[[FleetEndpoint, ServerSignal, float, Sequence[str]], None]
+"""Records what the answer to a call, sent at a time, says of its endpoint, and which
+headers of the platform in it are unknown."""
 
 
 class Services(NamedTuple):
--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 from poplarfold._internal.core.fleet.rows import FleetEndpoint, RequestLimits
@@ -73,6 +74,8 @@
 LOG_CLOSE_S = 0.5
 # What is kept of the grace time for the exit itself, after the log has been written.
 EXIT_MARGIN_S = 0.1
+# Names of unknown headers that are logged, at most.
+UNKNOWN_MAX = 100
 READY_PATH = "/v1/readyz"
 METRICS_PATH = "/metrics"
 
@@ -92,6 +95,7 @@
         self.settings = settings
         self.writer = writer
         self.stopping = threading.Event()
+        self.unknown_headers: set[str] = set()
         # When the process must end, once a planned stop has begun.
         self.ends_at = float("inf")
         self.resources = caller_resources(host, settings, writer)
@@ -180,12 +184,19 @@
         return CallerLimits(SMALL_BODY_LIMIT_BYTES, self.settings.caller_idle_s)
 
     def record_signal(
-        self, endpoint: FleetEndpoint, signal: ServerSignal, sent_at: float
+        self,
+        endpoint: FleetEndpoint,
+        signal: ServerSignal,
+        sent_at: float,
+        unknown_headers: Sequence[str] = (),
     ) -> None:
         """Record what the answer to a call says of its endpoint, and log what is new.
 
-        ``sent_at`` is the time of the call.
+        ``sent_at`` is the time of the call. ``unknown_headers`` are headers of the
+        platform in the answer that this release does not know.
         """
+        for name in unknown_headers:
+            self.log_unknown_header(endpoint, name)
         if self.fleet.record_limit(endpoint, signal.limit_per_s, sent_at):
             self.log_limit(endpoint, signal.limit_per_s)
         if self.fleet.record_signal(endpoint, signal):
@@ -197,6 +208,14 @@
             }
             self.writer.write_event("PF7112", None, fields)
 
+    def log_unknown_header(self, endpoint: FleetEndpoint, name: str) -> None:
+        """Log a header that this release does not know, once for each name."""
+        if name in self.unknown_headers or len(self.unknown_headers) >= UNKNOWN_MAX:
+            return
+        self.unknown_headers.add(name)
+        fields = {"header": name, "endpoint": endpoint.endpoint_id}
+        self.writer.write_event("PF7114", None, fields)
+
     def log_limit(self, endpoint: FleetEndpoint, limit_per_s: float | None) -> None:
         """Log an endpoint's limit and this host's share of it."""
         share = self.fleet.limit_share(endpoint)
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -148,7 +148,9 @@
         answer = result.unwrap()
         metadata = decode_answer_metadata(answer.status, answer.headers)
         if not metadata.is_other_endpoint:
-            context.services.record_signal(endpoint, metadata.signal, started_at)
+            context.services.record_signal(
+                endpoint, metadata.signal, started_at, metadata.unknown_headers
+            )
         self.sent_attempts += 1
         self.is_unexecuted = self.is_unexecuted and metadata.not_run
         ok = answer.status < SERVER_ERROR
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -253,7 +253,9 @@
             self.is_unexecuted = False
             raise ResponseMismatchError("the answer does not belong to the request")
         if not metadata.is_other_endpoint:
-            context.services.record_signal(endpoint, metadata.signal, started_at)
+            context.services.record_signal(
+                endpoint, metadata.signal, started_at, metadata.unknown_headers
+            )
         if metadata.load is not None and metadata.load.slowdown is not None:
             self.fleet.record_load(endpoint, metadata.load)
         self.is_unexecuted = self.is_unexecuted and metadata.not_run
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -656,6 +656,14 @@
         "hosts together, or no limit any more; this host has a share of it, or only "
         "tries at times whether the limit has ended",
     ),
+    EventKind(
+        "PF7114",
+        "unknown_header",
+        ("header", "endpoint"),
+        "an endpoint's answer has a header of the platform that this release does not "
+        "know, and what it says is not looked at; logged once for each name",
+        alert=True,
+    ),
     EventKind(
         "PF7201",
         "part_blocked",
--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -37,6 +37,8 @@
 SERVER_LEAVING = "Server-Leaving"
 SERVER_LIMIT = "Server-Limit"
 RETRY_AFTER = "Retry-After"
+# The platform's headers begin with one of these.
+PLATFORM_PREFIXES = ("poplarfold-", "server-")
 TOO_BUSY_STATUS = 503
 
 # Further parts of a prompt, and those with longer ids, are not looked at.
@@ -62,6 +64,21 @@
         "Wait-Ms",
     )
 )
+# Known headers of answers; Server-Timing is a common one that is not the platform's.
+ANSWER_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        SERVER_STAMP,
+        SERVER_LOAD,
+        NOT_EXECUTED,
+        SERVER_LEAVING,
+        SERVER_LIMIT,
+        "Poplarfold-Instance-Id",
+        "Poplarfold-Weight-Versions",
+        "Server-Timing",
+    )
+)
 # Headers that apply to a single connection and are not forwarded (RFC 9110, section
 # 7.6.1).
 HOP_BY_HOP_HEADERS = frozenset(
@@ -133,6 +150,7 @@
     ``not_run`` is the endpoint's assurance that the call has not run and will not
     run. ``is_other_endpoint`` means that the address now belongs to another
     endpoint, and that the answer says nothing of the one that was called.
+    ``unknown_headers`` are headers of the platform that this release does not know.
     """
 
     request_id: str | None
@@ -142,6 +160,7 @@
     is_encoded: bool
     load: EndpointLoad | None
     signal: ServerSignal = ServerSignal()
+    unknown_headers: tuple[str, ...] = ()
 
     def belongs_to(self, call: CallerCall) -> bool:
         """Return whether the answer may be forwarded to the caller of ``call``.
@@ -279,6 +298,17 @@
         is_encoded="Content-Encoding" in headers,
         load=None if is_other else decode_load(headers.get(SERVER_LOAD)),
         signal=ServerSignal() if is_other else decode_signal(status, headers),
+        unknown_headers=find_unknown_headers(headers),
+    )
+
+
+def find_unknown_headers(headers: Iterable[str]) -> tuple[str, ...]:
+    """Return the names of the platform's headers that this release does not know."""
+    names = (name.lower() for name in headers)
+    return tuple(
+        name
+        for name in names
+        if name.startswith(PLATFORM_PREFIXES) and name not in ANSWER_HEADERS
     )
 
 
--- a/src/poplarfold/_internal/platform/engines.py
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -2,7 +2,7 @@
 
 import json
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -64,13 +64,14 @@
 class EngineClient:
     """Client for the router's own calls to engines. Thread-safe.
 
-    ``on_signal`` gets what each answer says of its engine, and when it was called.
+    ``on_signal`` gets what each answer says of its engine, when it was called, and
+    which headers of the platform in the answer are unknown.
     """
 
     def __init__(
         self,
         endpoint_client: EndpointClient,
-        on_signal: Callable[[FleetEndpoint, ServerSignal, float], None],
+        on_signal: Callable[[FleetEndpoint, ServerSignal, float, Sequence[str]], None],
     ) -> None:
         self.endpoint_client = endpoint_client
         self.on_signal = on_signal
@@ -221,7 +222,7 @@
         """Decode an answer's metadata, and pass on what it says of its engine."""
         metadata = decode_answer_metadata(answer.status, answer.headers)
         if not metadata.is_other_endpoint:
-            self.on_signal(engine, metadata.signal, sent_at)
+            self.on_signal(engine, metadata.signal, sent_at, metadata.unknown_headers)
         return metadata
 
     def _delete(self, address: str, path: str, timeout_s: float) -> bool:
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -289,3 +289,12 @@
     path.write_text(json.dumps(boot_fields(**changes)))
     with pytest.raises(PlatformFormatError):
         read_boot_file(str(path))
+
+
+def test_unknown_header_of_the_platform_is_named():
+    """Guards against a demand of an endpoint that is ignored without a trace."""
+    known = {"Poplarfold-Server-Load": "1,0,4", "Server": "x", "Content-Length": "2"}
+    headers = {**known, "Server-Wish": "1", "Poplarfold-Mood": "low"}
+    unknown = decode_answer_metadata(200, headers).unknown_headers
+    assert unknown == ("server-wish", "poplarfold-mood")
+    assert decode_answer_metadata(200, known).unknown_headers == ()
