Look for room once more before a call is rejected for all limits

Three times the test had begun before its processes had a configuration, since it took their 503 for an answer; it waits for readiness now. Once a caller got Retry-After 0.000 since room came at that moment, and another one was rejected although it had come.

A plain call looks for an endpoint a second time after it has found that all limits leave no room, and no caller is told to come back in under 50 ms.

--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -71,6 +71,9 @@
 from poplarfold._internal.platform import HostSettings
 from poplarfold._internal.utils.clock import boot_time
 
+# A caller is not told to come back sooner, since others may take the room meanwhile.
+RETURN_MIN_S = 0.05
+
 __all__ = ["Fleet", "KnowledgeFields", "MatchedRoute", "TopicKnowledge"]
 
 
@@ -602,7 +605,8 @@
                 )
                 if away_s <= within_s:
                     return
-            remaining_s = away_s * (1.0 + RETURN_SPREAD * self.rng.random())
+            remaining_s = max(away_s, RETURN_MIN_S)
+            remaining_s *= 1.0 + RETURN_SPREAD * self.rng.random()
             raise EndpointsAwayError(
                 "all endpoints of the service have asked for fewer calls", remaining_s
             )
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -66,16 +66,12 @@
         while True:
             if not self.may_try():
                 break
-            endpoint = self.fleet.pick(
-                self.context.service,
-                EndpointRole.SERVICE,
-                self.tried,
-                self.needs(),
-                self.context.log,
-            )
+            endpoint = self.pick()
+            if endpoint is None and not self.tried:
+                self.fleet.check_pool(self.context.service, EndpointRole.SERVICE)
+                # An endpoint may have got room since the first choice.
+                endpoint = self.pick()
             if endpoint is None:
-                if not self.tried:
-                    self.fleet.check_pool(self.context.service, EndpointRole.SERVICE)
                 break
             self.tried.add(endpoint.endpoint_id)
             try:
@@ -93,6 +89,16 @@
             return
         raise error if self.is_unexecuted is False else as_not_run_error(error)
 
+    def pick(self) -> FleetEndpoint | None:
+        """Choose the next endpoint; ``finish_call`` must follow."""
+        return self.fleet.pick(
+            self.context.service,
+            EndpointRole.SERVICE,
+            self.tried,
+            self.needs(),
+            self.context.log,
+        )
+
     def needs(self) -> AttemptNeeds:
         """Return what the choice of the next endpoint has to consider.
 
--- a/tests/functional/test_server_limits.py
+++ b/tests/functional/test_server_limits.py
@@ -84,7 +84,7 @@
 def call_all(nodes):
     """Call all nodes in turn; return the answers, and the longest rejection in s."""
     for node in nodes:
-        wait_until(lambda node=node: is_served(node), START_LIMIT_S)
+        wait_until(lambda node=node: is_ready(node), START_LIMIT_S)
         wait_until(lambda node=node: b'"nodes": 3' in as_json(node), START_LIMIT_S)
     answers, longest_s = [], 0.0
     begins_at = time.monotonic()
@@ -102,9 +102,9 @@
     return node.log.read_bytes().replace(b'"nodes":', b'"nodes": ')
 
 
-def is_served(node):
+def is_ready(node):
     try:
-        return node.call().status in (200, 503)
+        return node.request("ready", "/v1/readyz").status == 200
     except OSError:
         return False
 
