Do not move a stream whose engine has answered with its head

What callers saw: nothing at best, but a stream that its engine had just begun was moved to another one: a retry of the budget, an attempt of the route, and a prompt that was read twice. If the other engine then failed, a sound stream was lost. Events that arrive together with the head are buffered when the head is read, and the socket has none left. If the look for a slot lasted longer than the time between two looks, the next one came before these events were read.

The buffered events are read first now. An engine whose bytes wait in the socket is not taken for silent any more, as after a pause of this process, and no other call avoids it then.

--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -328,16 +328,18 @@
             wait_s = left_s = self.context.remaining_s()
             if self.context.route.resumable:
                 wait_s = self.failover.wait_s(progress_at, usual_s)
-                if wait_s <= 0 and self.find_failover(stream.sock):
+                # Events that came with the head are no longer in the socket.
+                is_silent = wait_s <= 0 and not stream.buffered
+                if is_silent and self.find_failover(stream.sock):
                     moved = EndpointStalledError(f"{stream.address} completes no event")
                     return Err(Failure(moved, sent=True))
             stream.idle_timeout_s = max(0.0, min(wait_s, left_s))
             result = stream.read()
             self.context.check_caller()
-            is_silent = result.is_err() and isinstance(
+            has_stalled = result.is_err() and isinstance(
                 result.unwrap_err().error, EndpointStalledError
             )
-            if not is_silent or boot_time() >= self.context.deadline_at:
+            if not has_stalled or boot_time() >= self.context.deadline_at:
                 return result
 
     def split_events(self, data: bytes, endpoint: FleetEndpoint) -> bytes:
--- a/src/poplarfold/_internal/gateway/stream_failover.py
+++ b/src/poplarfold/_internal/gateway/stream_failover.py
@@ -65,6 +65,9 @@
         attempt is allowed.
         """
         self.check_at = boot_time() + RECHECK_PERIOD_S
+        if has_data(sock):
+            # This process was held up, not the engine.
+            return False
         self._notice()
         if not may_repeat or not self.fleet.may_spend_retry(self.context.service):
             return False
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -63,6 +63,56 @@
         free.stop()
 
 
+class LateEngine(EndpointStandIn):
+    """An engine that sends its head together with the first events, and late."""
+
+    head_after_s = 2.15
+
+    def stream(self, request, headers, body):
+        self.runs.append((request.command, request.path, headers, body))
+        time.sleep(self.head_after_s)
+        request.send_response(200)
+        for name, value in self.proof(headers).items():
+            request.send_header(name, value)
+        data = self.all_events(headers)
+        request.send_header("Content-Length", str(len(data)))
+        # One write, so that they arrive together.
+        request._headers_buffer.append(b"\r\n" + data)
+        request.flush_headers()
+
+
+class SlowLeases(EndpointStandIn):
+    """An engine that takes a while to grant a slot."""
+
+    lease_s = 0.3
+
+    def take_lease(self, request, number):
+        if "no_room" not in self.faults:
+            time.sleep(self.lease_s)
+        super().take_lease(request, number)
+
+
+def test_stream_that_has_answered_is_not_moved(fleet):
+    """Guards against a stream that is moved although its engine has answered, when its
+    first events came with the head while a slot was looked for."""
+    late, free = LateEngine("i-decode", "decode"), SlowLeases("i-decode-2", "decode")
+    free.faults.add("no_room")
+    fleet.announce(late, "llm", born=1788179296999)
+    fleet.announce(free, "llm")
+    fleet.wait_counted()
+    wait_until(lambda: b"i-decode-2" in fleet.log.read_bytes(), 5.0)
+    try:
+        connection = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
+        wait_until(lambda: late.runs, 5.0)
+        free.faults.clear()
+        answer = connection.getresponse()
+        assert answer.read().count(b"id: ") == late.events
+        assert (len(late.runs), len(free.runs)) == (1, 0)
+    finally:
+        late.stop()
+        free.stop()
+
+
 class KeptConnection:
     """A caller that makes one call now and another one later on the same connection."""
 
