Let callers end a stream after a look for another engine

The call that asks another engine for a slot took the place of the stream's connection as the one that is closed if the caller leaves, and nothing put the stream's connection back.

The stream's connection takes its place again after the call, and is closed at once if the caller has left meanwhile.

--- a/src/poplarfold/_internal/gateway/stream_failover.py
+++ b/src/poplarfold/_internal/gateway/stream_failover.py
@@ -77,6 +77,8 @@
         if endpoint is None:
             return False
         found = self.setup.take_lease(endpoint)
+        # The call to the other engine took its place.
+        self.context.abort.attach(sock)
         if found is None:
             return False
         if has_data(sock) or not self.context.try_spend_retry():
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -3,6 +3,7 @@
 import fcntl
 import http.client
 import os
+import select
 import signal
 import threading
 import time
@@ -113,6 +114,44 @@
         free.stop()
 
 
+class ObservedEngine(EndpointStandIn):
+    """An engine whose connections can be looked at."""
+
+    def __init__(self, endpoint_id):
+        super().__init__(endpoint_id, "decode")
+        self.sockets = []
+
+    def stream(self, request, headers, body):
+        self.sockets.append(request.connection)
+        super().stream(request, headers, body)
+
+
+def test_caller_that_leaves_after_a_look_for_another_engine_ends_its_stream(fleet):
+    """Guards against an engine that works on for a caller who has left, since the look
+    for a slot elsewhere took the stream's connection from the one that is closed."""
+    paused, full = ObservedEngine("i-decode"), EndpointStandIn("i-decode-2", "decode")
+    full.faults.add("no_room")
+    fleet.announce(paused, "llm", born=1788179296999)
+    fleet.announce(full, "llm")
+    fleet.wait_counted()
+    wait_until(lambda: b"i-decode-2" in fleet.log.read_bytes(), 5.0)
+    paused.pause_after, paused.pause_s = 1, 2.5
+    paused.event_period_s = 1.5
+    try:
+        connection = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
+        answer = connection.getresponse()
+        received = b""
+        while b"id: 2" not in received:
+            received += answer.read1()
+        assert b"engine_silent" in fleet.log.read_bytes()
+        connection.close()
+        answer.close()
+        assert select.select(paused.sockets, [], [], 0.5)[0]
+    finally:
+        paused.stop()
+        full.stop()
+
+
 class KeptConnection:
     """A caller that makes one call now and another one later on the same connection."""
 
