End a planned stop by the grace time of the reread settings

What callers saw: a process that is killed with calls open, if its settings file had been changed to a shorter grace time (rule LOST). SIGHUP has the file reread, but a planned stop kept to the bounds that were read at the start.

The stop takes the bounds that were read last.

--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -91,7 +91,6 @@
     def __init__(
         self, host: HostSettings, settings: GatewaySettings, writer: EventWriter
     ) -> None:
-        self.host = host
         self.settings = settings
         self.writer = writer
         self.stopping = threading.Event()
@@ -280,8 +279,10 @@
         are requests whose bodies have not arrived by then.
         """
         started_at = boot_time()
-        self.ends_at = started_at + self.host.bounds.grace_s - EXIT_MARGIN_S
-        limit_s = self.host.bounds.grace_s - self.settings.stop_margin_s
+        # The settings may have been reread since the start.
+        grace_s = self.fleet.host.bounds.grace_s
+        self.ends_at = started_at + grace_s - EXIT_MARGIN_S
+        limit_s = grace_s - self.settings.stop_margin_s
         with self.fleet.lock:
             self.fleet.reject_streams_after = started_at + self.settings.stop_streams_s
             ends_s = max(0.0, limit_s - self.settings.stop_answers_s)
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -2,6 +2,7 @@
 
 import fcntl
 import http.client
+import json
 import os
 import select
 import signal
@@ -152,6 +153,25 @@
         full.stop()
 
 
+def test_stop_keeps_to_the_grace_time_of_the_reread_settings(fleet):
+    """Guards against a process that is killed, since its grace time was shortened while
+    it ran."""
+    shorter_s = 2.0
+    fleet.bounds["grace_s"] = shorter_s
+    fleet.boot.write_text(json.dumps(fleet.boot_fields()))
+    fleet.process.send_signal(signal.SIGHUP)
+    wait_until(lambda: b"PF2104" in fleet.log.read_bytes(), 5.0)
+    fleet.decode.pause_s = 2 * GRACE_S
+    stream = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
+    wait_until(lambda: fleet.decode.runs, 5.0)
+    started_at = time.monotonic()
+    fleet.process.send_signal(signal.SIGTERM)
+    fleet.process.wait(2 * GRACE_S)
+    ended_after_s = time.monotonic() - started_at
+    stream.close()
+    assert ended_after_s <= shorter_s
+
+
 class KeptConnection:
     """A caller that makes one call now and another one later on the same connection."""
 
