Keep a silent engine's stream while its prompt is blocked

What callers saw: a sound stream that ended early (rule LOST). A stream left its silent engine for a granted slot, and only then was its prompt checked: a part of it had been blocked meanwhile, since engines crashed under it in other calls. The next attempt was refused, and the stream was cut although its engine would have gone on.

The look for a slot considers the block now, as it does a planned stop. The test lost 4 of 5 events before and passes now.

--- a/src/poplarfold/_internal/gateway/part_evidence.py
+++ b/src/poplarfold/_internal/gateway/part_evidence.py
@@ -40,10 +40,14 @@
         """
         if is_unexecuted:
             self.guard.check(self.parts)
-        elif self.guard.blocked_part(self.parts) is not None:
+        elif self.is_blocked():
             self.is_suspect = True
             raise EndpointError("engines have crashed under a part of the prompt")
 
+    def is_blocked(self) -> bool:
+        """Return whether requests with a part of this prompt are rejected now."""
+        return self.guard.blocked_part(self.parts) is not None
+
     def may_repeat(self) -> bool:
         """Return whether the call may go to another engine."""
         return not self.is_suspect or self.guard.may_repeat(self.parts)
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -230,7 +230,9 @@
 
         ``sock`` is the connection to the silent engine.
         """
-        may_repeat = self.is_repeatable() and not self.is_too_late()
+        # What would end the next attempt must not end a stream that may still go on.
+        is_rejected = self.is_too_late() or self.evidence.is_blocked()
+        may_repeat = self.is_repeatable() and not is_rejected
         return self.failover.find(sock, may_repeat)
 
     def read_timeout_s(self, usual_s: float) -> float:
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -172,6 +172,38 @@
     assert ended_after_s <= shorter_s
 
 
+def test_stream_whose_prompt_is_blocked_stays_at_its_engine(fleet):
+    """Guards against a sound stream that leaves its paused engine, although no engine
+    gets its prompt any more."""
+    deadly = [EndpointStandIn(f"i-deadly-{n}", "decode") for n in range(4)]
+    free = EndpointStandIn("i-free", "decode")
+    for engine in (*deadly, free):
+        engine.faults.add("no_room")
+        fleet.announce(engine, "llm")
+    for engine in deadly:
+        engine.deadly_part = "bad0"
+    fleet.wait_counted()
+    wait_until(lambda: b"i-free" in fleet.log.read_bytes(), 5.0)
+    fleet.decode.pause_after, fleet.decode.pause_s = 1, PAUSE_S
+    headers = {**TOKENS, "Poplarfold-Prompt-Prefix": "bad0:50,91bd:50"}
+    try:
+        connection = fleet.open("POST", "/caption/1", headers, b"prompt")
+        answer = connection.getresponse()
+        fleet.decode.faults.add("no_room")
+        for engine in deadly:
+            engine.faults.clear()
+        while b"PF7201" not in fleet.log.read_bytes():
+            fleet.call("POST", "/caption/1", headers, b"prompt")
+        free.faults.clear()
+        assert b"engine_silent" not in fleet.log.read_bytes()
+        assert answer.read().count(b"id: ") == fleet.decode.events
+        assert b"engine_silent" in fleet.log.read_bytes()
+        assert free.runs == []
+    finally:
+        for engine in (*deadly, free):
+            engine.stop()
+
+
 class KeptConnection:
     """A caller that makes one call now and another one later on the same connection."""
 
