Move a stream from an engine that sends a byte now and then

What callers saw: a stream that completed no event until its deadline, although another engine had room, where a slot takes longer to be granted than the time between two such bytes. Bytes that had come meanwhile counted as a sign that the engine goes on, however often they completed no event. The slot was taken and given back without a pause, which kept it from other callers.

Bytes that arrive count once, until there is an event; and there is a pause after each look, also after a long one.

--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -270,6 +270,7 @@
                 self.record_refusal(prepared)
                 raise EndpointRefusedError(f"{endpoint.address} refused the stream")
             return self.relay_failure(stream, endpoint, started_at)
+        self.failover.record_head()
         progress_at = started_at
         while not stream.ended:
             result = self.read_stream(stream, progress_at)
--- a/src/poplarfold/_internal/gateway/stream_failover.py
+++ b/src/poplarfold/_internal/gateway/stream_failover.py
@@ -39,6 +39,8 @@
         self.endpoint: FleetEndpoint | None = None
         self.check_at = 0.0
         self.has_noticed = False
+        # Whether a look has already waited for an event whose bytes were arriving.
+        self.has_waited = False
 
     def begin(self, endpoint: FleetEndpoint) -> None:
         """Begin an attempt at an engine."""
@@ -49,6 +51,11 @@
         """Record that the engine has just sent a whole event."""
         self.check_at = 0.0
         self.has_noticed = False
+        self.has_waited = False
+
+    def record_head(self) -> None:
+        """Record that the engine has sent the head of its answer."""
+        self.has_waited = False
 
     def wait_s(self, progress_at: float, silence_s: float) -> float:
         """Return for how long the engine may stay silent before the next look.
@@ -65,7 +72,7 @@
         attempt is allowed.
         """
         self.check_at = boot_time() + RECHECK_PERIOD_S
-        if has_data(sock):
+        if self._may_wait(sock):
             # This process was held up, not the engine.
             return False
         self._notice()
@@ -77,11 +84,12 @@
         if endpoint is None:
             return False
         found = self.setup.take_lease(endpoint)
+        self.check_at = boot_time() + RECHECK_PERIOD_S
         # The call to the other engine took its place.
         self.context.abort.attach(sock)
         if found is None:
             return False
-        if has_data(sock) or not self.context.try_spend_retry():
+        if self._may_wait(sock) or not self.context.try_spend_retry():
             self._release(found)
             return False
         self.reservation = found
@@ -102,6 +110,17 @@
         self.fleet.finish_call(reservation.endpoint)
         self.setup.release(PreparedDecode(reservation))
 
+    def _may_wait(self, sock: socket.socket) -> bool:
+        """Return whether bytes have come that may complete an event.
+
+        If they complete none, the next ones are no reason to stay: an engine that sends
+        a byte now and then would keep its stream for good.
+        """
+        if self.has_waited or not has_data(sock):
+            return False
+        self.has_waited = True
+        return True
+
     def _notice(self) -> None:
         """Log the first look since the last event; others avoid the engine then."""
         if self.has_noticed or self.endpoint is None:
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -115,6 +115,27 @@
         free.stop()
 
 
+def test_stream_that_completes_no_event_is_moved_after_a_slow_lease(fleet):
+    """Guards against a stream that stays at an engine which sends a byte now and then,
+    and a slot elsewhere that is taken and given back again and again."""
+    free = SlowLeases("i-decode-2", "decode")
+    free.faults.add("no_room")
+    fleet.announce(free, "llm")
+    fleet.wait_counted()
+    wait_until(lambda: b"i-decode-2" in fleet.log.read_bytes(), 5.0)
+    fleet.decode.faults.add("drip_stream")
+    try:
+        connection = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
+        wait_until(lambda: fleet.decode.runs, 5.0)
+        free.faults.clear()
+        answer = connection.getresponse()
+        assert answer.read().count(b"id: ") == fleet.decode.events
+        (resumed,) = free.runs
+        assert resumed[2]["Last-Event-Id"] == "2"
+    finally:
+        free.stop()
+
+
 class ObservedEngine(EndpointStandIn):
     """An engine whose connections can be looked at."""
 
