Do not avoid an engine since a caller left while it was asked for a slot

What callers saw: longer waits after many callers had left at once. The call that asks an engine for a slot is broken off if its caller leaves, and that counted as a failure of the engine: it was avoided for a while, although it is sound. The end of a call in a planned stop did the same.

A call that was broken off by this node is no failure of the engine.

--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -138,6 +138,9 @@
             self.release(PreparedDecode(reservation))
             return None
         self.fleet.finish_call(endpoint)
+        if context.abort.aborted.is_set():
+            # The call ended while the engine was asked, which is no failure of it.
+            return None
         failure = result.unwrap_err()
         is_refused = isinstance(failure.error, EndpointRefusedError)
         self.services.metrics.count_lease("refused" if is_refused else "failed")
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -225,6 +225,24 @@
             engine.stop()
 
 
+def test_caller_that_leaves_while_a_slot_is_asked_for_does_no_harm(fleet):
+    """Guards against a sound engine that is avoided, since a caller left while it was
+    asked for a slot."""
+    fleet.store.put("keyed.servers", "i-decode", None)
+    slow = SlowLeases("i-decode-2", "decode")
+    fleet.announce(slow, "llm")
+    fleet.wait_counted()
+    wait_until(lambda: b"i-decode-2" in fleet.log.read_bytes(), 5.0)
+    try:
+        connection = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
+        wait_until(lambda: slow.count, 5.0)
+        connection.close()
+        wait_until(lambda: b"PF1109" in fleet.log.read_bytes(), 5.0)
+        assert b"PF1103" not in fleet.log.read_bytes()
+    finally:
+        slow.stop()
+
+
 class KeptConnection:
     """A caller that makes one call now and another one later on the same connection."""
 
