Answer a call whose time is over before its resources are released

What callers saw: at the end of a planned stop, a stream that had been passed on and ended with a closed connection instead of status 504. The stop ends the open calls 0.3 s before its end, and the thread of such a call first gave back its prefill, which waits up to 0.4 s for an engine. A call that reached its route's timeout got its answer that much later, too.

Once its time is over, a call is answered at once, and another thread gives back what it holds. The test got no answer before and passes now.

--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -4,6 +4,7 @@
 lack of a slot. Unused reservations are released at once.
 """
 
+import threading
 from typing import NamedTuple
 
 from poplarfold._internal.core.fleet.admission_queue import WaitingStream
@@ -242,7 +243,21 @@
 
         Without ``is_reachable`` the decode engine is not called: its lease expires
         by itself, and the next attempt must not wait for a timeout.
+
+        Once the call's time is over, its caller does not wait for the engines either.
         """
+        if boot_time() < self.context.deadline_at:
+            self._release(prepared, is_reachable)
+            return
+        threading.Thread(
+            target=self._release,
+            args=(prepared, is_reachable),
+            name="release",
+            daemon=True,
+        ).start()
+
+    def _release(self, prepared: PreparedDecode, is_reachable: bool) -> None:
+        """Release a slot and a KV cache, like ``release``, and wait for the engines."""
         engines = self.services.engines
         release_timeout_s = self.settings.lease_call_s
         endpoint, lease_id = prepared.reservation
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -243,6 +243,39 @@
         slow.stop()
 
 
+class SlowReleases(EndpointStandIn):
+    """An engine that takes a while to give up the result of a prefill."""
+
+    release_s = 1.0
+
+    def serve(self, request, body):
+        if request.path.startswith("/v1/kv-handle/"):
+            time.sleep(self.release_s)
+        super().serve(request, body)
+
+
+def test_stop_answers_a_stream_before_its_prefill_is_released(fleet):
+    """Guards against a stream without an answer at the end of a stop, since its thread
+    waits for an engine."""
+    late = LateEngine("i-decode", "decode")
+    late.head_after_s = 2 * GRACE_S
+    slow = SlowReleases("i-prefill", "prefill")
+    fleet.announce(late, "llm", born=1788179296999)
+    fleet.announce(slow, "llm", born=1788179296999)
+    fleet.wait_counted()
+    wait_until(lambda: fleet.log.read_bytes().count(b"1788179296999") >= 2, 5.0)
+    try:
+        connection = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
+        connection.sock.settimeout(2 * GRACE_S)
+        wait_until(lambda: late.runs, 5.0)
+        assert slow.prefills
+        fleet.process.send_signal(signal.SIGTERM)
+        assert connection.getresponse().status == 504
+    finally:
+        late.stop()
+        slow.stop()
+
+
 class KeptConnection:
     """A caller that makes one call now and another one later on the same connection."""
 
