Do not tell a stream of limits when its own wait is over

Once a stream's wait was over, less than no time was left, and no wait at all counted as one that is too long.

--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -603,7 +603,8 @@
                 away_s = self._limit_wait_s(
                     [row for row, wait_s in staying.items() if wait_s <= 0.0]
                 )
-                if away_s <= within_s:
+                # A wait that is over leaves less than no time.
+                if away_s <= max(0.0, within_s):
                     return
             remaining_s = max(away_s, RETURN_MIN_S)
             remaining_s *= 1.0 + RETURN_SPREAD * self.rng.random()
--- a/tests/unit/test_server_limits.py
+++ b/tests/unit/test_server_limits.py
@@ -4,6 +4,7 @@
 from collections import deque
 
 import pytest
+from tests.lib.relay_nodes import host_settings
 
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.fleet.server_limits import (
@@ -11,7 +12,11 @@
     LimitHosts,
     ServerLimits,
 )
+from poplarfold._internal.core.fleet.server_signals import RETURN_SPREAD
 from poplarfold._internal.core.model import EndpointRole
+from poplarfold._internal.exceptions import EndpointsAwayError
+from poplarfold._internal.gateway.fleet import Fleet
+from poplarfold._internal.gateway.settings import GatewaySettings
 from poplarfold._internal.platform import caller_answer_headers, decode_answer_metadata
 
 # The platform's rule, see docs/incidents/server-limits.md.
@@ -239,3 +244,37 @@
     headers = {"Server-Limit": "3.3", "X-A": "b"}
     assert caller_answer_headers(headers.items()) == [("X-A", "b")]
     assert decode_answer_metadata(421, headers).signal.limit_per_s is None
+
+
+class LimitedPool:
+    """A fleet with endpoints of one service, under a clock that stands still."""
+
+    def __init__(self, *limits):
+        host = host_settings("front-0", "127.0.0.1:1")
+        self.fleet = Fleet(host, GatewaySettings(), 1, lambda: 100.0)
+        self.fleet.presence.update({"front-0": 1}, 100.0)
+        for number, limit in enumerate(limits):
+            row = endpoint(f"i-{number}")
+            self.fleet.directory.apply_endpoint(row.endpoint_id, row, 100.0)
+            self.fleet.record_limit(row, limit, 100.0)
+
+    def check(self, within_s):
+        self.fleet.check_pool("s", EndpointRole.SERVICE, within_s)
+
+
+@pytest.mark.parametrize("within_s", [-0.01, 0.0, 1.0])
+def test_pool_with_room_is_not_rejected(within_s):
+    """Guards against a stream that is told of limits, although its wait is over."""
+    LimitedPool(1.0, None).check(within_s)
+
+
+def test_pool_whose_limits_leave_no_room_is_rejected():
+    """Guards against calls that wait for room which comes too late, and callers who are
+    told to come back before it does."""
+    pool = LimitedPool(1.0, 4.0)
+    assert pool.fleet.pick("s", EndpointRole.SERVICE) is None
+    with pytest.raises(EndpointsAwayError) as caught:
+        pool.check(0.2)
+    # One host has both limits for itself.
+    assert 0.25 <= caught.value.remaining_s <= 0.25 * (1 + RETURN_SPREAD)
+    pool.check(0.3)
