Believe no refusal without an id on a kept connection

What callers saw: on idempotent routes, 503 for calls that an endpoint ran.

Cause: an answer without a request id that assures that the call has not run was believed on any connection. A faulty endpoint can write an earlier refusal once more, after the next call was sent on the connection that both sides keep.

Such an answer on a connection that was used before is now no answer to the call: the connection is closed, the call counts as one that may have run, and it is repeated only within its route's attempts and the retry budget. A pause or a leaving that the answer names is still kept to. On a new connection nothing changes. Calls that may run once, and streams, always use new connections.

The planted fault of the gateway's soak that replaces belongs_to takes the new parameter.

--- a/src/poplarfold/_internal/core/fleet/server_signals.py
+++ b/src/poplarfold/_internal/core/fleet/server_signals.py
@@ -32,6 +32,11 @@
     retry_after_s: float | None = None
     limit_per_s: float | None = None
 
+    @property
+    def is_away(self) -> bool:
+        """Whether the endpoint leaves or must not be called for a while."""
+        return self.is_leaving or self.retry_after_s is not None
+
 
 class SignalRow(NamedTuple):
     """What an incarnation of an endpoint has said. It is not called before a time."""
--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/daemon/endpoint_client.py
@@ -38,14 +38,18 @@
     "Failure",
     "OwnAnswerCheck",
     "Target",
+    "is_believed_without_id",
 ]
 
 IDLE_CONNECTIONS_PER_ADDRESS = 64
 # Less than the 10 s after which common HTTP servers close an idle connection.
 IDLE_TIMEOUT_S = 5.0
 
-OwnAnswerCheck = Callable[[int, Mapping[str, str]], bool]
-"""Returns, by status and headers, whether a response belongs to the request."""
+OwnAnswerCheck = Callable[[int, Mapping[str, str], bool], bool]
+"""Returns whether a response belongs to the request.
+
+It gets the status, the headers, and whether the connection was used before.
+"""
 AwaitAnswer = Callable[[socket.socket], bool]
 """Waits for the first bytes of a response; returns False if there will be none."""
 
@@ -137,8 +141,8 @@
     ) -> Result[Answer, Failure]:
         """Make one request and read its complete response.
 
-        ``belongs_to_request`` returns, by status and headers, whether a response
-        belongs to this request. If it does not, the connection is closed.
+        ``belongs_to_request`` returns whether a response belongs to this request. If
+        it does not, the connection is closed.
 
         ``use_new_connection`` prevents the reuse of a kept connection. A request
         that fails because the endpoint has closed a reused connection is repeated
@@ -315,6 +319,7 @@
         bytes_per_s_min: float = math.inf,
         kept: HeldBytes | None = None,
     ) -> Result[Answer, Failure]:
+        was_reused = connection.sock is not None
         failure = self._send(connection, target, body, headers, timeout_s, handle)
         if failure is not None:
             connection.close()
@@ -342,7 +347,7 @@
             if handle is not None:
                 handle.attach(None)
         if belongs_to_request is not None and not belongs_to_request(
-            response.status, response.headers
+            response.status, response.headers, was_reused
         ):
             connection.close()
             message = f"{target.address} returned the response to another request"
@@ -394,6 +399,16 @@
         return None
 
 
+def is_believed_without_id(
+    status: int, headers: Mapping[str, str], was_reused: bool
+) -> bool:
+    """Return whether a response without the request's id may be its response.
+
+    A faulty endpoint may repeat an earlier refusal on a connection that it keeps.
+    """
+    return status == 200 or not was_reused
+
+
 def read_response_body(response: BaseHTTPResponse, held: HeldBytes) -> bytes:
     """Read a body to its end.
 
--- a/src/poplarfold/_internal/gateway/fleet.py
+++ b/src/poplarfold/_internal/gateway/fleet.py
@@ -541,7 +541,7 @@
 
     def record_signal(self, endpoint: FleetEndpoint, signal: ServerSignal) -> bool:
         """Record what an answer says of its endpoint; return whether that was new."""
-        if not signal.is_leaving and signal.retry_after_s is None:
+        if not signal.is_away:
             return False
         with self.lock:
             now = self.clock()
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -185,8 +185,17 @@
             account=context.account_name,
         )
 
-        def belongs_to_request(status: int, headers: Mapping[str, str]) -> bool:
-            return decode_answer_metadata(status, headers).belongs_to(call)
+        sent_at = boot_time()
+
+        def belongs_to_request(
+            status: int, headers: Mapping[str, str], was_reused: bool
+        ) -> bool:
+            metadata = decode_answer_metadata(status, headers)
+            is_own = metadata.belongs_to(call, was_reused)
+            if not is_own and metadata.belongs_to(call) and metadata.signal.is_away:
+                # The endpoint wrote it, if not for this call.
+                context.services.record_signal(endpoint, metadata.signal, sent_at)
+            return is_own
 
         return context.services.client.exchange(
             Target(endpoint.address, call.method, call.path),
--- a/src/poplarfold/_internal/platform/calls.py
+++ b/src/poplarfold/_internal/platform/calls.py
@@ -162,16 +162,18 @@
     signal: ServerSignal = ServerSignal()
     unknown_headers: tuple[str, ...] = ()
 
-    def belongs_to(self, call: CallerCall) -> bool:
+    def belongs_to(self, call: CallerCall, was_reused: bool = False) -> bool:
         """Return whether the answer may be forwarded to the caller of ``call``.
 
         A truncated header block parses as one with fewer headers. Hence an answer
         without the call's id or the endpoint's stamp is rejected. An answer that
         assures that the call has not run needs neither of the two, but must not carry
-        the id of another call.
+        the id of another call. If the connection has carried a call before
+        (``was_reused``), it needs the call's id: a faulty endpoint may repeat the
+        refusal of an earlier call.
         """
         if self.request_id is None and self.not_run:
-            return True
+            return not was_reused
         is_whole = self.is_stamped and not self.is_encoded
         return self.request_id == call.request_id and (is_whole or self.not_run)
 
--- a/tests/functional/gateway_soak/planted.py
+++ b/tests/functional/gateway_soak/planted.py
@@ -55,7 +55,7 @@
 
 def foreign_answers() -> None:
     """Forwards answers without checking that they belong to the request."""
-    patch(AnswerMetadata, "belongs_to", lambda self, call: True)
+    patch(AnswerMetadata, "belongs_to", lambda self, call, was_reused=False: True)
 
 
 def short_answers() -> None:
