Believe no refusal on a kept connection in the daemon

What callers saw: calls that are reported as refused and not sent, although the endpoint runs them, if a faulty endpoint writes an earlier refusal once more on a kept connection. The real answer stayed there for another call.

Cause: the daemon's calls to endpoints have no id in their answers, and refusals were believed on any connection.

A refusal on a connection that was used before now closes it, and the call is made once more on a new connection, as after a failure of a kept one. All of these calls may be repeated: they carry an attempt or order id, or only read. Calls of non-repeatable entries always use new connections.

Both cases of test_repeated_refusal_of_the_daemons_calls_is_asked_again failed before.

--- a/src/poplarfold/_internal/daemon/attempt.py
+++ b/src/poplarfold/_internal/daemon/attempt.py
@@ -17,6 +17,7 @@
     EndpointStream,
     Failure,
     Target,
+    is_believed_without_id,
 )
 from poplarfold._internal.daemon.metrics import IntervalRecorder
 from poplarfold._internal.daemon.stream_assembler import StreamAssembler
@@ -44,7 +45,7 @@
 # How often an attempt reconnects to its running decode before it fails.
 RECONNECT_LIMIT = 3
 OPERATION_POLL_S = 0.5
-STATUS_CONFLICT = 409
+REFUSAL_STATUSES = frozenset((409, 503))
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 REFUSAL_ERRORS: dict[str, type[EndpointError]] = {
@@ -359,7 +360,12 @@
         target = Target(endpoint.address, "POST", path)
         data = json.dumps(body).encode()
         result = self.io.client.exchange(
-            target, data, JSON_HEADERS, timeout_s, handle=self.handle
+            target,
+            data,
+            JSON_HEADERS,
+            timeout_s,
+            handle=self.handle,
+            belongs_to_request=is_believed_without_id,
         )
         if result.is_err() and isinstance(
             result.unwrap_err().error, EndpointStalledError
@@ -434,6 +440,7 @@
         # the call is sent, it is unknown whether the call was received.
         use_new_connection=is_non_repeatable,
         handle=handle,
+        belongs_to_request=is_believed_service_answer,
     )
     if result.is_err() and is_non_repeatable and result.unwrap_err().sent:
         result = settle_operation(io, start, handle)
@@ -459,11 +466,22 @@
     )
 
 
+def is_believed_service_answer(
+    status: int, headers: Mapping[str, str], was_reused: bool
+) -> bool:
+    """Return whether a service's response may be the one to this call.
+
+    Its other statuses are results of calls.
+    """
+    is_refusal = status in REFUSAL_STATUSES
+    return not is_refusal or is_believed_without_id(status, headers, was_reused)
+
+
 def service_error(
     start: StartAttempt, endpoint: EndpointRef, answer: Answer
 ) -> EndpointError | None:
     """Return why a service's response must not reach the caller, or None."""
-    if answer.status == STATUS_CONFLICT or answer.status == 503:
+    if answer.status in REFUSAL_STATUSES:
         code = answer.json().get("code")
         if code in REFUSAL_ERRORS or code in {"full", "leaving", "cancelled"}:
             return refusal_error(endpoint, answer)
@@ -531,6 +549,6 @@
         return error
     if kind is not None:
         return kind(message)
-    if answer.status == STATUS_CONFLICT or answer.status == 503:
+    if answer.status in REFUSAL_STATUSES:
         return EndpointRefusedError(message)
     return EndpointError(message)
--- a/src/poplarfold/_internal/daemon/endpoint_reports.py
+++ b/src/poplarfold/_internal/daemon/endpoint_reports.py
@@ -13,7 +13,11 @@
     WorkItem,
 )
 from poplarfold._internal.core.model import EndpointRole, HostKey, Identity
-from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
+from poplarfold._internal.daemon.endpoint_client import (
+    EndpointClient,
+    Target,
+    is_believed_without_id,
+)
 from poplarfold._internal.utils.malformed import MALFORMED_DOCUMENT_ERRORS
 
 __all__ = ["EndpointPoller", "parse_cache_events", "parse_report"]
@@ -31,7 +35,13 @@
     def fetch_report(self, address: str) -> EndpointReported | EndpointPollFailed:
         """Fetch a load report. A failure is confirmed on a new connection first."""
         target = Target(address, "GET", "/report")
-        result = self.client.exchange(target, None, {}, POLL_TIMEOUT_S)
+        result = self.client.exchange(
+            target,
+            None,
+            {},
+            POLL_TIMEOUT_S,
+            belongs_to_request=is_believed_without_id,
+        )
         if result.is_err() and not result.unwrap_err().refused:
             # A reused connection that fails proves nothing about the process.
             result = self.client.exchange(
@@ -48,7 +58,13 @@
     ) -> CacheEventsReceived | None:
         """Fetch the engine's cache events, or None if it does not respond."""
         target = Target(command.address, "GET", f"/cache_events?after={command.after}")
-        result = self.client.exchange(target, None, {}, POLL_TIMEOUT_S)
+        result = self.client.exchange(
+            target,
+            None,
+            {},
+            POLL_TIMEOUT_S,
+            belongs_to_request=is_believed_without_id,
+        )
         if result.is_err() or result.unwrap().status != 200:
             return None
         return parse_cache_events(command.address, result.unwrap().json())
@@ -69,6 +85,7 @@
             json.dumps(body).encode(),
             {"Content-Type": "application/json"},
             timeout_s,
+            belongs_to_request=is_believed_without_id,
         )
         if result.is_err():
             return None
--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -39,6 +39,7 @@
     AbortHandle,
     EndpointClient,
     Target,
+    is_believed_without_id,
 )
 from poplarfold._internal.daemon.endpoint_reports import EndpointPoller
 from poplarfold._internal.daemon.host_list_client import HostListClient
@@ -288,6 +289,7 @@
             body,
             {"Content-Type": "application/json"},
             CANCEL_TIMEOUT_S,
+            belongs_to_request=is_believed_without_id,
         )
         if result.is_err():
             refused = result.unwrap_err().refused
--- a/tests/unit/test_repeated_refusals.py
+++ b/tests/unit/test_repeated_refusals.py
@@ -9,15 +9,27 @@
 
 import pytest
 
+from poplarfold._internal.core.commands import StartAttempt
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.model import (
+    EndpointRef,
     EndpointRole,
+    HostKey,
+    Identity,
+    Placement,
 )
-from poplarfold._internal.daemon.endpoint_client import EndpointClient
+from poplarfold._internal.daemon.attempt import (
+    AttemptIO,
+    ModelAttempt,
+    ServiceRequest,
+    exchange_service,
+)
+from poplarfold._internal.daemon.endpoint_client import AbortHandle, EndpointClient
 from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.platform import EngineClient, decode_call
 
 TIMEOUT_S = 1.0
+IDENTITY = Identity("owner", "service", "v1")
 HEADERS = "Entry-Owner: owner\r\nEntry-Service: service\r\nEntry-Version: v1\r\n"
 GRANT = '{"hold":"h1","seq":2,"busy":false}'
 
@@ -114,3 +126,24 @@
     assert server.connections == (1 if is_repeatable else 2)
     assert result.is_err() and result.unwrap_err().sent and signals == []
     assert client.take_idle(server.address) is None or not is_repeatable
+
+
+@pytest.mark.parametrize("path", ["service", "reserve"])
+def test_repeated_refusal_of_the_daemons_calls_is_asked_again(client, path):
+    """Guards against a call that the daemon reports as refused while it runs."""
+    server = RepeatingServer(answer("503 Busy", body='{"code":"full"}'))
+    use_connection(client, server.address)
+    endpoint = EndpointRef(server.address, 1)
+    placement = Placement(endpoint, None, "l", 0.0, 0)
+    start = StartAttempt("c", "a", placement, IDENTITY, 0, 1, None, 0)
+    io = AttemptIO(client, lambda event: None, HostKey("h", 1), TIMEOUT_S, None)
+    if path == "service":
+        request = ServiceRequest("c", b"{}", time.monotonic() + TIMEOUT_S)
+        error = exchange_service(io, start, request, AbortHandle()).error
+    else:
+        attempt = ModelAttempt.__new__(ModelAttempt)
+        attempt.io, attempt.handle = io, AbortHandle()
+        error = attempt._exchange(endpoint, "/reserve", {}, TIMEOUT_S).err()
+    server.listener.close()
+    assert error is None
+    assert len(client.idle[server.address]) == 1
