Continue a stream only with events that follow those sent

What callers saw: a stream had begun and broke off, and the next engine answered with status 200 and something else. The text of an error, or earlier events, came in the middle of the stream; or the stream ended as if it were complete, also after an empty answer.

Cause: only the status of the next engine's answer was checked. All bytes that look like events were sent on, and so was what remained at the end of an answer; an answer without events ended the stream.

An answer that is to continue a stream must now have the media type of event streams or that of the answer that has begun, and its first event an id greater than the last one sent. Otherwise it is discarded before a byte of it is sent, and counts as a failed attempt. An answer without an event counts as that too: whether the broken stream had reached its last event cannot be known.

Its answers 500 and 404 are guards: if errors are forwarded within a stream, the test fails. Not checked: gaps, since ids increase by any amount.

--- a/src/poplarfold/_internal/gateway/events.py
+++ b/src/poplarfold/_internal/gateway/events.py
@@ -4,13 +4,14 @@
 
 from poplarfold._internal.exceptions import EventTooLongError
 
-__all__ = ["EventSplitter"]
+__all__ = ["EventSplitter", "continues_stream"]
 
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 # The longest end of an event, without its last byte.
 EVENT_END_OVERLAP_BYTES = 3
 EVENT_MAX_BYTES = 131_072
+NUMERIC_ID = re.compile(r"[0-9]{1,40}")
 
 
 class EventSplitter:
@@ -27,6 +28,7 @@
         self.last_id = last_id
         self.rest = b""
         self.events = 0
+        self.marked = (last_id, 0)
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that are now complete, and buffer the rest.
@@ -49,6 +51,42 @@
             self.last_id = ids[-1].decode("latin-1").strip()
         return whole
 
+    def mark(self) -> None:
+        """Begin an answer whose events may have to be discarded."""
+        self.marked = (self.last_id, self.events)
+
+    def rewind(self) -> None:
+        """Discard all events since the mark."""
+        self.last_id, self.events = self.marked
+        self.rest = b""
+
     def restart(self) -> None:
         """Discard the partial event of a stream that was interrupted."""
         self.rest = b""
+
+
+def continues_stream(data: bytes, last_id: str | None) -> bool | None:
+    """Return whether the first event in ``data`` may follow the one with ``last_id``.
+
+    Ids increase. Returns None if there are only comments so far.
+
+    >>> continues_stream(b"id: 8\\ndata: b\\n\\n", "7")
+    True
+    >>> continues_stream(b"the server has failed", "7")
+    False
+    """
+    for event in EVENT_END.split(data):
+        lines = event.splitlines()
+        if all(line.startswith(b":") or not line for line in lines):
+            continue
+        found = EVENT_ID.search(event)
+        return found is not None and follows(found[1].decode("latin-1"), last_id)
+    return None
+
+
+def follows(event_id: str, last_id: str | None) -> bool:
+    """Return whether an event may come after another one, by their ids."""
+    event_id = event_id.strip()
+    if last_id is None or not NUMERIC_ID.fullmatch(last_id):
+        return event_id not in ("", last_id)
+    return bool(NUMERIC_ID.fullmatch(event_id)) and int(event_id) > int(last_id)
--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -194,7 +194,9 @@
             is_own = metadata.belongs_to(call, was_reused)
             if not is_own and metadata.belongs_to(call) and metadata.signal.is_away:
                 # The endpoint wrote it, if not for this call.
-                context.services.record_signal(endpoint, metadata.signal, sent_at)
+                context.services.record_signal(
+                    endpoint, metadata.signal, sent_at, metadata.unknown_headers
+                )
             return is_own
 
         return context.services.client.exchange(
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+from typing import NoReturn
 
 from result import Err, Result
 
@@ -26,7 +27,7 @@
     StoppingError,
 )
 from poplarfold._internal.gateway.context import CallContext
-from poplarfold._internal.gateway.events import EventSplitter
+from poplarfold._internal.gateway.events import EventSplitter, continues_stream
 from poplarfold._internal.gateway.part_evidence import PartEvidence
 from poplarfold._internal.gateway.stream_failover import StreamFailover
 from poplarfold._internal.gateway.stream_setup import PreparedDecode, StreamSetup
@@ -44,6 +45,7 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # After this many events, the pace of a stream tells how long it will take.
 PACE_EVENTS = 3
+EVENT_STREAM = "text/event-stream"
 
 
 class StreamCall:
@@ -60,6 +62,8 @@
         self.attempts = 0
         self.is_unexecuted = True
         self.has_started = False
+        # The media type of the answer that has begun.
+        self.media_type = ""
         # When events were last sent, and the longest pause between events so far.
         self.last_sent_at = 0.0
         self.longest_pause_s = 0.0
@@ -271,6 +275,13 @@
                 raise EndpointRefusedError(f"{endpoint.address} refused the stream")
             return self.relay_failure(stream, endpoint, started_at)
         self.failover.record_head()
+        is_continued: bool | None = not self.has_started or None
+        self.splitter.mark()
+        if not is_continued and media_type(stream) not in (
+            EVENT_STREAM,
+            self.media_type,
+        ):
+            self.reject_continuation(endpoint)
         progress_at = started_at
         while not stream.ended:
             result = self.read_stream(stream, progress_at)
@@ -288,6 +299,11 @@
                 event_bytes += self.splitter.rest
                 self.splitter.restart()
             if event_bytes:
+                if not is_continued:
+                    last_id = self.splitter.marked[0]
+                    is_continued = continues_stream(event_bytes, last_id)
+                    if is_continued is False:
+                        self.reject_continuation(endpoint)
                 progress_at = boot_time()
                 self.failover.record_event()
                 self.send_events(stream, event_bytes, prepared, started_at)
@@ -301,6 +317,8 @@
             return False
         if not self.has_started:
             raise EndpointError("the stream ended without an event")
+        if not is_continued:
+            self.reject_continuation(endpoint)
         context.exchange.end_stream()
         self.evidence.record_sound()
         self.services.metrics.observe_pause(self.longest_pause_s)
@@ -316,6 +334,17 @@
         )
         return True
 
+    def reject_continuation(self, endpoint: FleetEndpoint) -> NoReturn:
+        """Discard an answer that does not go on with the stream that has begun.
+
+        Raises EndpointError.
+        """
+        self.splitter.rewind()
+        error = EndpointError("the answer does not continue the stream")
+        self.fleet.record_unresponsive(endpoint)
+        self.context.log_failure(endpoint.endpoint_id, error, True)
+        raise error
+
     def read_stream(
         self, stream: EndpointStream, progress_at: float
     ) -> Result[bytes, Failure]:
@@ -421,6 +450,7 @@
         self.has_started = True
         self.first_sent_at = self.last_sent_at = now
         self.first_events = self.splitter.events
+        self.media_type = media_type(stream)
         headers = caller_answer_headers(stream.headers.items())
         context.exchange.begin_stream(stream.status, headers, event_bytes)
         endpoint = prepared.reservation.endpoint
@@ -477,3 +507,9 @@
         finally:
             holding.release()
         return True
+
+
+def media_type(stream: EndpointStream) -> str:
+    """Return the media type of an answer, without its parameters."""
+    value: str = stream.headers.get("Content-Type", "")
+    return value.partition(";")[0].strip().lower()
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -174,6 +174,39 @@
     assert [answer.data.count(b"piece %d\n" % n) for n in range(1, 9)] == [1] * 8
 
 
+def test_answer_that_does_not_continue_a_stream_is_not_joined_to_it(fleet):
+    """Guards against an error's text in the middle of a stream, and against a stream
+    that seems complete, if the next engine answers with something else."""
+    fleet.wait_counted()
+    text = b"200 OK\r\nContent-Type: text/plain\r\nContent-Length: "
+    events = b"200 OK\r\nContent-Type: text/event-stream\r\n"
+    for answer in (
+        b"500 Failed\r\nContent-Length: 8\r\n\r\nfailed\n\n",
+        b"404 Not Found\r\nContent-Length: 16\r\n\r\nid: 3\ndata: x\n\n\n",
+        text + b"6\r\n\r\nfailed",
+        text + b"27\r\n\r\nid: 3\ndata: HTTP/1.1 500\n\n\n",
+        events + b"Content-Length: 0\r\n\r\n",
+        events + b"\r\n",
+        events + b"Content-Length: 14\r\n\r\n: only this\n\n\n",
+        events + b"Content-Length: 8\r\n\r\nfailed\n\n",
+        events + b"Content-Length: 6\r\n\r\nfailed",
+        events + b"Content-Length: 16\r\n\r\nid: 2\ndata: x\n\n\n",
+    ):
+        fleet.decode.faults.add("cut_stream")
+        fleet.decode.resumed_answer = answer
+        runs = len(fleet.decode.runs)
+        headers = {"Poplarfold-Token-Count": "1000,200"}
+        connection = fleet.open("POST", "/caption/1", headers, b"prompt")
+        with connection.sock.makefile("rb") as reader:
+            head, _, body = reader.read().partition(b"\r\n\r\n")
+        connection.close()
+        assert head.startswith(b"HTTP/1.1 200 ")
+        body = body.replace(b"e\r\n: only this\n\n\n\r\n", b"")
+        events_sent = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2)]
+        assert body == b"".join(b"15\r\n%b\r\n" % row for row in events_sent), answer
+        assert len(fleet.decode.runs) == runs + 2
+
+
 def test_bytes_after_a_stream_are_not_forwarded(fleet):
     """Guards against a stream whose caller also gets the answer to another call."""
     fleet.decode.faults.add("excess")
--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -276,6 +276,8 @@
         self.count = 0
         # A part of a prompt that crashes the endpoint when it begins to answer it.
         self.deadly_part = "no such part"
+        # What is sent in place of a resumed stream: status, headers and body.
+        self.resumed_answer: bytes | None = None
         self.has_crashed = False
 
     def entry(self, service: str, domain: str = "lhr-a", **changes: Any) -> bytes:
@@ -450,6 +452,12 @@
             request.answer(503, b"", {"Poplarfold-Not-Executed": "1"})
             return
         self.runs.append((request.command, request.path, headers, body))
+        if self.resumed_answer is not None and "Last-Event-Id" in headers:
+            lines = [f"{row}: {text}" for row, text in self.proof(headers).items()]
+            status, _, rest = self.resumed_answer.partition(b"\r\n")
+            head = "\r\n".join(["", *lines, ""]).encode()
+            request.cut(b"HTTP/1.1 " + status + head + rest)
+            return
         request.send_response(200)
         for name, value in {**self.proof(headers), **request.own_headers()}.items():
             request.send_header(name, value)
