Skip interim answers of endpoints

What callers saw: 502 for calls that an endpoint answered well, if it sent an interim answer other than 100 first. Where answers carry no id, as for leases and the store, the interim answer was taken for the answer, and the real one, if it came after the next call was sent, for that call's.

Cause: the standard library skips status 100 only. 102, 103 and other interim statuses are now skipped up to the head that follows, within the same limits of size and time; 101, which no call asks for, is a failure.

test_interim_answer_is_not_the_answer, test_switched_protocol_is_a_failure and the cases of test_head_that_ends_early_is_a_failure with interim answers failed before.

--- a/src/poplarfold/_internal/http/answer_socket.py
+++ b/src/poplarfold/_internal/http/answer_socket.py
@@ -46,7 +46,7 @@
     """A response whose head must be complete."""
 
     def begin(self) -> None:
-        """Read the head. Raises IncompleteRead if it is truncated."""
+        """Read the head. Raises HTTPException, or IncompleteRead if it is truncated."""
         reader = HeadReader(self.fp)
         self.fp = reader  # type: ignore[assignment]
         try:
@@ -55,6 +55,20 @@
             if self.fp is reader:
                 self.fp = reader.source
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return the status line, after any interim answers.
+
+        The standard library takes one like 103 for the answer itself, and what follows
+        it for the answer to the next request.
+        """
+        while True:
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            if not 100 < status < 200:
+                return version, status, reason
+            if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                raise http.client.HTTPException("the protocol was switched")
+            http.client.parse_headers(self.fp)
+
 
 class AnswerReader(io.BufferedReader):
     """The buffered reader of one answer, which notices the bytes after it.
--- /dev/null
+++ b/tests/unit/test_answer_heads.py
@@ -0,0 +1,115 @@
+"""Tests of answers whose heads end early, are malformed or follow interim ones."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+from tests.unit.test_repeated_refusals import engine
+
+from poplarfold._internal.daemon.endpoint_client import (
+    AbortHandle,
+    EndpointClient,
+    Target,
+)
+from poplarfold._internal.platform import EngineClient, decode_call
+from poplarfold._internal.platform.calls import CallTarget
+from poplarfold._internal.platform.store import StoreClient, StoreTopic
+
+TIMEOUT_S = 1.0
+BODY = b'{"hold":"h1","handle":"k1","items":[],"end":0,"offset":0}'
+INTERIM = b"HTTP/1.1 %d Interim\r\nLink: </a>\r\n\r\n"
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nPoplarfold-Request-Id: 9c41\r\n"
+    b"Poplarfold-Server-Stamp: s\r\nContent-Length: %d\r\n\r\n" % len(BODY),
+    "interim": INTERIM % 100 + INTERIM % 103 + b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+    "bare": b"HTTP/1.1 200\r\n\r\n",
+}
+CALLS = {
+    "plain": lambda client, server: client.exchange(
+        Target(server.address, "GET", "/"), None, {}, TIMEOUT_S
+    ),
+    "stream": lambda client, server: client.open_stream(
+        Target(server.address, "POST", "/"), b"", {}, TIMEOUT_S
+    ),
+    "lease": lambda client, server: EngineClient(client, print).take_lease(
+        engine(server), 1, 1.0, TIMEOUT_S, AbortHandle()
+    ),
+    "prefill": lambda client, server: EngineClient(client, print).prefill(
+        engine(server),
+        decode_call("POST", "/", {"Poplarfold-Request-Id": "9c41"}),
+        b"",
+        CallTarget("i-1", TIMEOUT_S),
+        TIMEOUT_S,
+        AbortHandle(),
+    ),
+    "store": lambda client, server: StoreClient(client, server.address).read_newest(
+        StoreTopic.ROUTES, TIMEOUT_S
+    ),
+}
+
+
+class Server:
+    """Sends ``answer`` to each request, and then closes the connection or keeps it."""
+
+    def __init__(self):
+        self.answer, self.closes = b"", True
+        self.requests = 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self.listener.accept()
+                threading.Thread(target=self.serve, args=[connection]).start()
+
+    def serve(self, connection):
+        with connection, contextlib.suppress(OSError):
+            while connection.recv(65536):
+                self.requests += 1
+                connection.sendall(self.answer)
+                if self.closes:
+                    connection.shutdown(socket.SHUT_WR)
+                    connection.recv(65536)
+                    return
+
+
+@pytest.fixture
+def server():
+    found = Server()
+    yield found
+    found.listener.close()
+
+
+@pytest.mark.parametrize("call", CALLS.values(), ids=CALLS)
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_head_that_ends_early_is_a_failure(server, call, head):
+    """Guards against an answer that lost its length with a part of its head, and then
+    looks complete without its body."""
+    client = EndpointClient(TIMEOUT_S)
+    for length in range(len(head)):
+        server.answer = head[:length]
+        assert call(client, server).is_err(), server.answer
+    server.answer = head + BODY
+    assert call(client, server).is_ok()
+
+
+@pytest.mark.parametrize("status", [102, 103, 199])
+def test_interim_answer_is_not_the_answer(server, status):
+    """Guards against a call that gets an interim answer, and the next call on the
+    connection that gets its real one."""
+    server.closes = False
+    server.answer = INTERIM % status * 2 + HEADS["length"] + BODY
+    client = EndpointClient(TIMEOUT_S)
+    for _ in range(2):
+        assert CALLS["plain"](client, server).unwrap().body == BODY
+    assert len(client.idle[server.address]) == 1
+    client.close()
+
+
+def test_switched_protocol_is_a_failure(server):
+    """Guards against bytes of another protocol that are read as an answer."""
+    server.answer = INTERIM % 101 + HEADS["length"] + BODY
+    assert CALLS["plain"](EndpointClient(TIMEOUT_S), server).is_err()
