Reject answers with a line in the head that is no header

What callers saw: status 200 with a short body that was framed as complete, if an endpoint stopped in the middle of its answer's head and wrote something else from there on, another answer for instance.

Cause: the standard library's parser takes such a line for the end of the head. The length behind it was lost without an error, so that the body seemed to end with the connection. The id and the stamp come before it, so the answer was forwarded. Answers with such a head are now failures, for all kinds of calls.

test_head_with_a_line_that_is_no_header_is_a_failure failed before for all three lines.

--- a/src/poplarfold/_internal/http/answer_socket.py
+++ b/src/poplarfold/_internal/http/answer_socket.py
@@ -43,7 +43,7 @@
 
 
 class StrictHeadResponse(http.client.HTTPResponse):
-    """A response whose head must be complete."""
+    """A response whose head must be complete and well-formed."""
 
     def begin(self) -> None:
         """Read the head. Raises HTTPException, or IncompleteRead if it is truncated."""
@@ -54,6 +54,10 @@
         finally:
             if self.fp is reader:
                 self.fp = reader.source
+        # What the parser takes for a body begins with such a line, or an empty one.
+        payload = self.headers.get_payload()
+        if isinstance(payload, str) and payload:
+            raise http.client.HTTPException("a line of the head is no header")
 
     def _read_status(self) -> tuple[str, int, str]:
         """Return the status line, after any interim answers.
--- a/tests/unit/test_answer_heads.py
+++ b/tests/unit/test_answer_heads.py
@@ -96,6 +96,16 @@
     assert call(client, server).is_ok()
 
 
+@pytest.mark.parametrize(
+    "line", [b"Content-Le\r\n", b"ContHTTP/1.1 500 Failed\r\n", b"A: b\r\r\r\n"]
+)
+def test_head_with_a_line_that_is_no_header_is_a_failure(server, line):
+    """Guards against a length that is ignored since it follows a malformed line."""
+    server.answer = HEADS["length"].replace(b"Content-L", line + b"Content-L") + b"ha"
+    for call in CALLS.values():
+        assert call(EndpointClient(TIMEOUT_S), server).is_err()
+
+
 @pytest.mark.parametrize("status", [102, 103, 199])
 def test_interim_answer_is_not_the_answer(server, status):
     """Guards against a call that gets an interim answer, and the next call on the
