Resume no stream after an event without an id

What callers saw: events that came twice, if an engine sent events without an id, or with an empty one, and its stream broke off.

Cause: the next engine is told the last id of the stream. Without one it was told the caller's, or none, and began anew; after an event without an id it was told an earlier one.

A stream whose last event has no id now ends with its connection. The caller may resume it. Comments need no id.

--- a/src/poplarfold/_internal/gateway/events.py
+++ b/src/poplarfold/_internal/gateway/events.py
@@ -28,7 +28,9 @@
         self.last_id = last_id
         self.rest = b""
         self.events = 0
-        self.marked = (last_id, 0)
+        # Whether the last event had an id, after which a stream can go on.
+        self.is_resumable = True
+        self.marked = (last_id, 0, True)
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that are now complete, and buffer the rest.
@@ -38,26 +40,35 @@
         """
         buffer = self.rest + data
         end = 0
+        events: list[bytes] = []
         searched = max(0, len(self.rest) - EVENT_END_OVERLAP_BYTES)
         for match in EVENT_END.finditer(buffer, searched):
+            events.append(buffer[end : match.end()])
             end = match.end()
-            self.events += 1
         whole, self.rest = buffer[:end], buffer[end:]
         if len(self.rest) > EVENT_MAX_BYTES:
             self.rest = b""
             raise EventTooLongError(f"an event exceeds {EVENT_MAX_BYTES} bytes")
-        ids = EVENT_ID.findall(whole)
+        for event in events:
+            self._record_event(event)
+        return whole
+
+    def _record_event(self, event: bytes) -> None:
+        self.events += 1
+        ids = EVENT_ID.findall(event)
         if ids:
             self.last_id = ids[-1].decode("latin-1").strip()
-        return whole
+            self.is_resumable = self.last_id != ""
+        elif not is_comment(event):
+            self.is_resumable = False
 
     def mark(self) -> None:
         """Begin an answer whose events may have to be discarded."""
-        self.marked = (self.last_id, self.events)
+        self.marked = (self.last_id, self.events, self.is_resumable)
 
     def rewind(self) -> None:
         """Discard all events since the mark."""
-        self.last_id, self.events = self.marked
+        self.last_id, self.events, self.is_resumable = self.marked
         self.rest = b""
 
     def restart(self) -> None:
@@ -76,14 +87,18 @@
     False
     """
     for event in EVENT_END.split(data):
-        lines = event.splitlines()
-        if all(line.startswith(b":") or not line for line in lines):
+        if is_comment(event):
             continue
         found = EVENT_ID.search(event)
         return found is not None and follows(found[1].decode("latin-1"), last_id)
     return None
 
 
+def is_comment(event: bytes) -> bool:
+    """Return whether an event has no lines but comments."""
+    return all(line.startswith(b":") or not line for line in event.splitlines())
+
+
 def follows(event_id: str, last_id: str | None) -> bool:
     """Return whether an event may come after another one, by their ids."""
     event_id = event_id.strip()
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -124,6 +124,8 @@
         route = self.context.route
         if not self.evidence.may_repeat():
             return False
+        if self.has_started and not self.splitter.is_resumable:
+            return False
         if self.attempts >= max(route.max_attempts, 1 + self.is_unexecuted):
             return False
         if not self.is_unexecuted and not route.resumable:
--- a/tests/unit/test_stream_promises.py
+++ b/tests/unit/test_stream_promises.py
@@ -1,5 +1,8 @@
 """Tests of the status that a stream ends with if a further attempt is not made."""
 
+import math
+from unittest.mock import MagicMock
+
 import pytest
 
 from poplarfold._internal.exceptions import (
@@ -9,6 +12,7 @@
     PromptBlockedError,
     StoppingError,
 )
+from poplarfold._internal.gateway.events import EventSplitter
 from poplarfold._internal.gateway.stream_calls import NOT_RUN_STATUSES, StreamCall
 
 REFUSALS = [
@@ -49,3 +53,25 @@
     with pytest.raises(type(refusal)) as caught:
         FailingStream([refusal], has_run=False).make_attempts()
     assert caught.value is refusal
+
+
+@pytest.mark.parametrize(
+    ("events", "is_repeatable"),
+    [
+        (b"id: 1\ndata: a\n\n: comment\n\n", True),
+        (b"data: a\n\n", False),
+        (b"id: 1\ndata: a\n\ndata: b\n\n", False),
+        (b"id: 1\ndata: a\n\nid:\ndata: b\n\n", False),
+    ],
+)
+def test_stream_is_not_resumed_after_an_event_without_an_id(events, is_repeatable):
+    """Guards against events that are sent twice, since the next engine is not told
+    after which one to go on."""
+    stream = StreamCall.__new__(StreamCall)
+    stream.context = stream.evidence = MagicMock()
+    stream.context.route.max_attempts = 2
+    stream.context.deadline_at = math.inf
+    stream.attempts, stream.is_unexecuted, stream.has_started = 1, False, True
+    stream.splitter = EventSplitter(None)
+    stream.splitter.feed(events)
+    assert stream.is_repeatable() is is_repeatable
