Do not end a stream with fewer outputs than were sent

What callers saw: nothing so far; with an engine that resumes a stream and then counts only its own outputs, the daemon's stream would have ended as complete before its last output.

Cause: the stream was complete if no output below the engine's count was missing, so a count below the outputs already sent ended it at once. Such a count is now a failure of the attempt.

test_stream_does_not_end_with_fewer_outputs_than_were_sent failed before. test_answers_that_are_no_events_are_not_joined_to_a_stream is a guard, which fails if other bytes than events are passed on (planted).

--- a/src/poplarfold/_internal/daemon/stream_assembler.py
+++ b/src/poplarfold/_internal/daemon/stream_assembler.py
@@ -72,6 +72,8 @@
             outputs = event["outputs"]
             if not isinstance(outputs, int):
                 raise TypeError("'outputs' is not an integer")
+            if outputs < self.next_seq:
+                raise EndpointError(f"the engine counts {outputs} outputs, too few")
             self.total = outputs
             return
         seq, text = event["seq"], event["text"]
--- a/tests/unit/test_streams.py
+++ b/tests/unit/test_streams.py
@@ -96,3 +96,24 @@
     assert (len(first), token_count(3)) == (2, 1)
     assert first[0] == other[0]
     assert first[1] != other[1]
+
+
+def test_stream_does_not_end_with_fewer_outputs_than_were_sent():
+    """Guards against a stream that seems complete, since the engine that resumed it
+    counts only its own outputs."""
+    assembler = StreamAssembler()
+    assembler.choose("a-1")
+    assembler.feed(event("a-1", 0, "x") + event("a-1", 1, "y"))
+    assembler.choose("a-2")
+    done = b'data: {"attempt": "a-2", "done": true, "outputs": 1}\n\n'
+    assert assembler.feed(done).is_err() and not assembler.done
+
+
+def test_answers_that_are_no_events_are_not_joined_to_a_stream():
+    """Guards against the text of an error in the middle of a stream."""
+    for data in (b"failed\n\n", b"HTTP/1.1 500 Failed\r\n\r\nno\n\n", b""):
+        assembler = StreamAssembler()
+        assembler.choose("a-1")
+        assembler.feed(event("a-1", 0, "x"))
+        assembler.choose("a-2")
+        assert assembler.feed(data).unwrap() == [] and not assembler.done
