Reject answers with a length that is no number

What callers saw: status 200 with a short body that was framed as complete, if an endpoint named a malformed length and its connection ended early.

Cause: the standard library ignores such a length and takes the end of the connection for the end of the body. It is a failure now.

All cases of test_malformed_length_is_a_failure failed before.

--- a/src/poplarfold/_internal/http/answer_socket.py
+++ b/src/poplarfold/_internal/http/answer_socket.py
@@ -58,6 +58,9 @@
         payload = self.headers.get_payload()
         if isinstance(payload, str) and payload:
             raise http.client.HTTPException("a line of the head is no header")
+        length = self.headers.get("Content-Length", "0").strip()
+        if not self.chunked and not (length.isascii() and length.isdigit()):
+            raise http.client.HTTPException("the length of the answer is no number")
 
     def _read_status(self) -> tuple[str, int, str]:
         """Return the status line, after any interim answers.
--- a/tests/unit/test_answer_heads.py
+++ b/tests/unit/test_answer_heads.py
@@ -123,3 +123,11 @@
     """Guards against bytes of another protocol that are read as an answer."""
     server.answer = INTERIM % 101 + HEADS["length"] + BODY
     assert CALLS["plain"](EndpointClient(TIMEOUT_S), server).is_err()
+
+
+@pytest.mark.parametrize("length", [b"5x", b"-5", b"", b"5, 5"])
+def test_malformed_length_is_a_failure(server, length):
+    """Guards against a short body that looks complete since its length is ignored."""
+    server.answer = b"HTTP/1.1 200 OK\r\nContent-Length: " + length + b"\r\n\r\nha"
+    for name in ("plain", "stream"):
+        assert CALLS[name](EndpointClient(TIMEOUT_S), server).is_err()
