Reject answers that end inside the size of a chunk

What callers saw: status 200 with a short body that was framed as complete, if an endpoint writes chunk sizes with leading zeros and broke off after one.

Cause: the standard library reads what has arrived of the size, here 0, which is the last chunk. A size must now end with its line. Streams were not affected: they have their own decoder.

test_truncated_chunks failed before.

--- a/src/poplarfold/_internal/http/answer_socket.py
+++ b/src/poplarfold/_internal/http/answer_socket.py
@@ -14,6 +14,8 @@
 
 from urllib3.connection import HTTPConnection
 
+from poplarfold._internal.http.chunked import LINE_MAX_BYTES, parse_chunk_size
+
 __all__ = ["HEAD_LIMIT_BYTES", "DeadlineSocket", "EndpointConnection", "has_excess"]
 
 # The largest head of an answer, those of interim answers included.
@@ -76,6 +78,17 @@
                 raise http.client.HTTPException("the protocol was switched")
             http.client.parse_headers(self.fp)
 
+    def _read_next_chunk_size(self) -> int:
+        """Return the size of the next chunk. Raises ValueError if its line is cut.
+
+        The standard library reads 0 for a size with leading zeros that is cut.
+        """
+        line: bytes = self.fp.readline(LINE_MAX_BYTES)
+        if not line.endswith(b"\n"):
+            self.close()
+            raise ValueError("the line before a chunk is truncated or too long")
+        return parse_chunk_size(line.rstrip(b"\r\n"))
+
 
 class AnswerReader(io.BufferedReader):
     """The buffered reader of one answer, which notices the bytes after it.
--- a/src/poplarfold/_internal/http/chunked.py
+++ b/src/poplarfold/_internal/http/chunked.py
@@ -2,7 +2,7 @@
 
 import re
 
-__all__ = ["ChunkDecoder", "parse_chunk_size"]
+__all__ = ["LINE_MAX_BYTES", "ChunkDecoder", "parse_chunk_size"]
 
 CRLF = b"\r\n"
 # The longest line before a chunk, with its extensions.
--- a/tests/unit/test_whole_answers.py
+++ b/tests/unit/test_whole_answers.py
@@ -2,6 +2,7 @@
 
 import pytest
 from tests.lib.platform_standin import EndpointStandIn
+from tests.unit.test_answer_heads import Server as AnswerServer
 
 from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
 
@@ -15,6 +16,21 @@
     standin.stop()
 
 
+@pytest.fixture
+def start():
+    """Return a function that starts a server which sends an answer and closes."""
+    servers = []
+
+    def start_server(answer):
+        servers.append(AnswerServer())
+        servers[-1].answer = answer
+        return servers[-1]
+
+    yield start_server
+    for server in servers:
+        server.listener.close()
+
+
 def call(endpoint):
     client = EndpointClient(connect_timeout_s=1.0)
     return client.exchange(
@@ -45,3 +61,12 @@
     """Guards against truncated headers that no longer have a Content-Length."""
     endpoint.faults.add("cut_head")
     assert call(endpoint).is_err()
+
+
+def test_truncated_chunks(start):
+    """Guards against a cut chunk size with leading zeros that is read as the end."""
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    body = b"0002\r\nha\r\n0003;a=b\r\nlf.\r\n000\r\n"
+    for length in range(len(body)):
+        assert call(start(head + body[:length])).is_err(), body[:length]
+    assert call(start(head + body + b"\r\n")).unwrap().body == b"half."
