Check in the gateway's soak that hosts keep to the limits of endpoints

The soak had no endpoint that names a limit, so limits were only tested on calm processes. Two plain endpoints at a time now name one (Server-Limit) for 7 to 24 s, at times another one, and take it back. The check counts a request if its host was told a limit half a second before or earlier, and excuses hosts for 4 s after a restart, a pause or a cut. Request ids of watchers and crowds end with the host, so that theirs count too.

--- a/tests/functional/gateway_soak/__main__.py
+++ b/tests/functional/gateway_soak/__main__.py
@@ -22,6 +22,7 @@
 from tests.functional.gateway_soak.callers import Caller, ConfigWatcher
 from tests.functional.gateway_soak.checks import CHECKS
 from tests.functional.gateway_soak.faults import FaultInjector
+from tests.functional.gateway_soak.limits import LimitNamer, check_limits
 from tests.functional.gateway_soak.nodes import Node
 from tests.functional.gateway_soak.records import Records
 
@@ -114,6 +115,7 @@
         for check in CHECKS:
             check(records)
         check_accounts(records, keys)
+        check_limits(records)
         check_logs(nodes, records)
         for endpoint in endpoints:
             endpoint.link.stop()
@@ -129,6 +131,7 @@
         "outcomes": dict(sorted(outcomes.items(), key=str)),
         "arrivals": len(records.arrivals),
         "quota_share": round(records.highest_window_share, 3),
+        "limit_share": round(records.highest_limit_share, 3),
         "violations": records.violations[:20],
         "violation_count": len(records.violations),
         "violated": sorted({row.partition(":")[0] for row in records.violations}),
@@ -163,7 +166,8 @@
     ]
     monitor = ProcessMonitor(nodes)
     heavy = [HeavyCaller(options.seed * 1000 - 1 - at, nodes, records) for at in (0, 1)]
-    threads = [*callers, *heavy, *watchers, monitor]
+    namer = LimitNamer(options.seed, endpoints)
+    threads = [*callers, *heavy, *watchers, monitor, namer]
     for thread in threads:
         thread.start()
     faults.run(options.seconds)
--- a/tests/functional/gateway_soak/backends.py
+++ b/tests/functional/gateway_soak/backends.py
@@ -5,14 +5,20 @@
 
 from tests.functional.gateway_soak.accounts import has_key
 from tests.functional.gateway_soak.proxy import Link, LinkMode
-from tests.functional.gateway_soak.records import Arrival, Records, total_events
+from tests.functional.gateway_soak.records import (
+    Arrival,
+    LimitRow,
+    Records,
+    total_events,
+)
 from tests.lib.platform_standin import EndpointStandIn, Handler, StoreStandIn
 
 __all__ = ["SLOW_PREFIX", "SoakEndpoint", "SoakStore"]
 
 EVENT_PERIOD_S = 0.03
-# Begins the request ids of callers that do not read their large answers.
-SLOW_PREFIX = "slow"
+# Begins the request ids of callers that do not read their large answers; the host
+# follows.
+SLOW_PREFIX = "slow-"
 SLOW_BODY_BYTES = 1_000_000
 
 
@@ -62,6 +68,8 @@
         self.rng = random.Random(endpoint_id)
         # The share of plain calls that fail with status 500.
         self.failing_share = 0.0
+        # The limit that a plain endpoint names in all its answers.
+        self.limit_per_s: float | None = None
 
     def announce(self, store: StoreStandIn) -> None:
         """Write the endpoint's entry to the store."""
@@ -76,6 +84,7 @@
     def restart(self) -> None:
         """Restart under the same id as a new incarnation."""
         self.born += 1000
+        self.limit_per_s = None
         self.leases.clear()
         self.handles.clear()
         self.link.mode = LinkMode.PASS
@@ -98,8 +107,24 @@
     def serve(self, request: Handler, body: bytes) -> None:
         if has_key(dict(request.headers.items())):
             self.records.add_violation("keys", f"{self.endpoint_id} got a key")
+        if self.stage is None:
+            request_id = request.headers.get("Poplarfold-Request-Id", "")
+            row = LimitRow(
+                f"{self.endpoint_id} {self.born}", self.address, request_id,
+                time.monotonic(),
+            )  # fmt: skip
+            self.records.add(row)
+            request.own_headers = lambda: self.name_limit(row)  # type: ignore[method-assign]
         super().serve(request, body)
 
+    def name_limit(self, row: LimitRow) -> dict[str, str]:
+        """Record the limit that the answer to a request names; return its header."""
+        limit = self.limit_per_s
+        self.records.add(
+            row._replace(at=time.monotonic(), is_answer=True, limit_per_s=limit)
+        )
+        return {} if limit is None else {"Server-Limit": str(limit)}
+
     def proof(self, headers: dict[str, str]) -> dict[str, str]:
         """Return the proof headers, with a pace that changes with each answer."""
         percent = round(100 * self.rng.uniform(0.6, 4.0))
--- a/tests/functional/gateway_soak/callers.py
+++ b/tests/functional/gateway_soak/callers.py
@@ -10,7 +10,7 @@
 from tests.functional.gateway_soak.records import Attempt, Records, total_events
 
 __all__ = [
-    "CONFIG_MARKER", "WATCHER_ID", "Caller", "ConfigWatcher", "call_status",
+    "CONFIG_MARKER", "WATCHER_PREFIX", "Caller", "ConfigWatcher", "call_status",
 ]  # fmt: skip
 
 READ_LIMIT_S = 8.0
@@ -19,8 +19,9 @@
 KIND_WEIGHTS = (4, 3, 4)
 DISCONNECT_SHARE = 0.1
 HEADERS = {"Host": "entry.example"}
-# Request id of all watchers; the check of the retry budget leaves their requests out.
-WATCHER_ID = "00000000000000aa"
+# Begins the request ids of watchers, which end with the node; the check of the retry
+# budget leaves their requests out.
+WATCHER_PREFIX = "watcher-"
 
 
 class Caller(threading.Thread):
@@ -176,7 +177,7 @@
     connection = http.client.HTTPConnection(
         "127.0.0.1", node.ports["front"], timeout=2.0
     )
-    headers = {**HEADERS, "Poplarfold-Request-Id": WATCHER_ID}
+    headers = {**HEADERS, "Poplarfold-Request-Id": f"{WATCHER_PREFIX}{node.name}"}
     if key:
         headers["Poplarfold-Key"] = key
     try:
--- a/tests/functional/gateway_soak/checks.py
+++ b/tests/functional/gateway_soak/checks.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from tests.functional.gateway_soak.backends import SLOW_PREFIX
-from tests.functional.gateway_soak.callers import WATCHER_ID
+from tests.functional.gateway_soak.callers import WATCHER_PREFIX
 from tests.functional.gateway_soak.nodes import BOUNDS
 from tests.functional.gateway_soak.records import (
     Arrival,
@@ -177,8 +177,7 @@
     seen: set[tuple[str, bool]] = set()
     extra = []
     for row in sorted(records.arrivals, key=lambda row: row.at):
-        is_counted = row.request_id != WATCHER_ID
-        is_counted = is_counted and not row.request_id.startswith(SLOW_PREFIX)
+        is_counted = not row.request_id.startswith((WATCHER_PREFIX, SLOW_PREFIX))
         if row.service != service or not is_counted:
             continue
         key = (row.request_id, row.is_prefill)
--- a/tests/functional/gateway_soak/faults.py
+++ b/tests/functional/gateway_soak/faults.py
@@ -306,7 +306,7 @@
     def disturb(self, link: Link, where: str) -> None:
         """Disturb one link for a while."""
         mode = self.rng.choice(LINK_MODES)
-        with self.span(f"link {mode}", where):
+        with self.span(f"link {mode} of {link.address}", where):
             link.delay_s = self.rng.uniform(0.05, 0.4)
             link.mode = mode
             if self.rng.random() < 0.5:
@@ -389,7 +389,7 @@
         front = ("127.0.0.1", node.ports["front"])
         key = self.keys.ordinary_key()
         head = f"Host: entry.example\r\nPoplarfold-Key: {key}\r\n"
-        head += f"Poplarfold-Request-Id: {SLOW_PREFIX}\r\n"
+        head += f"Poplarfold-Request-Id: {SLOW_PREFIX}{node.name}\r\n"
         unended = f"POST /filing/1 HTTP/1.1\r\n{head}Transfer-Encoding: chunked\r\n\r\n"
         unread = f"GET /lookup/1 HTTP/1.1\r\n{head}\r\n".encode()
         with (
--- a/tests/functional/gateway_soak/find_planted.py
+++ b/tests/functional/gateway_soak/find_planted.py
@@ -32,6 +32,7 @@
     "ignored_revocations": ("publish", "revocation"),
     "outdated_keys": ("hide_revocation", "revocation"),
     "whole_quotas": ("publish", "quota"),
+    "whole_limits": ("publish", "endpoint limits"),
     "unlimited_bodies": ("crowd", "limits"),
     "stuck_closing": ("crowd", "crowd"),
 }
--- a/tests/functional/gateway_soak/planted.py
+++ b/tests/functional/gateway_soak/planted.py
@@ -12,7 +12,7 @@
 # Installs the program's early signal handlers.
 import poplarfold_gateway  # noqa: F401
 
-from poplarfold._internal.core.fleet import rows
+from poplarfold._internal.core.fleet import rows, server_limits
 from poplarfold._internal.core.fleet.account_admission import RevocationPolicy
 from poplarfold._internal.core.fleet.account_quota import HostQuota, Room
 from poplarfold._internal.core.fleet.accounts import (
@@ -23,6 +23,7 @@
 from poplarfold._internal.core.fleet.budget import RetryBudget
 from poplarfold._internal.core.fleet.directory import Directory
 from poplarfold._internal.core.fleet.keyed_view import ViewRecord
+from poplarfold._internal.core.fleet.server_limits import LimitHosts, LimitShare
 from poplarfold._internal.daemon import endpoint_client
 from poplarfold._internal.daemon.socket_watcher import SocketWatcher
 from poplarfold._internal.exceptions import NotRunError
@@ -218,6 +219,16 @@
     patch(HostQuota, "room", room)
 
 
+def whole_limits() -> None:
+    """Lets each host send all that an endpoint's limit allows."""
+    share_of = server_limits.share_of
+
+    def share(hosts: LimitHosts, *given: Any) -> LimitShare:
+        return share_of(LimitHosts(hosts.me, frozenset({hosts.me})), *given)
+
+    patch(server_limits, "share_of", share)
+
+
 def unlimited_bodies() -> None:
     """Holds request bodies without regard to the memory of the host."""
     patch(Holding, "resize", lambda self, size: self.force(size) or True)
@@ -235,7 +246,7 @@
         lost_events, leaving_endpoints, unseen_leavers, older_configurations,
         late_configurations, hasty_stops, fatal_reloads, unlimited_retries,
         passed_keys, claimed_accounts, any_keys, ignored_revocations, outdated_keys,
-        whole_quotas, unlimited_bodies, stuck_closing,
+        whole_quotas, whole_limits, unlimited_bodies, stuck_closing,
     )
 }  # fmt: skip
 
--- a/tests/functional/gateway_soak/records.py
+++ b/tests/functional/gateway_soak/records.py
@@ -3,7 +3,7 @@
 import threading
 from typing import NamedTuple
 
-__all__ = ["Arrival", "Attempt", "Records", "Span", "total_events"]
+__all__ = ["Arrival", "Attempt", "LimitRow", "Records", "Span", "total_events"]
 
 
 class Attempt(NamedTuple):
@@ -44,6 +44,20 @@
     accounts: tuple[str, ...] = ()
 
 
+class LimitRow(NamedTuple):
+    """A request at a plain endpoint, or its answer with the limit that it names.
+
+    ``endpoint`` names one incarnation. Requests have no limit.
+    """
+
+    endpoint: str
+    address: str
+    request_id: str
+    at: float
+    is_answer: bool = False
+    limit_per_s: float | None = None
+
+
 class Span(NamedTuple):
     """The time span of a fault. ``where`` is the affected node, or empty for all."""
 
@@ -66,6 +80,7 @@
         self.lock = threading.Lock()
         self.attempts: list[Attempt] = []
         self.arrivals: list[Arrival] = []
+        self.limit_rows: list[LimitRow] = []
         # When the work for a request ended at an endpoint.
         self.run_ends: dict[str, float] = {}
         self.spans: list[Span] = []
@@ -74,14 +89,18 @@
         self.violations: list[str] = []
         # The highest use of a quota in any window, as a share of what the rule allows.
         self.highest_window_share = 0.0
+        # The same of the limits that endpoints name.
+        self.highest_limit_share = 0.0
 
-    def add(self, row: Attempt | Arrival | Span) -> None:
+    def add(self, row: Attempt | Arrival | LimitRow | Span) -> None:
         """Append a row to its list."""
         with self.lock:
             if isinstance(row, Attempt):
                 self.attempts.append(row)
             elif isinstance(row, Arrival):
                 self.arrivals.append(row)
+            elif isinstance(row, LimitRow):
+                self.limit_rows.append(row)
             else:
                 self.spans.append(row)
 
