Leave logs unread and call at the end of stops in the gateway's soak

Calls were lost at the end of planned stops when the log was read slowly, and the soak could not see it: its logs were files, and its callers left a stopping node with their first answer.

The output of each process is now a pipe of 4 kB whose reader pauses for 2 to 5 s, and in most stops during the whole stop. A stop also meets 3 to 10 callers with kept connections, which call 2.8 to 3.9 s after SIGTERM, about when the process ends. Nodes have a grace of 6 or 4 s in turn: with 4 s a stop rejects such calls (their deadline is later than its end), so they would never cross it. The check of planned stops is unchanged. The unfinished last line of a process that was killed, or whose log was not read at its end, is dropped.

--- a/tests/functional/gateway_soak/__main__.py
+++ b/tests/functional/gateway_soak/__main__.py
@@ -23,7 +23,7 @@
 from tests.functional.gateway_soak.checks import CHECKS
 from tests.functional.gateway_soak.faults import FaultInjector
 from tests.functional.gateway_soak.limits import LimitNamer, check_limits
-from tests.functional.gateway_soak.nodes import Node
+from tests.functional.gateway_soak.nodes import LogPauser, Node
 from tests.functional.gateway_soak.records import Records
 
 __all__ = ["build_parser", "run"]
@@ -166,8 +166,8 @@
     ]
     monitor = ProcessMonitor(nodes)
     heavy = [HeavyCaller(options.seed * 1000 - 1 - at, nodes, records) for at in (0, 1)]
-    namer = LimitNamer(options.seed, endpoints)
-    threads = [*callers, *heavy, *watchers, monitor, namer]
+    others = [LimitNamer(options.seed, endpoints), LogPauser(options.seed, nodes)]
+    threads = [*callers, *heavy, *watchers, monitor, *others]
     for thread in threads:
         thread.start()
     faults.run(options.seconds)
--- a/tests/functional/gateway_soak/backends.py
+++ b/tests/functional/gateway_soak/backends.py
@@ -13,12 +13,15 @@
 )
 from tests.lib.platform_standin import EndpointStandIn, Handler, StoreStandIn
 
-__all__ = ["SLOW_PREFIX", "SoakEndpoint", "SoakStore"]
+__all__ = ["LATE_PREFIX", "SLOW_PREFIX", "SoakEndpoint", "SoakStore"]
 
 EVENT_PERIOD_S = 0.03
 # Begins the request ids of callers that do not read their large answers; the host
 # follows.
 SLOW_PREFIX = "slow-"
+# Begins the request ids of calls about the end of a stop. They take longer than what
+# the process does between its last look at its open calls and its exit.
+LATE_PREFIX, LATE_WORK_S = "late-", 0.4
 SLOW_BODY_BYTES = 1_000_000
 
 
@@ -143,9 +146,10 @@
         super().prefill(request, headers, number)
 
     def record_arrival(self, headers: dict[str, str], ran: bool) -> None:
-        self.add_arrival(headers, ran, is_prefill=False)
+        request_id = self.add_arrival(headers, ran, is_prefill=False)
         if ran:
-            time.sleep(self.work_s)
+            is_late = request_id.startswith(LATE_PREFIX)
+            time.sleep(LATE_WORK_S if is_late else self.work_s)
 
     def whole_body(self, request_id: str) -> bytes:
         if request_id.startswith(SLOW_PREFIX):
--- a/tests/functional/gateway_soak/callers.py
+++ b/tests/functional/gateway_soak/callers.py
@@ -6,11 +6,13 @@
 import time
 
 from tests.functional.gateway_soak.accounts import KeyRing
+from tests.functional.gateway_soak.backends import LATE_PREFIX
 from tests.functional.gateway_soak.nodes import Node
 from tests.functional.gateway_soak.records import Attempt, Records, total_events
 
 __all__ = [
-    "CONFIG_MARKER", "WATCHER_PREFIX", "Caller", "ConfigWatcher", "call_status",
+    "CONFIG_MARKER", "WATCHER_PREFIX", "Caller", "ConfigWatcher", "LateCaller",
+    "call_status",
 ]  # fmt: skip
 
 READ_LIMIT_S = 8.0
@@ -67,10 +69,10 @@
             self.connection.close()
             self.connection = None
 
-    def request(self) -> None:
-        """Make one request and record its outcome."""
-        (kind,) = self.rng.choices(KINDS, KIND_WEIGHTS)
-        request_id = f"{self.rng.getrandbits(64):016x}"
+    def request(self, kind: str = "", prefix: str = "") -> None:
+        """Make one request, of a random kind if none is given, and record it."""
+        kind = kind or self.rng.choices(KINDS, KIND_WEIGHTS)[0]
+        request_id = f"{prefix}{self.rng.getrandbits(64):016x}"
         path = f"/{kind}/{request_id[:4]}"
         sent_at = time.monotonic()
         status, body, is_whole, disconnected_at = None, b"", False, None
@@ -122,6 +124,27 @@
         self.connection.request(method, path, body, headers)
 
 
+class LateCaller(Caller):
+    """Keeps a connection through a stop, and uses it until the process is gone."""
+
+    def __init__(
+        self, seed: int, node: Node, records: Records, keys: KeyRing, wait_s: float
+    ) -> None:
+        super().__init__(seed, [node], records, keys)
+        self.wait_s = wait_s
+        self.connect()
+        self.request("lookup")
+
+    def run(self) -> None:
+        """Make one request on the connection after a time, about the stop's end."""
+        process = self.node.process
+        time.sleep(self.wait_s)
+        is_gone = process is None or process.poll() is not None
+        if self.connection is not None and not is_gone:
+            self.request(self.rng.choice(("filing", "lookup")), LATE_PREFIX)
+        self.disconnect()
+
+
 class ConfigWatcher(threading.Thread):
     """Checks which configuration is in force at a node, over new connections."""
 
--- a/tests/functional/gateway_soak/faults.py
+++ b/tests/functional/gateway_soak/faults.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections.abc import Callable, Collection, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, nullcontext
 
 from tests.functional.gateway_soak.accounts import KeyRing
 from tests.functional.gateway_soak.backends import (
@@ -16,6 +16,7 @@
 from tests.functional.gateway_soak.callers import (
     CONFIG_MARKER,
     ConfigWatcher,
+    LateCaller,
     call_status,
 )
 from tests.functional.gateway_soak.checks import RECOVERY_S
@@ -32,6 +33,10 @@
 SERVICE_FAULTS = ("not_run", "error", "cut_body", "foreign")
 STREAM_FAULTS = ("cut_stream", "lost_handle")
 LINK_MODES = tuple(mode for mode in LinkMode if mode is not LinkMode.PASS)
+# How often the log of a process is read while it stops.
+LOG_READ_SHARE = 0.3
+# A stop without open calls ends 3.0 s after SIGTERM, or 3.5 s if its log is unread.
+LATE_CALLERS, LATE_FROM_S, LATE_FOR_S = (3, 10), (2.8, 3.4), 0.5
 REVOKE_S = BOUNDS["revoke_ms"] / 1000
 # As in tests/functional/test_unfinished_bodies.py.
 CROWD, UNENDED_BODY = 40, chunks(65_536, 45)
@@ -60,6 +65,8 @@
     ) -> None:
         self.only = only
         self.rng = random.Random(seed)
+        # Draws what is not a step, so that the seeds in seeds.md draw the same steps.
+        self.stop_rng = random.Random(f"stops-{seed}")
         self.store = store
         self.endpoints = endpoints
         self.nodes = nodes
@@ -141,8 +148,24 @@
         node = self.pick_node()
         if node is None:
             return
-        with self.span("stop", node.name, is_planned=True):
-            node.stop_gracefully()
+        rng = self.stop_rng
+        is_log_read = rng.random() < LOG_READ_SHARE
+        late_s = rng.uniform(*LATE_FROM_S)
+        with nullcontext() if is_log_read else node.unread_log():
+            late = [
+                LateCaller(
+                    rng.getrandbits(32),
+                    node,
+                    self.records,
+                    self.keys,
+                    late_s + rng.uniform(0.0, LATE_FOR_S),
+                )
+                for _ in range(rng.randint(*LATE_CALLERS))
+            ]
+            with self.span("stop", node.name, is_planned=True):
+                for caller in late:
+                    caller.start()
+                node.stop_gracefully()
         node.start()
         node.wait_ready()
 
--- a/tests/functional/gateway_soak/find_planted.py
+++ b/tests/functional/gateway_soak/find_planted.py
@@ -24,6 +24,7 @@
     "older_configurations": ("compact", "configuration never back"),
     "late_configurations": ("publish", "configuration in time"),
     "hasty_stops": ("publish", "planned stop"),
+    "late_calls": ("publish", "planned stop"),
     "fatal_reloads": ("reload", "own end"),
     "unlimited_retries": ("break_service", "budget"),
     "passed_keys": ("publish", "keys"),
--- a/tests/functional/gateway_soak/nodes.py
+++ b/tests/functional/gateway_soak/nodes.py
@@ -1,12 +1,17 @@
 """Router processes that the soak starts, signals and ends by their process ids."""
 
+import fcntl
 import http.client
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
+import threading
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 from tests.functional.gateway_soak.proxy import Link
@@ -15,17 +20,20 @@
 from tests.lib.platform_standin import boot_fields
 from tests.lib.ports import free_port
 
-__all__ = ["Node"]
+__all__ = ["LogPauser", "Node"]
 
 ROOT = Path(__file__).resolve().parents[3]
-GRACE_S = 4.0
+# By the node's number. With the shorter one, a stop rejects calls before it could end.
+GRACES_S = (6.0, 4.0)
 # Within this time after a start, a signal may still have its default action, because
 # the interpreter has not yet run the program's first line.
 INTERPRETER_START_S = 0.5
+# The smallest pipe, which an unread log fills soon.
+PIPE_BYTES = 4096
+LOG_READ_S, LOG_UNREAD_S = (1.0, 4.0), (2.0, 5.0)
 # The limits of the smallest host.
 MEMORY_MB, MAX_FDS = 128, 4100
 BOUNDS = {
-    "grace_s": GRACE_S,
     "drain_ms": 2500,
     "config_apply_ms": 2500,
     "retry_budget_ratio": 0.2,
@@ -40,6 +48,35 @@
 }
 
 
+class LogCopier(threading.Thread):
+    """Copies the output of one process from a pipe to a file, unless it is paused.
+
+    ``may_end_short`` is whether the process may end in the middle of a line: it was
+    killed, or its log was not read at its end.
+    """
+
+    def __init__(self, path: Path) -> None:
+        super().__init__(daemon=True)
+        self.path = path
+        self.descriptor, self.writable = os.pipe()
+        fcntl.fcntl(self.writable, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        self.is_read = threading.Event()
+        self.is_read.set()
+        self.may_end_short = False
+
+    def run(self) -> None:
+        """Copy whole lines until the process has ended."""
+        rest = b""
+        with self.path.open("ab") as log:
+            while self.is_read.wait() and (data := os.read(self.descriptor, 65_536)):
+                lines, end, rest = (rest + data).rpartition(b"\n")
+                log.write(lines + end)
+                log.flush()
+            if rest and not self.may_end_short:
+                log.write(rest + b"\n")
+        os.close(self.descriptor)
+
+
 class Node:
     """One host of the router; ``start_count`` is how often its process was started."""
 
@@ -60,12 +97,15 @@
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
         self.settings.write_text(f"metrics_port = {self.ports['metrics']}\n")
-        fields = boot_fields(self.name, self.ports, self.store_link.address, BOUNDS)
+        self.grace_s = GRACES_S[number % len(GRACES_S)]
+        bounds = {**BOUNDS, "grace_s": self.grace_s}
+        fields = boot_fields(self.name, self.ports, self.store_link.address, bounds)
         fields["limits"] = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
         self.boot.write_text(json.dumps(fields))
         self.start_count = 0
         self.started_at = self.signalled_at = 0.0
         self.process: subprocess.Popen[bytes] | None = None
+        self.copiers: list[LogCopier] = []
         # Whether the soak itself has stopped the process.
         self.is_stopped = True
 
@@ -75,19 +115,22 @@
         if self.plant:
             program = ["-m", "tests.functional.gateway_soak.planted", self.plant]
         path = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
-        with self.log.open("ab") as log:
-            self.started_at = time.monotonic()
-            self.process = subprocess.Popen(
-                [sys.executable, *program, "--settings", str(self.settings)],
-                cwd=ROOT,
-                env={
-                    **os.environ,
-                    "POPLARFOLD_BOOT": str(self.boot),
-                    "PYTHONPATH": path,
-                },
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+        copier = LogCopier(self.log)
+        self.started_at = time.monotonic()
+        self.process = subprocess.Popen(
+            [sys.executable, *program, "--settings", str(self.settings)],
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "POPLARFOLD_BOOT": str(self.boot),
+                "PYTHONPATH": path,
+            },
+            stdout=copier.writable,
+            stderr=subprocess.STDOUT,
+        )
+        os.close(copier.writable)
+        copier.start()
+        self.copiers.append(copier)
         self.start_count += 1
         self.is_stopped = False
 
@@ -97,9 +140,22 @@
             self.signalled_at = time.monotonic()
             self.process.send_signal(number)
 
+    @contextmanager
+    def unread_log(self) -> Iterator[None]:
+        """Do not read the log of the current process for a while."""
+        copier = self.copiers[-1]
+        copier.is_read.clear()
+        try:
+            yield
+        finally:
+            copier.may_end_short |= self.is_stopped
+            copier.is_read.set()
+
     def kill(self) -> None:
         """Kill the process and wait until it has ended."""
         self.is_stopped = True
+        if self.copiers:
+            self.copiers[-1].may_end_short = True
         self.signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait()
@@ -111,7 +167,7 @@
         if self.process is None:
             return
         try:
-            code = self.process.wait(GRACE_S + 0.5)
+            code = self.process.wait(self.grace_s + 0.5)
         except subprocess.TimeoutExpired:
             self.records.add_violation(
                 "planned stop", f"{self.name} outlived its grace"
@@ -180,4 +236,22 @@
     def tear_down(self) -> None:
         """End the process and its link to the store."""
         self.kill()
+        for copier in self.copiers:
+            copier.join(5.0)
         self.store_link.stop()
+
+
+class LogPauser(threading.Thread):
+    """Does not read the log of one process for some seconds, again and again."""
+
+    def __init__(self, seed: int, nodes: list[Node]) -> None:
+        super().__init__(daemon=True)
+        self.rng = random.Random(f"logs-{seed}")
+        self.nodes = nodes
+        self.stopping = threading.Event()
+
+    def run(self) -> None:
+        """Pause logs until stopped."""
+        while not self.stopping.wait(self.rng.uniform(*LOG_READ_S)):
+            with self.rng.choice(self.nodes).unread_log():
+                self.stopping.wait(self.rng.uniform(*LOG_UNREAD_S))
--- a/tests/functional/gateway_soak/planted.py
+++ b/tests/functional/gateway_soak/planted.py
@@ -29,6 +29,7 @@
 from poplarfold._internal.exceptions import NotRunError
 from poplarfold._internal.gateway import main as gateway_main
 from poplarfold._internal.gateway.events import EventSplitter
+from poplarfold._internal.gateway.handler import CallHandler
 from poplarfold._internal.gateway.main import Gateway
 from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.gateway.topic_state import TopicState
@@ -149,6 +150,12 @@
     patch(Gateway, "stop_gracefully", lambda self: None)
 
 
+def late_calls() -> None:
+    """Passes on the calls that arrive while a planned stop ends."""
+    patch(CallHandler, "close_if_idle", lambda self: not self.open_calls)
+    patch(CallHandler, "close", lambda self: None)
+
+
 def fatal_reloads() -> None:
     """Exits when the settings should be reread."""
 
@@ -244,7 +251,7 @@
     for plant in (
         repeated_filings, false_refusals, foreign_answers, short_answers,
         lost_events, leaving_endpoints, unseen_leavers, older_configurations,
-        late_configurations, hasty_stops, fatal_reloads, unlimited_retries,
+        late_configurations, hasty_stops, late_calls, fatal_reloads, unlimited_retries,
         passed_keys, claimed_accounts, any_keys, ignored_revocations, outdated_keys,
         whole_quotas, whole_limits, unlimited_bodies, stuck_closing,
     )
