Write warnings of libraries as events in the gateway's log

Records of the standard library's loggers from WARNING on are now PF9005 (library_message), at most one per second, with the number that was left out. The daemon's log is unchanged.

--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -40,6 +40,7 @@
 from poplarfold._internal.http.answer_memory import AnswerMemory
 from poplarfold._internal.http.caller_resources import CallerLimits, CallerResources
 from poplarfold._internal.http.memory_account import MemoryAccount
+from poplarfold._internal.logs.library_messages import log_library_messages
 from poplarfold._internal.logs.queued import QueuedStream
 from poplarfold._internal.logs.writer import EventWriter
 from poplarfold._internal.platform import (
@@ -370,6 +371,7 @@
     stream = QueuedStream(sys.stdout.fileno(), settings.log_queue_lines)
     incarnation = int(time.time() * 1000)
     writer = EventWriter(stream, host.host, incarnation)  # type: ignore[arg-type]
+    log_library_messages(writer.write_event)
     gateway = Gateway(host, settings, writer)
     signals: queue.SimpleQueue[int] = queue.SimpleQueue()
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
--- a/src/poplarfold/_internal/logs/catalogue.py
+++ b/src/poplarfold/_internal/logs/catalogue.py
@@ -740,6 +740,13 @@
         "a call failed with an unexpected error, and its caller got status 500",
         alert=True,
     ),
+    EventKind(
+        "PF9005",
+        "library_message",
+        ("logger", "level", "message", "traceback", "skipped"),
+        "a library logged a warning or an error; skipped counts those that were left "
+        "out before it, as at most one per second is logged",
+    ),
 )
 
 EVENTS: dict[str, EventKind] = {kind.number: kind for kind in _ALL}
