Report where a process waits that outlives its grace in the gateway's soak

The violation now has the states of the process's threads and where they wait in the kernel. The check is unchanged.

--- a/tests/functional/gateway_soak/nodes.py
+++ b/tests/functional/gateway_soak/nodes.py
@@ -10,8 +10,9 @@
 import sys
 import threading
 import time
+from collections import Counter
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 from tests.functional.gateway_soak.proxy import Link
@@ -48,6 +49,16 @@
 }
 
 
+def thread_states(pid: int) -> dict[str, int]:
+    """Return how many threads of a process are in each state, and where they wait."""
+    states: Counter[str] = Counter()
+    for task in Path(f"/proc/{pid}/task").glob("*"):
+        with suppress(OSError):
+            state = (task / "stat").read_text().rpartition(")")[2].split()[0]
+            states[f"{state} {(task / 'wchan').read_text()}"] += 1
+    return dict(states)
+
+
 class LogCopier(threading.Thread):
     """Copies the output of one process from a pipe to a file, unless it is paused.
 
@@ -169,8 +180,9 @@
         try:
             code = self.process.wait(self.grace_s + 0.5)
         except subprocess.TimeoutExpired:
+            states = thread_states(self.process.pid)
             self.records.add_violation(
-                "planned stop", f"{self.name} outlived its grace"
+                "planned stop", f"{self.name} outlived its grace: {states}"
             )
             self.kill()
             return
