--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -277,13 +277,11 @@
                 raise EndpointRefusedError(f"{endpoint.address} refused the stream")
             return self.relay_failure(stream, endpoint, started_at)
         self.failover.record_head()
-        is_continued: bool | None = not self.has_started or None
+        # Whether the events follow those that were sent; None before the first one.
+        is_continued: bool | None = None if self.has_started else True
         self.splitter.mark()
-        if not is_continued and media_type(stream) not in (
-            EVENT_STREAM,
-            self.media_type,
-        ):
-            self.reject_continuation(endpoint)
+        if self.has_started:
+            self.check_media_type(stream, endpoint)
         progress_at = started_at
         while not stream.ended:
             result = self.read_stream(stream, progress_at)
@@ -336,6 +334,11 @@
         )
         return True
 
+    def check_media_type(self, stream: EndpointStream, endpoint: FleetEndpoint) -> None:
+        """Raise EndpointError if an answer cannot go on with the stream."""
+        if media_type(stream) not in (EVENT_STREAM, self.media_type):
+            self.reject_continuation(endpoint)
+
     def reject_continuation(self, endpoint: FleetEndpoint) -> NoReturn:
         """Discard an answer that does not go on with the stream that has begun.
 
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -303,8 +303,8 @@
         self.status = self.call("second")
 
 
-def test_stop_cuts_no_call_while_its_log_is_written(fleet):
-    """Guards against calls that are passed on after a stop has decided to end."""
+def restart_with_unread_log(fleet):
+    """Start the process anew, with a log that nobody reads once it is ready."""
     log_read, log_write = os.pipe()
     fcntl.fcntl(log_write, fcntl.F_SETPIPE_SZ, SMALLEST_PIPE_BYTES)
     fleet.process.kill()
@@ -314,6 +314,12 @@
     reader.start()
     fleet.wait_ready()
     reader.pause()
+    return reader
+
+
+def test_stop_cuts_no_call_while_its_log_is_written(fleet):
+    """Guards against calls that are passed on after a stop has decided to end."""
+    reader = restart_with_unread_log(fleet)
     callers = [KeptConnection(fleet, number) for number in range(CALLS)]
     for endpoint in fleet.plain:
         endpoint.work_s = WORK_S
@@ -365,15 +371,7 @@
 
 def test_process_whose_log_is_not_read_ends_within_its_grace(fleet):
     """Guards against a process that is killed, since it waits for its log too long."""
-    log_read, log_write = os.pipe()
-    fcntl.fcntl(log_write, fcntl.F_SETPIPE_SZ, SMALLEST_PIPE_BYTES)
-    fleet.process.kill()
-    fleet.process.wait()
-    fleet.start(stdout=log_write)
-    reader = LogReader(log_read)
-    reader.start()
-    fleet.wait_ready()
-    reader.pause()
+    reader = restart_with_unread_log(fleet)
     for number in range(CALLS):
         KeptConnection(fleet, number)
     # A stream that lasts beyond the grace.
