Let the stand-ins of tests accept many connections at once

Traced: the HTTP server of the standard library lets five connections wait. While nobody accepts, 6 of 12 connect within 0.3 s with a queue of 5, and 12 of 12 with one of 128.

--- a/tests/lib/platform_standin.py
+++ b/tests/lib/platform_standin.py
@@ -79,6 +79,8 @@
     """
 
     daemon_threads = True
+    # With the default of 5, calls at once lose their connections and wait for a second.
+    request_queue_size = 128
 
     def handle_error(self, request: Any, client_address: Any) -> None:
         if not isinstance(sys.exception(), OSError):
