--- a/src/poplarfold/_internal/gateway/main.py
+++ b/src/poplarfold/_internal/gateway/main.py
@@ -25,6 +25,7 @@
 from poplarfold._internal.gateway.context import Services
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.handler import CallHandler
+from poplarfold._internal.gateway.library_messages import log_library_messages
 from poplarfold._internal.gateway.metrics import GatewayMetrics
 from poplarfold._internal.gateway.part_guard import PartGuard
 from poplarfold._internal.gateway.part_writer import PartWriter
@@ -40,7 +41,6 @@
 from poplarfold._internal.http.answer_memory import AnswerMemory
 from poplarfold._internal.http.caller_resources import CallerLimits, CallerResources
 from poplarfold._internal.http.memory_account import MemoryAccount
-from poplarfold._internal.logs.library_messages import log_library_messages
 from poplarfold._internal.logs.queued import QueuedStream
 from poplarfold._internal.logs.writer import EventWriter
 from poplarfold._internal.platform import (
--- a/tests/unit/test_library_messages.py
+++ b/tests/unit/test_library_messages.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from poplarfold._internal.logs.library_messages import LibraryHandler
+from poplarfold._internal.gateway.library_messages import LibraryHandler
 
 WARNING = "socket.send() raised exception."
 
