Let a refusal that is not believed end no limit of its endpoint

Found in the last read, not by a test: the signal of a refusal that may be the copy of an earlier one was recorded as that of an answer to a call sent now, so that one without a limit ended the limit until the next answer named it. It counts as older than any naming now.

--- a/src/poplarfold/_internal/gateway/plain_calls.py
+++ b/src/poplarfold/_internal/gateway/plain_calls.py
@@ -1,5 +1,6 @@
 """Calls to plain services: one request and one complete answer."""
 
+import math
 from collections.abc import Mapping
 
 from result import Result
@@ -185,17 +186,15 @@
             account=context.account_name,
         )
 
-        sent_at = boot_time()
-
         def belongs_to_request(
             status: int, headers: Mapping[str, str], was_reused: bool
         ) -> bool:
             metadata = decode_answer_metadata(status, headers)
             is_own = metadata.belongs_to(call, was_reused)
             if not is_own and metadata.belongs_to(call) and metadata.signal.is_away:
-                # The endpoint wrote it, if not for this call.
+                # The endpoint wrote it, if not for this call: it ends no limit.
                 context.services.record_signal(
-                    endpoint, metadata.signal, sent_at, metadata.unknown_headers
+                    endpoint, metadata.signal, -math.inf, metadata.unknown_headers
                 )
             return is_own
 
