--- a/src/poplarfold/_internal/bench/control.py
+++ b/src/poplarfold/_internal/bench/control.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 from poplarfold._internal.bench.fault_simulation import FaultSimulation, entry_host_row
-from poplarfold._internal.bench.simulation import NodeHost
+from poplarfold._internal.bench.simulation_parts import NodeHost
 from poplarfold._internal.core import events
 from poplarfold._internal.core.entry_codec import encode_entry
 from poplarfold._internal.core.model import (
--- a/src/poplarfold/_internal/bench/fault_simulation.py
+++ b/src/poplarfold/_internal/bench/fault_simulation.py
@@ -2,7 +2,8 @@
 
 from typing import Any, NamedTuple
 
-from poplarfold._internal.bench.simulation import NodeHost, Simulation
+from poplarfold._internal.bench.simulation import Simulation
+from poplarfold._internal.bench.simulation_parts import NodeHost
 from poplarfold._internal.core import commands, events
 from poplarfold._internal.core.events import HostListRow
 from poplarfold._internal.core.peer_codec import decode, encode
--- a/src/poplarfold/_internal/bench/latency.py
+++ b/src/poplarfold/_internal/bench/latency.py
@@ -31,6 +31,7 @@
 )
 from poplarfold._internal.core.entry_codec import entry_fields
 from poplarfold._internal.exceptions import LocalFleetError
+from poplarfold._internal.utils.addresses import host_and_port
 
 __all__ = ["LATENCY_STREAMS", "TARGETS", "LevelReport", "run_latency"]
 
@@ -127,8 +128,9 @@
         if self.closes_after_response:
             self.close()
         if self.writer is None or self.reader is None:
-            host, _, port = self.address.rpartition(":")
-            self.reader, self.writer = await asyncio.open_connection(host, int(port))
+            self.reader, self.writer = await asyncio.open_connection(
+                *host_and_port(self.address)
+            )
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n{headers}"
             f"Content-Length: {len(body)}\r\n\r\n"
--- a/tests/unit/test_decoders.py
+++ b/tests/unit/test_decoders.py
@@ -17,7 +17,6 @@
 from poplarfold._internal.core.commands import ReadLog
 from poplarfold._internal.core.entry_codec import decode_entry, encode_entry
 from poplarfold._internal.daemon import request_body
-from poplarfold._internal.daemon.endpoint_client import Answer
 from poplarfold._internal.daemon.endpoint_reports import (
     parse_cache_events,
     parse_report,
@@ -26,8 +25,11 @@
 from poplarfold._internal.daemon.log_client import parse_read
 from poplarfold._internal.daemon.stream_assembler import StreamAssembler
 from poplarfold._internal.exceptions import PoplarfoldError, SettingsError
+from poplarfold._internal.gateway.settings import check_gateway_settings
+from poplarfold._internal.http.exchange import Answer
 from poplarfold._internal.logs.reader import parse_line
 from poplarfold._internal.settings_file import parse_settings
+from poplarfold._internal.toml_file import parse_toml
 
 FIXED = settings(derandomize=True, max_examples=250, deadline=None)
 DEEPLY_NESTED = b"[" * 100_000
@@ -177,6 +179,27 @@
             assert all(problem.line >= 1 for problem in outcome.err_value.problems)
 
 
+GATEWAY_TOKENS = st.sampled_from(
+    ["[", "]", "=", '"', "\n", "admission", "door", ".", "{", "}", "1e999", "nan", "-"]
+    + ["connect_s", "tunnels", "queue_max", "9" * 400, "9" * 6000, "0x" + "f" * 6000]
+)
+
+
+@FIXED
+@given(st.binary(max_size=300) | st.lists(GATEWAY_TOKENS, max_size=20).map("".join))
+@example(b"connect_s = " + b"9" * 400)
+@example(b"connect_s = 0x" + b"f" * 6000)
+@example(b"connect_s = -0x" + b"f" * 6000)
+@example(b"tunnels = 0x" + b"f" * 6000)
+@example(b"[admission]\nretry_after_s = " + b"9" * 400)
+def test_gateway_settings(data):
+    """Guards against a traceback instead of the list of problems."""
+    outcome = parse_toml(data, "x.toml").and_then(check_gateway_settings)
+    assert_typed(outcome, SettingsError)
+    if isinstance(outcome, Err):
+        assert all(problem.line >= 1 for problem in outcome.err_value.problems)
+
+
 @FIXED
 @given(encoded(ENTRY))
 @example(DEEPLY_NESTED)
