--- a/src/poplarfold/_internal/core/log_reader.py
+++ b/src/poplarfold/_internal/core/log_reader.py
@@ -13,6 +13,7 @@
 from poplarfold._internal.core.events import LogReadCompleted, LogReadFailed, LogRecord
 from poplarfold._internal.core.state import NodeState
 from poplarfold._internal.exceptions import LogGapError
+from poplarfold._internal.utils.backoff import doubled_s
 
 __all__ = ["StreamReader"]
 
@@ -167,7 +168,7 @@
             self.needs_start = True
 
     def back_off(self, now: float, jitter: float = 0.5) -> None:
-        delay = min(READ_RETRY_MAX_S, READ_RETRY_MIN_S * 2 ** min(self.failures, 8))
+        delay = doubled_s(READ_RETRY_MIN_S, self.failures, READ_RETRY_MAX_S)
         self.failures += 1
         self.earliest_read_at = now + delay * (0.5 + jitter)
         if self.overdue_at is not None:
--- a/src/poplarfold/_internal/core/systems/calls.py
+++ b/src/poplarfold/_internal/core/systems/calls.py
@@ -43,6 +43,7 @@
     Outcome,
     PoplarfoldError,
 )
+from poplarfold._internal.utils.backoff import doubled_s
 
 __all__ = ["next_wakeup", "on_event", "on_tick"]
 
@@ -62,7 +63,7 @@
             end_call(state, now, call_id, DeadlineExceededError("deadline passed"))
     for key, cancel in state.cancels.rows():
         if cancel.next_try_at <= now:
-            delay = min(CANCEL_RETRY_MAX_S, CANCEL_RETRY_MIN_S * 2**cancel.tries)
+            delay = doubled_s(CANCEL_RETRY_MIN_S, cancel.tries, CANCEL_RETRY_MAX_S)
             state.cancels.put(
                 key,
                 cancel._replace(next_try_at=now + delay, tries=cancel.tries + 1),
--- a/src/poplarfold/_internal/core/systems/checkpoints.py
+++ b/src/poplarfold/_internal/core/systems/checkpoints.py
@@ -33,6 +33,7 @@
 from poplarfold._internal.core.systems.catalogue import CatalogueFold
 from poplarfold._internal.core.systems.claims import Claims
 from poplarfold._internal.core.systems.membership import all_live_hosts
+from poplarfold._internal.utils.backoff import doubled_s
 from poplarfold._internal.utils.rendezvous import choose_host
 
 __all__ = ["Checkpoints", "next_wakeup", "on_event", "on_tick"]
@@ -149,7 +150,7 @@
         part.position = None
         part.search_at = now
         return
-    delay = min(SEARCH_RETRY_MAX_S, SEARCH_RETRY_MIN_S * 2 ** min(part.failures, 8))
+    delay = doubled_s(SEARCH_RETRY_MIN_S, part.failures, SEARCH_RETRY_MAX_S)
     part.failures += 1
     # While the log fails, the catalogue fold requests its state from peers.
     state.part(CatalogueFold).is_log_failing = True
--- a/src/poplarfold/_internal/core/systems/health.py
+++ b/src/poplarfold/_internal/core/systems/health.py
@@ -23,6 +23,7 @@
 )
 from poplarfold._internal.core.model import EndpointRef, EndpointRole, Identity
 from poplarfold._internal.core.state import NodeState, Table
+from poplarfold._internal.utils.backoff import doubled_s
 
 __all__ = [
     "EndpointRow",
@@ -433,7 +434,7 @@
     if ejected + 1 > max(len(pool) * EJECTED_SHARE_MAX, 1.0) or len(pool) < 2:
         state.log("PF3105", None, endpoint=ref.address, reason=reason, pool=len(pool))
         return
-    until = now + min(EJECT_MAX_S, EJECT_MIN_S * 2**row.ejections)
+    until = now + doubled_s(EJECT_MIN_S, row.ejections, EJECT_MAX_S)
     part.health.put(
         ref,
         row._replace(
--- a/src/poplarfold/_internal/core/systems/retries.py
+++ b/src/poplarfold/_internal/core/systems/retries.py
@@ -18,6 +18,7 @@
     PoplarfoldError,
     UpstreamFailedError,
 )
+from poplarfold._internal.utils.backoff import doubled_s
 
 __all__ = ["RetryState", "next_wakeup", "on_event", "on_tick"]
 
@@ -81,7 +82,7 @@
         if error is not None:
             calls.end_call(state, now, call_id, error)
             continue
-        delay = min(RETRY_DELAY_MAX_S, RETRY_DELAY_MIN_S * 2**call.attempts)
+        delay = doubled_s(RETRY_DELAY_MIN_S, call.attempts, RETRY_DELAY_MAX_S)
         start_at = now + delay * state.rng.random()
         heapq.heappush(part.due, (start_at, call_id, repeat_endpoint(part, call)))
         state.log("PF4001", call_id, code=event.error.code, start_at=start_at)
--- a/src/poplarfold/_internal/daemon/attempt.py
+++ b/src/poplarfold/_internal/daemon/attempt.py
@@ -10,15 +10,6 @@
 from poplarfold._internal.core.commands import StartAttempt
 from poplarfold._internal.core.events import AttemptEnded, FirstOutput, PrefillDone
 from poplarfold._internal.core.model import EndpointRef, HostKey, Identity
-from poplarfold._internal.daemon.endpoint_client import (
-    AbortHandle,
-    Answer,
-    EndpointClient,
-    EndpointStream,
-    Failure,
-    Target,
-    is_believed_without_id,
-)
 from poplarfold._internal.daemon.metrics import IntervalRecorder
 from poplarfold._internal.daemon.stream_assembler import StreamAssembler
 from poplarfold._internal.daemon.stream_pump import PumpJob, Sink, StreamPump
@@ -33,6 +24,15 @@
     OutcomeUnknownError,
     StaleFencingError,
 )
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.endpoint_stream import EndpointStream
+from poplarfold._internal.http.exchange import (
+    AbortHandle,
+    Answer,
+    Target,
+    is_believed_without_id,
+)
+from poplarfold._internal.http.failures import Failure
 
 __all__ = ["AttemptIO", "ModelRequest", "ServiceRequest", "run_model", "run_service"]
 
@@ -392,8 +392,19 @@
     def _attempt_failure(
         self, failure: Failure, endpoint: EndpointRef
     ) -> AttemptFailure:
-        endpoint_at_fault = None if self.handle.aborted.is_set() else endpoint.address
-        return AttemptFailure(failure.error, True, endpoint_at_fault)
+        at_fault = address_at_fault(failure, endpoint, self.handle)
+        return AttemptFailure(failure.error, True, at_fault)
+
+
+def address_at_fault(
+    failure: Failure, endpoint: EndpointRef, handle: AbortHandle
+) -> str | None:
+    """Return the endpoint's address if a failure counts against it, or None.
+
+    It does not if the attempt was aborted, or if this node lacked a descriptor.
+    """
+    is_at_fault = not (handle.aborted.is_set() or failure.is_own_shortage)
+    return endpoint.address if is_at_fault else None
 
 
 # Plain service calls.
@@ -447,9 +458,9 @@
         result = settle_operation(io, start, handle)
     if result.is_err():
         failure = result.unwrap_err()
-        endpoint_at_fault = None if handle.aborted.is_set() else endpoint.address
+        at_fault = address_at_fault(failure, endpoint, handle)
         return AttemptEnded(
-            start.attempt_id, failure.error, failure.sent, 0, 0.0, endpoint_at_fault
+            start.attempt_id, failure.error, failure.sent, 0, 0.0, at_fault
         )
     answer = result.unwrap()
     error = service_error(start, endpoint, answer)
--- a/src/poplarfold/_internal/daemon/caller_calls.py
+++ b/src/poplarfold/_internal/daemon/caller_calls.py
@@ -19,7 +19,6 @@
     run_service,
 )
 from poplarfold._internal.daemon.http_answers import JSON_TYPE, answer_json, read_body
-from poplarfold._internal.daemon.http_server import CONNECTION_KEY, CallerConnection
 from poplarfold._internal.daemon.metrics import IntervalRecorder
 from poplarfold._internal.daemon.request_body import (
     CallerRequestBody,
@@ -32,10 +31,12 @@
     token_count,
 )
 from poplarfold._internal.daemon.runtime import AttemptJob, Mailbox, Runtime
-from poplarfold._internal.daemon.socket_watcher import SocketWatcher
 from poplarfold._internal.daemon.stream_assembler import StreamAssembler
 from poplarfold._internal.daemon.stream_pump import Sink, StreamPump
 from poplarfold._internal.exceptions import PoplarfoldError, RequestError
+from poplarfold._internal.http.caller_server import CONNECTION_KEY, CallerConnection
+from poplarfold._internal.http.socket_watcher import SocketWatcher
+from poplarfold._internal.http.stream_places import StreamPlaces
 
 __all__ = [
     "ModelCall",
@@ -53,6 +54,7 @@
     accounts: Mapping[str, str]
     operators: Mapping[str, str]
     call_numbers: "itertools.count[int]"
+    places: StreamPlaces
 
 
 def attempt_io(services: Services) -> AttemptIO:
--- a/src/poplarfold/_internal/daemon/endpoint_reports.py
+++ b/src/poplarfold/_internal/daemon/endpoint_reports.py
@@ -13,11 +13,8 @@
     WorkItem,
 )
 from poplarfold._internal.core.model import EndpointRole, HostKey, Identity
-from poplarfold._internal.daemon.endpoint_client import (
-    EndpointClient,
-    Target,
-    is_believed_without_id,
-)
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import Target, is_believed_without_id
 from poplarfold._internal.utils.malformed import MALFORMED_DOCUMENT_ERRORS
 
 __all__ = ["EndpointPoller", "parse_cache_events", "parse_report"]
--- a/src/poplarfold/_internal/daemon/frontend.py
+++ b/src/poplarfold/_internal/daemon/frontend.py
@@ -4,6 +4,7 @@
 can run in one process.
 """
 
+import contextlib
 import itertools
 import json
 import queue
@@ -25,10 +26,8 @@
     read_body,
     require_method,
 )
-from poplarfold._internal.daemon.http_server import CallerServer
 from poplarfold._internal.daemon.request_body import parse_object
 from poplarfold._internal.daemon.runtime import Runtime
-from poplarfold._internal.daemon.socket_watcher import SocketWatcher
 from poplarfold._internal.daemon.stream_pump import StreamPump
 from poplarfold._internal.exceptions import (
     LogUnavailableError,
@@ -39,7 +38,10 @@
     RequestError,
 )
 from poplarfold._internal.http.caller_resources import CallerLimits, CallerResources
+from poplarfold._internal.http.caller_server import CallerServer
 from poplarfold._internal.http.memory_account import MemoryAccount
+from poplarfold._internal.http.socket_watcher import SocketWatcher
+from poplarfold._internal.http.stream_places import StreamPlaces
 
 __all__ = ["FrontEnd"]
 
@@ -121,6 +123,12 @@
         """Serve a model call. Raises PoplarfoldError."""
         require_method("POST")
         account = authenticate(self.services.accounts)
+        place = contextlib.ExitStack()
+        place.enter_context(self.services.places.occupy())
+        # The place is free again when the answer has been sent, or its caller has left:
+        # cherrypy calls this once for each request, whatever its outcome.
+        hooks = cherrypy.serving.request.hooks
+        hooks.attach("on_end_request", place.close, failsafe=True)
         return ModelCall(self.services, account, call_id, is_chat).start()
 
 
@@ -239,6 +247,7 @@
             names_by_digest(settings.accounts),
             names_by_digest(settings.operators),
             itertools.count(1),
+            StreamPlaces(settings.request_threads, settings.kept_thread_share),
         )
 
         def on_error(message: str) -> None:
@@ -254,6 +263,7 @@
             runtime.write_log,
             settings.request_threads,
         )
+        resources.add_client(runtime.client)
         runtime.metrics.callers.resources = resources
         read_s = settings.timeouts.request_read_s
         self.callers = CallerServer(
--- a/src/poplarfold/_internal/daemon/host_list_client.py
+++ b/src/poplarfold/_internal/daemon/host_list_client.py
@@ -3,12 +3,10 @@
 from result import Err, Ok, Result
 
 from poplarfold._internal.core.events import HostListReceived, HostListRow
-from poplarfold._internal.daemon.endpoint_client import (
-    EndpointClient,
-    Target,
-)
 from poplarfold._internal.daemon.log_client import address_of
 from poplarfold._internal.exceptions import EndpointError
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import Target
 from poplarfold._internal.utils.json_documents import parse_json
 from poplarfold._internal.utils.malformed import MALFORMED_DOCUMENT_ERRORS
 
--- a/src/poplarfold/_internal/daemon/log_client.py
+++ b/src/poplarfold/_internal/daemon/log_client.py
@@ -13,11 +13,8 @@
     LogReadFailed,
     LogRecord,
 )
-from poplarfold._internal.daemon.endpoint_client import (
-    Answer,
-    EndpointClient,
-    Target,
-)
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import Answer, Target
 from poplarfold._internal.utils.json_documents import parse_json
 from poplarfold._internal.utils.malformed import MALFORMED_DOCUMENT_ERRORS
 
--- a/src/poplarfold/_internal/daemon/main.py
+++ b/src/poplarfold/_internal/daemon/main.py
@@ -18,6 +18,7 @@
 from poplarfold._internal.logs.writer import WriteLog, open_writer
 from poplarfold._internal.settings_file import DaemonSettings, read_settings
 from poplarfold._internal.utils.allocator import return_large_blocks
+from poplarfold._internal.utils.signals import SignalQueue
 
 __all__ = ["Daemon", "main"]
 
@@ -100,17 +101,16 @@
     incarnation = int(time.time() * 1000)
     writer = open_writer(settings.log_path, settings.node.host, incarnation)
     daemon = Daemon(settings, incarnation, writer.write_event)
-    signals = 0
+    signals = SignalQueue((signal.SIGTERM, signal.SIGINT))
 
-    def on_signal(number: int, frame: object) -> None:
-        nonlocal signals
-        signals += 1
-        if signals > 1:
-            os._exit(EXIT_FORCED)
+    def follow_signals() -> None:
+        """Drain the daemon at the first signal, and end it at the second."""
+        signals.get()
         threading.Thread(target=daemon.drain).start()
+        signals.get()
+        os._exit(EXIT_FORCED)
 
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
+    threading.Thread(target=follow_signals, name="signals", daemon=True).start()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     return_large_blocks()
     daemon.start()
--- a/src/poplarfold/_internal/daemon/peer_link.py
+++ b/src/poplarfold/_internal/daemon/peer_link.py
@@ -31,6 +31,7 @@
 from poplarfold._internal.daemon.tls import PeerTls, certificate_error
 from poplarfold._internal.exceptions import PeerProtocolError
 from poplarfold._internal.logs.writer import WriteLog
+from poplarfold._internal.utils.backoff import doubled_s
 
 __all__ = ["PeerLink"]
 
@@ -235,7 +236,7 @@
                 self.post(PeerConnectFailed(peer.host, opened.err_value))
             failures += 1
             self._drop_expired(peer)
-            delay = min(RECONNECT_MAX_S, RECONNECT_MIN_S * 2 ** min(failures, 8))
+            delay = doubled_s(RECONNECT_MIN_S, failures, RECONNECT_MAX_S)
             await asyncio.sleep(delay * (0.5 + self.random.random()))
             self._drop_expired(peer)
 
--- a/src/poplarfold/_internal/daemon/runtime.py
+++ b/src/poplarfold/_internal/daemon/runtime.py
@@ -35,12 +35,6 @@
 from poplarfold._internal.core.model import HostKey
 from poplarfold._internal.core.node import Node
 from poplarfold._internal.core.state import NodeState
-from poplarfold._internal.daemon.endpoint_client import (
-    AbortHandle,
-    EndpointClient,
-    Target,
-    is_believed_without_id,
-)
 from poplarfold._internal.daemon.endpoint_reports import EndpointPoller
 from poplarfold._internal.daemon.host_list_client import HostListClient
 from poplarfold._internal.daemon.log_client import LogClient
@@ -52,6 +46,12 @@
     OutcomeUnknownError,
     PoplarfoldError,
 )
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import (
+    AbortHandle,
+    Target,
+    is_believed_without_id,
+)
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.settings_file import DaemonSettings
 
--- a/src/poplarfold/_internal/daemon/stream_pump.py
+++ b/src/poplarfold/_internal/daemon/stream_pump.py
@@ -13,10 +13,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from poplarfold._internal.daemon.endpoint_client import EndpointStream
 from poplarfold._internal.daemon.metrics import IntervalRecorder
 from poplarfold._internal.daemon.stream_assembler import StreamAssembler
 from poplarfold._internal.exceptions import EndpointError, EndpointStalledError
+from poplarfold._internal.http.endpoint_stream import EndpointStream
 
 __all__ = ["PumpJob", "Sink", "StreamPump"]
 
--- a/src/poplarfold/_internal/http/answer_socket.py
+++ b/src/poplarfold/_internal/http/answer_socket.py
@@ -12,6 +12,7 @@
 import re
 import select
 import socket
+import sys
 import termios
 import time
 from typing import Any
@@ -20,7 +21,17 @@
 
 from poplarfold._internal.http.chunked import LINE_MAX_BYTES, parse_chunk_size
 
-__all__ = ["HEAD_LIMIT_BYTES", "DeadlineSocket", "EndpointConnection", "has_excess"]
+__all__ = [
+    "HEAD_LIMIT_BYTES",
+    "RECEIPT_WAIT_S",
+    "DeadlineSocket",
+    "EndpointConnection",
+    "has_excess",
+    "is_orderly_end",
+    "is_received",
+    "may_have_written",
+    "unacknowledged_bytes",
+]
 
 # The largest head of an answer, those of interim answers included.
 HEAD_LIMIT_BYTES = 65_536
@@ -172,6 +183,8 @@
 
     At most ``head_bytes_left`` more are received while it is not None.
 
+    ``has_written`` is true once bytes have been passed to the kernel, or may have been.
+
     ``has_excess`` is true if bytes were left in the buffer of the last reader. While
     ``is_peeking`` is set, nothing is read from the socket.
     """
@@ -179,6 +192,7 @@
     deadline: float | None = None
     bytes_per_s_min: float = math.inf
     head_bytes_left: int | None = None
+    has_written = False
     has_excess = False
     is_peeking = False
 
@@ -188,6 +202,16 @@
             return super().makefile(mode, *options, **keywords)  # type: ignore[call-overload]
         return AnswerReader(super().makefile("rb", buffering=0), self)
 
+    def send(self, *arguments: Any) -> int:
+        """Write like ``socket.send``. Raises OSError."""
+        self.has_written = True
+        return super().send(*arguments)
+
+    def sendall(self, *arguments: Any) -> None:
+        """Write like ``socket.sendall``. Raises OSError."""
+        self.has_written = True
+        super().sendall(*arguments)
+
     def recv_into(self, *arguments: Any) -> int:
         """Read like ``socket.recv_into``. Raises TimeoutError at the deadline."""
         if self.is_peeking:
@@ -199,7 +223,7 @@
             self.settimeout(left_s)
         if self.head_bytes_left is not None and self.head_bytes_left <= 0:
             raise http.client.HTTPException("the head of the answer is too large")
-        received = super().recv_into(*arguments)
+        received = self.receive_into(*arguments)
         if not received:
             self.check_end()
         if self.deadline is not None:
@@ -208,6 +232,10 @@
             self.head_bytes_left -= received
         return received
 
+    def receive_into(self, buffer: Any, count: int = 0, flags: int = 0) -> int:
+        """Read bytes of the peer into a buffer; return 0 at its end."""
+        return super().recv_into(buffer, count, flags)
+
     def recv(self, *arguments: Any) -> bytes:
         """Read like ``socket.recv``. Raises OSError."""
         data = super().recv(*arguments)
@@ -233,30 +261,42 @@
             poll = select.poll()
             poll.register(self, 0)
             is_reset = bool(poll.poll(RESET_WAIT_MS))
-            may_wait = not is_reset and not self.is_received()
+            may_wait = not is_reset and not is_received(self)
             may_wait = may_wait and time.monotonic() < until
-        if self.tcp_state() not in ORDERLY_STATES or not self.is_received():
+        if not is_orderly_end(self):
             raise ConnectionResetError(
                 errno.ECONNRESET, "the connection ended during the exchange"
             )
 
-    def tcp_state(self) -> int:
-        """Return the state of the connection, or TCP_UNKNOWN."""
-        try:
-            return self.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-        except OSError:
-            return TCP_UNKNOWN
 
-    def is_received(self) -> bool:
-        """Return whether the peer has acknowledged all bytes that were sent.
+def tcp_state(sock: socket.socket) -> int:
+    """Return the state of a connection, or TCP_UNKNOWN."""
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return TCP_UNKNOWN
 
-        Where the system does not say so, they are taken to be.
-        """
-        try:
-            count = fcntl.ioctl(self, termios.TIOCOUTQ, bytes(4))
-        except OSError:
-            return True
-        return count == bytes(4)
+
+def is_received(sock: socket.socket) -> bool:
+    """Return whether the peer has acknowledged all bytes that were sent."""
+    return unacknowledged_bytes(sock) == 0
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many of the bytes that were sent the peer has not acknowledged.
+
+    Where the system does not say so, they are taken to be acknowledged.
+    """
+    try:
+        count = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
+def is_orderly_end(sock: socket.socket) -> bool:
+    """Return whether the peer, which sends nothing more, ended in order."""
+    return tcp_state(sock) in ORDERLY_STATES and is_received(sock)
 
 
 class EndpointConnection(HTTPConnection):
@@ -269,6 +309,11 @@
         return DeadlineSocket(sock.family, sock.type, sock.proto, sock.detach())
 
 
+def may_have_written(sock: socket.socket | None) -> bool:
+    """Return whether a byte of the current request may have been sent."""
+    return not isinstance(sock, DeadlineSocket) or sock.has_written
+
+
 def has_excess(connection: HTTPConnection) -> bool:
     """Return whether bytes that belong to no request followed the last response."""
     return isinstance(connection.sock, DeadlineSocket) and connection.sock.has_excess
--- a/src/poplarfold/_internal/http/caller_resources.py
+++ b/src/poplarfold/_internal/http/caller_resources.py
@@ -11,6 +11,8 @@
 )
 from poplarfold._internal.http.body_reader import BodyReader
 from poplarfold._internal.http.closing_sockets import ClosingSockets
+from poplarfold._internal.http.connection_pool import ConnectionPool
+from poplarfold._internal.http.endpoint_client import EndpointClient
 from poplarfold._internal.http.memory_account import MemoryAccount
 from poplarfold._internal.http.open_connections import OpenConnections
 
@@ -21,6 +23,9 @@
 LOG_CHECKS = 20
 # While all request threads are occupied, callers that read more slowly are closed.
 SLOW_READER_BYTES_PER_S = 16_384
+# How many descriptors are freed when none is left: some more than a new connection
+# takes, since its request needs one to an endpoint.
+FREED_TOGETHER = 8
 
 WriteEvent = Callable[[str, None, dict[str, Any]], None]
 
@@ -51,7 +56,8 @@
     """The resources that callers take, bounded for the whole process.
 
     ``write_event`` gets the counts if they have changed. Connections whose requests are
-    being served may exceed the limit by ``request_threads``.
+    being served may exceed the limit by ``request_threads``. ``pools`` are those of the
+    process's own clients.
     """
 
     def __init__(
@@ -67,6 +73,7 @@
             connections_max, self.closing_sockets, request_threads
         )
         self.body_reader = BodyReader()
+        self.pools: list[ConnectionPool] = []
         self.write_event = write_event
         self.rejected_bodies = 0
         self.timed_out_bodies = 0
@@ -75,6 +82,14 @@
         self.servers: list[Any] = []
         self.logged = CallerCounts(0, 0, 0, 0)
 
+    def add_client(self, client: EndpointClient) -> None:
+        """Let a client of the process free descriptors, and close its idle connections.
+
+        It frees them when it has none left for a connection of its own.
+        """
+        self.pools.append(client.pool)
+        client.free_descriptors = self.free_descriptors
+
     def add_server(self, server: Any) -> None:
         """Watch the request threads of a listener; the first one starts the thread."""
         with self.lock:
@@ -103,6 +118,16 @@
             self.connections.evicted,
         )
 
+    def free_descriptors(self) -> None:
+        """Close some connections on which no request is open, as no descriptor is left.
+
+        Those to endpoints come first: they can be opened again.
+        """
+        count = FREED_TOGETHER
+        count -= sum(pool.close() for pool in self.pools)
+        if count > 0:
+            self.connections.free(count)
+
     def _run(self) -> None:
         """Make slow readers give up threads that others wait for, and log counts."""
         checks = 0
--- a/src/poplarfold/_internal/daemon/endpoint_client.py
+++ b/src/poplarfold/_internal/http/endpoint_client.py
@@ -3,17 +3,15 @@
 import http.client
 import math
 import socket
-import threading
 import time
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 from urllib3.connection import HTTPConnection
-from urllib3.response import BaseHTTPResponse
 
 from poplarfold._internal.exceptions import (
     AnswerTooLargeError,
+    EndpointCutOffError,
     EndpointError,
     EndpointStalledError,
     ResponseMismatchError,
@@ -22,109 +20,60 @@
 from poplarfold._internal.http.answer_socket import (
     HEAD_LIMIT_BYTES,
     DeadlineSocket,
-    EndpointConnection,
     has_excess,
+    may_have_written,
 )
-from poplarfold._internal.http.endpoint_stream import READ_BYTES, EndpointStream
-from poplarfold._internal.http.failures import NETWORK_ERRORS, Failure, failure_of
-from poplarfold._internal.utils.json_documents import parse_json
-
-__all__ = [
-    "AbortHandle",
-    "Answer",
-    "AwaitAnswer",
-    "EndpointClient",
-    "EndpointStream",
-    "Failure",
-    "OwnAnswerCheck",
-    "Target",
-    "is_believed_without_id",
-]
-
-IDLE_CONNECTIONS_PER_ADDRESS = 64
-# Less than the 10 s after which common HTTP servers close an idle connection.
-IDLE_TIMEOUT_S = 5.0
-
-OwnAnswerCheck = Callable[[int, Mapping[str, str], bool], bool]
-"""Returns whether a response belongs to the request.
-
-It gets the status, the headers, and whether the connection was used before.
-"""
-AwaitAnswer = Callable[[socket.socket], bool]
-"""Waits for the first bytes of a response; returns False if there will be none."""
-
-
-class Target(NamedTuple):
-    """A method and path at one address."""
-
-    address: str
-    method: str
-    path: str
-
-
-class Answer(NamedTuple):
-    """A complete HTTP response."""
-
-    status: int
-    headers: Mapping[str, str]
-    body: bytes
-
-    def json(self) -> dict[str, Any]:
-        """Return the body as a JSON object, or an empty dict if it is none."""
-        try:
-            found = parse_json(self.body)
-        except ValueError:
-            return {}
-        return found if isinstance(found, dict) else {}
-
-
-class AbortHandle:
-    """Lets the core thread interrupt the blocking I/O of an attempt."""
-
-    def __init__(self) -> None:
-        self.aborted = threading.Event()
-        self.lock = threading.Lock()
-        self.sock: socket.socket | None = None
-
-    def attach(self, sock: socket.socket | None) -> None:
-        """Set the socket that abort() shuts down."""
-        with self.lock:
-            self.sock = sock
-            if self.aborted.is_set():
-                shut_down(sock)
-
-    def abort(self) -> None:
-        """Shut down the attached socket, which wakes the thread that reads it."""
-        with self.lock:
-            self.aborted.set()
-            shut_down(self.sock)
+from poplarfold._internal.http.connection_paths import ConnectionPaths, new_connection
+from poplarfold._internal.http.connection_pool import ConnectionPool
+from poplarfold._internal.http.endpoint_stream import EndpointStream
+from poplarfold._internal.http.exchange import (
+    AbortHandle,
+    Answer,
+    AwaitAnswer,
+    OwnAnswerCheck,
+    Target,
+    is_aborted,
+    read_response_body,
+    will_close,
+)
+from poplarfold._internal.http.failures import (
+    NETWORK_ERRORS,
+    Failure,
+    failure_of,
+    is_shortage,
+)
+from poplarfold._internal.http.tunnel_socket import TunnelSocket
+from poplarfold._internal.utils.clock import boot_time
 
+__all__ = ["EndpointClient"]
 
-def shut_down(sock: socket.socket | None) -> None:
-    """Shut down a socket in both directions. It may already be closed."""
-    if sock is None:
-        return
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        pass
+# The pauses between attempts to connect while no descriptor is left. They double, since
+# many calls may wait at a time. Listeners that accept connections pause for 10 ms.
+SHORTAGE_PAUSE_MIN_S = 0.002
+SHORTAGE_PAUSE_MAX_S = 0.05
 
 
 class EndpointClient:
-    """The connections to all endpoints of one daemon. Thread-safe.
+    """Makes requests to all endpoints of one process. Thread-safe.
 
-    ``memory`` bounds what the answers that are being read take.
+    ``memory`` bounds what the answers that are being read take. ``paths`` makes the
+    connections, if it is given.
+
+    ``free_descriptors`` is called while none is left for a connection. By default it
+    closes the client's own idle connections.
     """
 
     def __init__(
-        self, connect_timeout_s: float, memory: AnswerMemory | None = None
+        self,
+        connect_timeout_s: float,
+        memory: AnswerMemory | None = None,
+        paths: ConnectionPaths | None = None,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
+        self.paths = paths
         self.memory = memory or AnswerMemory()
-        # Per address: connections and the time of their last use, oldest first.
-        self.idle: dict[str, list[tuple[HTTPConnection, float]]] = {}
-        self.next_sweep_at = 0.0
-        self.lock = threading.Lock()
+        self.pool = ConnectionPool()
+        self.free_descriptors: Callable[[], object] = self.pool.close
 
     def exchange(
         self,
@@ -138,6 +87,7 @@
         retry_on_new_connection: bool = True,
         bytes_per_s_min: float = math.inf,
         held: HeldBytes | None = None,
+        gives_up_cut_paths: bool = False,
     ) -> Result[Answer, Failure]:
         """Make one request and read its complete response.
 
@@ -151,10 +101,15 @@
         to repeat it. ``timeout_s`` bounds the whole exchange. A large response may
         take longer if it arrives at ``bytes_per_s_min`` or faster.
 
-        ``held`` accounts for the response also after this call, if it is given.
+        ``held`` accounts for the response also after this call, if it is given. With
+        ``gives_up_cut_paths``, a request that may be repeated fails as soon as its
+        endpoint is found to be cut off from this node (EndpointCutOffError).
         """
-        if not use_new_connection:
-            connection = self.take_idle(target.address)
+        paths = self.paths
+        if not use_new_connection and (
+            paths is None or paths.may_use_kept(target.address)
+        ):
+            connection = self.pool.take(target.address)
             if connection is not None:
                 result = self._try(
                     connection,
@@ -166,17 +121,27 @@
                     belongs_to_request=belongs_to_request,
                     bytes_per_s_min=bytes_per_s_min,
                     kept=held,
+                    gives_up_cut_paths=gives_up_cut_paths,
                 )
                 stalled = result.is_err() and isinstance(
                     result.unwrap_err().error, EndpointStalledError
                 )
+                if stalled and paths is not None:
+                    paths.note_stall(target.address)
                 if result.is_ok() or stalled or is_aborted(handle):
                     return result
                 if not retry_on_new_connection:
                     return Err(result.unwrap_err()._replace(on_reused_connection=True))
-        connection = self._new_connection(target.address)
+        opened = new_connection(
+            target.address,
+            self.connect_timeout_s,
+            self.paths,
+            timeout_s if math.isinf(bytes_per_s_min) else None,
+        )
+        if opened.is_err():
+            return Err(opened.unwrap_err())
         return self._try(
-            connection,
+            opened.unwrap(),
             target,
             body,
             headers,
@@ -186,6 +151,7 @@
             belongs_to_request,
             bytes_per_s_min,
             held,
+            gives_up_cut_paths,
         )
 
     def open_stream(
@@ -196,13 +162,20 @@
         idle_timeout_s: float,
         handle: AbortHandle | None = None,
         await_answer: AwaitAnswer | None = None,
+        time_left_s: float | None = None,
     ) -> Result[EndpointStream, Failure]:
         """Make one request on a new connection and return its response as a stream.
 
         The head of the response must come within ``idle_timeout_s``, which begins once
-        ``await_answer`` has returned, if it is given.
+        ``await_answer`` has returned, if it is given. The whole stream is of no use
+        after ``time_left_s``.
         """
-        connection = self._new_connection(target.address)
+        opened = new_connection(
+            target.address, self.connect_timeout_s, self.paths, time_left_s
+        )
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        connection = opened.unwrap()
         sent = self._send(connection, target, body, headers, idle_timeout_s, handle)
         sock = connection.sock
         if sent is not None or sock is None:
@@ -212,7 +185,12 @@
             )
             return Err(sent or closed)
         if await_answer is not None:
-            if not await_answer(sock):
+            try:
+                has_answer = await_answer(sock)
+            except BaseException:
+                connection.close()
+                raise
+            if not has_answer:
                 connection.close()
                 stalled = EndpointStalledError(f"{target.address} did not respond")
                 return Err(Failure(stalled, sent=True))
@@ -221,7 +199,7 @@
         try:
             # EndpointStream needs the read buffer, which urllib3's response hides.
             response = http.client.HTTPConnection.getresponse(connection)
-        except NETWORK_ERRORS as error:
+        except Exception as error:
             connection.close()
             return Err(failure_of(error, target.address, sent=True))
         if isinstance(sock, DeadlineSocket):
@@ -239,72 +217,9 @@
             sock.close()
             return Err(failure_of(error, target.address, sent=True))
 
-    def take_idle(self, address: str) -> HTTPConnection | None:
-        """Return a pooled connection that is still open, or None."""
-        while True:
-            with self.lock:
-                pooled = self.idle.get(address)
-                if not pooled:
-                    return None
-                connection, since = pooled.pop()
-            if time.monotonic() - since < IDLE_TIMEOUT_S and connection.is_connected:
-                return connection
-            connection.close()
-
-    def release(
-        self, address: str, connection: HTTPConnection, replaces_oldest: bool = False
-    ) -> None:
-        """Return a connection to the pool after its last response was read completely.
-
-        A request that needs a new connection takes none from the pool. Its
-        connection replaces the oldest pooled one (``replaces_oldest``), since such
-        requests would otherwise fill the pool.
-        """
-        now = time.monotonic()
-        with self.lock:
-            unused = self._expired(now)
-            pooled = self.idle.setdefault(address, [])
-            if replaces_oldest and pooled:
-                unused.append(pooled.pop(0)[0])
-            if len(pooled) < IDLE_CONNECTIONS_PER_ADDRESS:
-                pooled.append((connection, now))
-            else:
-                unused.append(connection)
-        for other in unused:
-            other.close()
-
-    def _expired(self, now: float) -> list[HTTPConnection]:
-        """Remove and return the connections that exceed the idle timeout.
-
-        The most recently used connection of an address is reused first, so those
-        that a burst of calls has opened would otherwise never be closed. The lock
-        must be held.
-        """
-        if now < self.next_sweep_at:
-            return []
-        self.next_sweep_at = now + IDLE_TIMEOUT_S / 2
-        expired: list[HTTPConnection] = []
-        for address, pooled in list(self.idle.items()):
-            count = sum(now - since >= IDLE_TIMEOUT_S for _, since in pooled)
-            expired.extend(connection for connection, _ in pooled[:count])
-            del pooled[:count]
-            if not pooled:
-                del self.idle[address]
-        return expired
-
     def close(self) -> None:
-        """Close all pooled connections."""
-        with self.lock:
-            pooled, self.idle = self.idle, {}
-        for rows in pooled.values():
-            for connection, _ in rows:
-                connection.close()
-
-    def _new_connection(self, address: str) -> HTTPConnection:
-        host, _, port = address.rpartition(":")
-        return EndpointConnection(
-            host.strip("[]"), int(port), timeout=self.connect_timeout_s
-        )
+        """Close all connections that are not in use."""
+        self.pool.close()
 
     def _try(
         self,
@@ -318,12 +233,20 @@
         belongs_to_request: OwnAnswerCheck | None = None,
         bytes_per_s_min: float = math.inf,
         kept: HeldBytes | None = None,
+        gives_up_cut_paths: bool = False,
     ) -> Result[Answer, Failure]:
         was_reused = connection.sock is not None
         failure = self._send(connection, target, body, headers, timeout_s, handle)
         if failure is not None:
             connection.close()
             return Err(failure)
+        sock = connection.sock
+        is_tunnel = isinstance(sock, TunnelSocket)
+        if gives_up_cut_paths and not is_tunnel and sock is not None:
+            if not self._await_answer(sock, target.address, timeout_s):
+                connection.close()
+                cut_off = EndpointCutOffError(f"{target.address} is cut off")
+                return Err(Failure(cut_off, sent=True))
         if isinstance(connection.sock, DeadlineSocket):
             connection.sock.bytes_per_s_min = bytes_per_s_min
         held = kept or self.memory.hold()
@@ -337,8 +260,9 @@
             is_read = True
         except AnswerTooLargeError as error:
             connection.close()
-            return Err(Failure(error, sent=True))
-        except NETWORK_ERRORS as error:
+            # Its traceback would keep what was read of the answer, as long as the call.
+            return Err(Failure(error.with_traceback(None), sent=True))
+        except Exception as error:
             connection.close()
             return Err(failure_of(error, target.address, sent=True))
         finally:
@@ -352,13 +276,25 @@
             connection.close()
             message = f"{target.address} returned the response to another request"
             return Err(Failure(ResponseMismatchError(message), sent=True))
-        if is_aborted(handle) or will_close(response) or has_excess(connection):
+        is_kept = not is_aborted(handle) and not will_close(response)
+        # A tunnel carries one request, so that the peer can look at each answer.
+        if not is_kept or is_tunnel or has_excess(connection):
             connection.close()
         else:
             response.close()
-            self.release(target.address, connection, replaces_oldest=use_new_connection)
+            self.pool.release(
+                target.address, connection, replaces_oldest=use_new_connection
+            )
         return Ok(Answer(response.status, response.headers, data))
 
+    def _await_answer(
+        self, sock: socket.socket, address: str, timeout_s: float
+    ) -> bool:
+        """Wait until an answer begins; return False once its path is cut."""
+        if self.paths is None:
+            return True
+        return self.paths.await_answer(sock, address, boot_time() + timeout_s)
+
     def _send(
         self,
         connection: HTTPConnection,
@@ -372,7 +308,7 @@
         sent = False
         try:
             if connection.sock is None:
-                connection.connect()
+                timeout_s -= self._connect(connection, timeout_s, handle)
             sock = connection.sock
             if handle is not None:
                 handle.attach(sock)
@@ -383,6 +319,7 @@
             if isinstance(sock, DeadlineSocket):
                 sock.deadline = time.monotonic() + timeout_s
                 sock.head_bytes_left = HEAD_LIMIT_BYTES
+                sock.has_written = False
             connection.timeout = timeout_s
             sent = True
             connection.request(
@@ -396,40 +333,34 @@
             )
         except NETWORK_ERRORS as error:
             return failure_of(error, target.address, sent)
+        except Exception as error:
+            # A head that cannot be encoded fails before its first byte is written.
+            has_written = sent and may_have_written(sock)
+            return failure_of(error, target.address, has_written)
         return None
 
+    def _connect(
+        self, connection: HTTPConnection, timeout_s: float, handle: AbortHandle | None
+    ) -> float:
+        """Connect; return for how long a descriptor was waited for.
 
-def is_believed_without_id(
-    status: int, headers: Mapping[str, str], was_reused: bool
-) -> bool:
-    """Return whether a response without the request's id may be its response.
-
-    A faulty endpoint may repeat an earlier refusal on a connection that it keeps.
-    """
-    return status == 200 or not was_reused
-
-
-def read_response_body(response: BaseHTTPResponse, held: HeldBytes) -> bytes:
-    """Read a body to its end.
-
-    The loop ends only with an empty read, because urllib3 reports a truncated body
-    in the read that follows the last bytes. Raises HTTPError, OSError or
-    AnswerTooLargeError.
-    """
-    parts: list[bytes] = []
-    while True:
-        part = response.read(READ_BYTES, decode_content=False)
-        if not part:
-            return b"".join(parts)
-        held.resize(held.size + len(part))
-        parts.append(part)
-
-
-def will_close(response: BaseHTTPResponse) -> bool:
-    """Return whether the endpoint closes the connection after this response."""
-    return response.headers.get("Connection", "").lower() == "close"
-
-
-def is_aborted(handle: AbortHandle | None) -> bool:
-    """Return whether the core aborted the attempt."""
-    return handle is not None and handle.aborted.is_set()
+        While none is left, some are freed and the connection is tried again, within
+        the time that a connection may take: the endpoint may leave meanwhile, and the
+        request says how much time it had before. Raises one of NETWORK_ERRORS.
+        """
+        began_at = time.monotonic()
+        limit_s = min(timeout_s, self.connect_timeout_s)
+        waited_s, pause_s = 0.0, SHORTAGE_PAUSE_MIN_S
+        while True:
+            try:
+                connection.connect()
+                return waited_s
+            except NETWORK_ERRORS as error:
+                waited_s = time.monotonic() - began_at + pause_s
+                may_wait = waited_s < limit_s and not is_aborted(handle)
+                if not is_shortage(error) or not may_wait:
+                    raise
+            self.free_descriptors()
+            time.sleep(pause_s)
+            connection.timeout = max(SHORTAGE_PAUSE_MIN_S, limit_s - waited_s)
+            pause_s = min(2 * pause_s, SHORTAGE_PAUSE_MAX_S)
--- a/src/poplarfold/_internal/daemon/socket_watcher.py
+++ b/src/poplarfold/_internal/http/socket_watcher.py
@@ -5,7 +5,7 @@
 import threading
 from collections.abc import Callable
 
-__all__ = ["SocketWatcher"]
+__all__ = ["SocketWatcher", "has_closed"]
 
 CLOSED_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 CLOSED_POLL_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
--- a/src/poplarfold/_internal/gateway/stream_places.py
+++ b/src/poplarfold/_internal/http/stream_places.py
@@ -1,4 +1,4 @@
-"""Bounds the streams that a host serves at once, so that other calls find a thread."""
+"""Bounds the model calls that a host serves at once, so that others find a thread."""
 
 import contextlib
 import math
@@ -11,11 +11,11 @@
 
 
 class StreamPlaces:
-    """Places for streams on the request threads of one listener. Thread-safe.
+    """Places for model calls on the request threads of one listener. Thread-safe.
 
-    A stream occupies its thread for as long as it lasts, a call to a plain service
-    until its deadline at most. Hence ``kept_share`` of the threads, and at least one,
-    serve no streams.
+    A model call, a stream as a rule, occupies its thread for as long as it lasts, a
+    call to a plain service until its deadline at most. Hence ``kept_share`` of the
+    threads, and at least one, serve no model calls.
 
     >>> StreamPlaces(threads=8, kept_share=0.2).limit
     6
@@ -28,10 +28,13 @@
 
     @contextlib.contextmanager
     def occupy(self) -> Iterator[None]:
-        """Occupy a place for one stream. Raises StreamsFullError if none is left."""
+        """Occupy a place for one model call.
+
+        Raises StreamsFullError if none is left.
+        """
         with self.lock:
             if self.occupied >= self.limit:
-                raise StreamsFullError("this host serves as many streams as it can")
+                raise StreamsFullError("this host serves as many model calls as it can")
             self.occupied += 1
         try:
             yield
--- a/tests/functional/test_memory_of_answers.py
+++ b/tests/functional/test_memory_of_answers.py
@@ -2,13 +2,17 @@
 
 import threading
 import time
+import tracemalloc
 from pathlib import Path
 
 import pytest
 from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.platform_standin import EndpointStandIn
 
 from poplarfold._internal.exceptions import AnswerTooLargeError
 from poplarfold._internal.http.answer_memory import SMALL_ANSWER_BYTES, AnswerMemory
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import Target
 
 # The limit of the process, as its settings file states it.
 MEMORY_MB = 150
@@ -77,10 +81,33 @@
     assert memory.used_bytes == 0
 
 
+def test_answer_that_is_given_up_is_not_kept():
+    """Guards against a process that is killed because its calls keep what they read of
+    answers for which there was no memory, while it is no longer accounted for."""
+    server = EndpointStandIn("i-1")
+    body = bytes(4_000_000)
+    server.whole_body = lambda request_id: body
+    # Half of the memory is read of it, and nothing of that may stay.
+    client = EndpointClient(1.0, AnswerMemory(4_000_000))
+    tracemalloc.start()
+    try:
+        result = client.exchange(Target(server.address, "GET", "/1"), None, {}, 5.0)
+        failure = result.unwrap_err()
+        assert isinstance(failure.error, AnswerTooLargeError)
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+        assert client.memory.used_bytes == 0 and kept_bytes < 1_000_000
+    finally:
+        tracemalloc.stop()
+        client.close()
+        server.stop()
+
+
 def test_stream_that_is_given_up_for_its_memory_loses_no_event(fleet):
     """Guards against events that are dropped with the long one behind them, although
     the stream is resumed after them."""
     fleet.restart(limits={"memory_mb": 0.5})
+    # Until then, a stream may not be resumed.
+    fleet.wait_counted()
     fleet.decode.faults.add("long_event")
     assert fleet.caption().data == fleet.decode.all_events({})
 
--- a/tests/unit/test_answers_without_end.py
+++ b/tests/unit/test_answers_without_end.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
 from poplarfold._internal.exceptions import EndpointError, EventTooLongError
 from poplarfold._internal.gateway.events import EVENT_MAX_BYTES, EventSplitter
 from poplarfold._internal.http.answer_socket import DeadlineSocket
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import Target
 
 TIMEOUT_S = 0.6
 # The time that a call may take beyond its timeout.
--- a/tests/unit/test_attempt_endings.py
+++ b/tests/unit/test_attempt_endings.py
@@ -8,9 +8,10 @@
 from poplarfold._internal.core.commands import StartAttempt
 from poplarfold._internal.core.model import EndpointRef, HostKey, Identity, Placement
 from poplarfold._internal.daemon.attempt import AttemptIO, ServiceRequest, run_service
-from poplarfold._internal.daemon.endpoint_client import AbortHandle, Answer, Failure
 from poplarfold._internal.daemon.runtime import carry_out
 from poplarfold._internal.exceptions import EndpointError
+from poplarfold._internal.http.exchange import AbortHandle, Answer
+from poplarfold._internal.http.failures import Failure
 
 START = StartAttempt(
     call_id="c",
--- a/tests/unit/test_excess_bytes.py
+++ b/tests/unit/test_excess_bytes.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import Target
 
 TIMEOUT_S = 1.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/tests/unit/test_incoming_bodies.py
+++ b/tests/unit/test_incoming_bodies.py
@@ -7,9 +7,9 @@
 import threading
 from types import SimpleNamespace
 
+import pytest
 from hypothesis import given, strategies as st
 
-from poplarfold._internal.daemon.http_server import CallerServer
 from poplarfold._internal.exceptions import (
     CallerMemoryError,
     PoplarfoldError,
@@ -17,9 +17,12 @@
     RequestError,
     RequestTimeoutError,
 )
+from poplarfold._internal.http import open_connections
 from poplarfold._internal.http.body_reader import BodyReader, BodyTransfer
+from poplarfold._internal.http.caller_server import CallerServer
 from poplarfold._internal.http.chunked_body import read_chunked_body
 from poplarfold._internal.http.closing_sockets import ClosingSockets
+from poplarfold._internal.http.head_waiter import HeadWaiter
 from poplarfold._internal.http.incoming_body import ChunkedBody, LengthBody
 from poplarfold._internal.http.memory_account import Holding, MemoryAccount
 from poplarfold._internal.http.open_connections import OpenConnections
@@ -209,6 +212,68 @@
     assert newest.is_evicted and not any(row.is_evicted for row in busy)
 
 
+@pytest.mark.parametrize("limit", [10, 320])
+@pytest.mark.parametrize("arrivals", [1, 40])
+def test_quick_arrivals_close_no_more_connections_than_needed(limit, arrivals):
+    """Guards against a burst of connections for which idle callers are closed as well,
+    since those that are being closed are counted as too many with each arrival."""
+    connections = OpenConnections(limit, ClosingSockets())
+    rows = [Connection(served=1, idle_since=float(at)) for at in range(limit)]
+    new = [Connection(idle_since=float(limit + at)) for at in range(arrivals)]
+    for row in (*rows, *new):
+        connections.add(row)
+    closed_at_once = int(open_connections.CLOSED_SHARE * limit)
+    evicted = sum(row.is_evicted for row in (*rows, *new))
+    assert arrivals <= evicted <= arrivals + closed_at_once
+    assert connections.evicted == evicted
+
+
+def test_arrivals_close_others_if_the_first_are_never_closed(monkeypatch):
+    """Guards against connections without a bound, if those that have been cut are not
+    closed and still count as about to be."""
+    clock = SimpleNamespace(now=50.0, monotonic=lambda: clock.now)
+    monkeypatch.setattr(open_connections, "time", clock)
+    connections = OpenConnections(10, ClosingSockets())
+    rows = [Connection(idle_since=float(at)) for at in range(12)]
+    for row in rows:
+        connections.add(row)
+    assert sum(row.is_evicted for row in rows) == 2
+    # Evictions in the meantime do not extend the time of the earlier ones.
+    clock.now += 0.6 * open_connections.CUT_S
+    rows.append(Connection(idle_since=12.0))
+    connections.add(rows[-1])
+    assert sum(row.is_evicted for row in rows) == 3
+    clock.now += 0.6 * open_connections.CUT_S
+    rows.append(Connection(idle_since=13.0))
+    connections.add(rows[-1])
+    assert sum(row.is_evicted for row in rows) == 6
+    for row in rows[:6]:
+        connections.remove(row)
+    connections.add(Connection(idle_since=14.0))
+    assert sum(row.is_evicted for row in rows) == 6 and not connections.cut_at
+
+
+def test_connections_that_are_being_closed_count_as_freed(monkeypatch):
+    """Guards against all idle callers being closed while the first ones still are, and
+    against nobody being closed any more if they never are."""
+    clock = SimpleNamespace(now=50.0, monotonic=lambda: clock.now)
+    monkeypatch.setattr(open_connections, "time", clock)
+    connections = OpenConnections(10, ClosingSockets())
+    rows = [Connection() for _ in range(6)]
+    for row in rows:
+        connections.add(row)
+    connections.free(2)
+    connections.free(2)
+    assert sum(row.is_evicted for row in rows) == 2
+    for row in rows[:2]:
+        connections.remove(row)
+    connections.free(2)
+    assert sum(row.is_evicted for row in rows) == 4
+    clock.now += open_connections.CUT_S
+    connections.free(2)
+    assert sum(row.is_evicted for row in rows) == 6
+
+
 def test_request_is_not_begun_on_a_connection_that_is_being_closed():
     """Guards against a request that runs although its connection is cut."""
     connections = OpenConnections(2, ClosingSockets())
@@ -266,6 +331,46 @@
         assert sockets.count() == 0 and not server.resources.body_reader.transfers
 
 
+class FailingEpoll:
+    """An epoll object that fails with each registration, or when it is made."""
+
+    def __init__(self, fails_at_once):
+        if fails_at_once:
+            raise OSError(errno.EMFILE, "too many open files")
+
+    def register(self, descriptor, events):
+        raise OSError(errno.ENOMEM, "cannot allocate memory")
+
+    def poll(self, timeout):
+        raise AssertionError("nothing has been registered")
+
+
+@pytest.mark.parametrize("fails_at_once", [True, False], ids=["create", "register"])
+def test_connection_whose_head_cannot_be_waited_for_is_closed(
+    monkeypatch, fails_at_once
+):
+    """Guards against connections that are open for good although nobody waits for
+    them, and against an event loop that ends, while no descriptor is left."""
+    monkeypatch.setattr(select, "epoll", lambda: FailingEpoll(fails_at_once))
+    near, far = socket.socketpair()
+    problems = []
+    waiter = HeadWaiter(lambda connection: None, 1000)
+    server = SimpleNamespace(
+        head_waiter=waiter, request_read_s=5.0, on_error=problems.append
+    )
+    connection = SimpleNamespace(
+        is_evicted=False,
+        socket=near,
+        rfile=SimpleNamespace(buffered=lambda: b""),
+        close=near.close,
+    )
+    with far:
+        far.sendall(b"GET / HT")
+        CallerServer.process_conn(server, connection)
+        assert near.fileno() == -1 and len(problems) == 1
+        assert not waiter.connections
+
+
 def test_body_ends_with_the_bytes_of_the_next_request_kept():
     """Guards against requests that are lost behind a body."""
     account = MemoryAccount(100_000)
--- /dev/null
+++ b/tests/unit/test_own_shortage.py
@@ -0,0 +1,306 @@
+"""Tests of connections for which this process has no descriptor left."""
+
+import asyncio
+import contextlib
+import errno
+import time
+from types import SimpleNamespace
+
+import pytest
+from result import Err
+from tests.lib.origin_hosts import endpoint as engine_row
+from tests.lib.path_standins import ProbedFinder
+from tests.lib.tunnel_nodes import RawEndpoint, TunnelPair
+from tests.unit.test_attempt_endings import START
+from tests.unit.test_retry_charges import Stream, stream_context
+from tests.unit.test_second_attempts import BROKEN, Gateway
+from urllib3.util import connection as urllib3_connection
+
+from poplarfold._internal.core.fleet.tunnel_messages import TunnelOutcome
+from poplarfold._internal.core.model import HostKey
+from poplarfold._internal.daemon.attempt import AttemptIO, ServiceRequest, run_service
+from poplarfold._internal.exceptions import (
+    DescriptorShortageError,
+    EndpointUnreachableError,
+    NotRunError,
+)
+from poplarfold._internal.gateway import peer_tunnels
+from poplarfold._internal.gateway.stream_setup import Reservation, StreamSetup
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import AbortHandle, Target
+from poplarfold._internal.http.failures import Failure
+
+TIMEOUT_S = 0.5
+# For a busy machine.
+SLACK_S = 2.0
+# Pauses double from 2 to 50 ms, so that a wait of 0.5 s takes 14 attempts.
+ATTEMPTS_MAX = 20
+OTHER_ERRORS = [errno.EADDRNOTAVAIL, errno.ENETUNREACH]
+SHORTAGES = [errno.EMFILE, errno.ENFILE]
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nwhole"
+SHORTAGE = Err(Failure(DescriptorShortageError("no descriptor"), sent=False))
+DEAD = Err(Failure(EndpointUnreachableError("refused"), sent=False, refused=True))
+
+
+class Descriptors:
+    """Refuses sockets with an error number, until ``free`` was called a few times."""
+
+    def __init__(self, make_socket, number, frees_needed):
+        self.make_socket = make_socket
+        self.number = number
+        self.frees_needed = frees_needed
+        self.frees = 0
+
+    def free(self):
+        self.frees += 1
+
+    def open(self, *arguments, **options):
+        if self.frees < self.frees_needed:
+            raise OSError(self.number, "refused for the test")
+        return self.make_socket(*arguments, **options)
+
+
+@pytest.fixture
+def shortage(monkeypatch):
+    """Return a function that begins a shortage for connections of clients."""
+
+    def begin(number=errno.EMFILE, frees_needed=10**9):
+        found = Descriptors(urllib3_connection.create_connection, number, frees_needed)
+        monkeypatch.setattr(urllib3_connection, "create_connection", found.open)
+        return found
+
+    return begin
+
+
+@pytest.fixture
+def endpoint():
+    found = RawEndpoint(ANSWER)
+    yield found
+    found.stop()
+
+
+def exchange(client, address, **options):
+    target = Target(address, "POST", "/filing/1")
+    return client.exchange(target, b"body", {}, TIMEOUT_S, **options)
+
+
+def open_stream(client, address, **options):
+    target = Target(address, "POST", "/filing/1")
+    return client.open_stream(target, b"body", {}, TIMEOUT_S, **options)
+
+
+REQUESTS = pytest.mark.parametrize("request_", [exchange, open_stream])
+
+
+@REQUESTS
+@pytest.mark.parametrize("number", SHORTAGES)
+def test_request_is_sent_once_descriptors_are_freed(
+    shortage, endpoint, request_, number
+):
+    """Guards against calls that fail while connections of no use hold descriptors."""
+    descriptors = shortage(number, frees_needed=3)
+    client = EndpointClient(TIMEOUT_S)
+    client.free_descriptors = descriptors.free
+    result = request_(client, endpoint.address)
+    assert result.is_ok(), result
+    assert descriptors.frees == 3
+    assert len(endpoint.requests) == 1
+    if request_ is open_stream:
+        result.unwrap().close()
+
+
+@REQUESTS
+def test_lasting_shortage_ends_in_time_and_is_no_fault_of_the_endpoint(
+    shortage, endpoint, request_
+):
+    """Guards against a call that waits for a descriptor beyond its deadline, occupies
+    a core meanwhile, or counts as a failure of the endpoint."""
+    descriptors = shortage()
+    client = EndpointClient(TIMEOUT_S)
+    client.free_descriptors = descriptors.free
+    began_at = time.monotonic()
+    failure = request_(client, endpoint.address).unwrap_err()
+    took_s = time.monotonic() - began_at
+    assert 0.5 * TIMEOUT_S <= took_s <= TIMEOUT_S + SLACK_S
+    assert 1 <= descriptors.frees <= ATTEMPTS_MAX
+    assert isinstance(failure.error, DescriptorShortageError)
+    assert failure.is_own_shortage and not failure.sent and not failure.refused
+    assert not endpoint.requests
+
+
+@REQUESTS
+def test_request_is_not_sent_long_after_its_endpoint_was_chosen(
+    shortage, endpoint, request_
+):
+    """Guards against requests to an endpoint that has left while a descriptor was
+    waited for, and against calls that are held until their deadline for one. They count
+    on a connection within the time to connect."""
+    descriptors = shortage()
+    client = EndpointClient(0.05)
+    began_at = time.monotonic()
+
+    def free_late():
+        descriptors.free()
+        if time.monotonic() - began_at > 0.1:
+            descriptors.frees_needed = 0
+
+    client.free_descriptors = free_late
+    failure = request_(client, endpoint.address).unwrap_err()
+    assert failure.is_own_shortage and not failure.sent
+    assert not endpoint.requests
+
+
+@REQUESTS
+def test_aborted_request_waits_for_no_descriptor(shortage, endpoint, request_):
+    """Guards against request threads that wait for callers who are gone."""
+    descriptors = shortage()
+    client, handle = EndpointClient(TIMEOUT_S), AbortHandle()
+
+    def abort():
+        descriptors.free()
+        handle.abort()
+
+    client.free_descriptors = abort
+    assert request_(client, endpoint.address, handle=handle).is_err()
+    assert descriptors.frees == 1
+
+
+@pytest.mark.parametrize("number", OTHER_ERRORS)
+def test_other_errors_free_no_descriptors(shortage, endpoint, number):
+    """Guards against idle callers that are closed for an endpoint that is away."""
+    descriptors = shortage(number)
+    client = EndpointClient(TIMEOUT_S)
+    client.free_descriptors = descriptors.free
+    failure = exchange(client, endpoint.address).unwrap_err()
+    assert not failure.is_own_shortage and not descriptors.frees
+    assert isinstance(failure.error, EndpointUnreachableError)
+
+
+def test_shortage_is_no_sign_of_a_cut_path(shortage):
+    """Guards against endpoints that count as cut off from a node, or are asked of its
+    peers, since the node had no descriptor left."""
+    addresses = [f"10.0.0.{number}:80" for number in range(3)]
+    finder = ProbedFinder(addresses)
+    shortage()
+    client = EndpointClient(TIMEOUT_S, paths=finder)
+    for address in addresses:
+        assert exchange(client, address).unwrap_err().is_own_shortage
+    assert not finder.paths.failed and not finder.paths.cut
+    assert not finder.suspects and not finder.tunnels.asked
+
+
+@pytest.mark.parametrize("is_short", [True, False])
+def test_plain_call_without_a_descriptor_is_not_counted_against_endpoints(is_short):
+    """Guards against sound endpoints that get no calls for a second or more, since this
+    node had no descriptor for connections to them."""
+    gateway = Gateway()
+    gateway.exchange = lambda *_, **__: SHORTAGE if is_short else DEAD
+    with contextlib.suppress(NotRunError):
+        gateway.call("/lookup/1")
+    stats = [gateway.fleet.endpoint_stats.read(row) for row in gateway.rows.values()]
+    assert all(row.cooldown_until == 0.0 for row in stats) is is_short
+    assert not gateway.events("PF3602") or not is_short
+
+
+def test_call_that_may_have_run_is_not_said_to_be_unexecuted_for_a_shortage():
+    """Guards against status 503, which promises that a call has not run, if only its
+    second attempt had no descriptor."""
+    gateway = Gateway()
+    script = iter([BROKEN, SHORTAGE, SHORTAGE])
+    gateway.exchange = lambda *_, **__: next(script)
+    assert gateway.call("/lookup/1") == 502
+    script = iter([SHORTAGE] * 3)
+    with pytest.raises(NotRunError):
+        gateway.call("/lookup/1")
+
+
+@pytest.mark.parametrize("is_short", [True, False])
+def test_stream_without_a_descriptor_is_not_counted_against_engines(is_short):
+    """Guards against sound engines that are avoided since this node had no descriptor
+    for a lease, a prefill or a stream."""
+    result = SHORTAGE if is_short else DEAD
+    stream = Stream([result, "no slot"])
+    fleet = stream.fleet
+    recorded = []
+    fleet.record_unresponsive = recorded.append
+    stream.fail()
+    engine = engine_row("i-d", "v1")
+    setup = StreamSetup(stream_context(fleet, [result, result]))
+    setup.services.engines.take_lease = lambda *row: result
+    setup.context.abort, setup.context.details = AbortHandle(), None
+    setup.context.log_failure = lambda *row, **options: None
+    fleet.pick_prefill = lambda *row: engine
+    setup.take_lease(engine)
+    setup.prefill(Reservation(engine, "lease"), is_first=True)
+    assert len(recorded) == (0 if is_short else 4)
+
+
+@pytest.mark.parametrize("is_short", [True, False])
+def test_daemon_blames_no_endpoint_for_its_own_shortage(is_short):
+    """Guards against endpoints that are ejected since the daemon had no descriptor."""
+    posted = []
+    client = SimpleNamespace(
+        exchange=lambda *row, **options: SHORTAGE if is_short else DEAD
+    )
+    io = AttemptIO(client, posted.append, HostKey("h", 1), 1.5, None)
+    run_service(io, START, ServiceRequest("c", b"{}", 1e9), AbortHandle())
+    (ended,) = posted
+    address = START.placement.decode.address
+    assert ended.failed_endpoint == (None if is_short else address)
+
+
+@pytest.mark.parametrize(
+    ("number", "outcome"),
+    [
+        (errno.EMFILE, TunnelOutcome.BUSY),
+        (errno.ECONNREFUSED, TunnelOutcome.UNREACHABLE),
+    ],
+)
+def test_peer_without_a_descriptor_does_not_call_an_endpoint_unreachable(
+    monkeypatch, endpoint, number, outcome
+):
+    """Guards against an endpoint that counts as ended, and a sound prompt as the cause,
+    since the peers that were asked had no descriptor for a connection to it."""
+    pair = TunnelPair()
+
+    async def refuse(*arguments, **options):
+        raise OSError(number, "refused for the test")
+
+    try:
+        engine = pair.announce("i-1", endpoint.address)
+        monkeypatch.setattr(asyncio, "open_connection", refuse)
+        opened = pair.node.paths.tunnels.open(engine)
+        assert opened.sock is None and opened.outcome is outcome
+        assert opened.is_unreached is (outcome is TunnelOutcome.UNREACHABLE)
+    finally:
+        pair.stop()
+
+
+@pytest.mark.parametrize("frees_needed", [3, 10**9])
+def test_connection_to_a_peer_waits_for_a_descriptor(
+    monkeypatch, endpoint, frees_needed
+):
+    """Guards against peers that are avoided since this node had no descriptor for a
+    connection to them, and against calls that fail although some could be freed."""
+    pair = TunnelPair()
+    try:
+        engine = pair.announce("i-1", endpoint.address)
+        tunnels = pair.node.paths.tunnels
+        descriptors = Descriptors(peer_tunnels.TunnelSocket, errno.EMFILE, frees_needed)
+        monkeypatch.setattr(peer_tunnels, "TunnelSocket", descriptors.open)
+        tunnels.free_descriptors = descriptors.free
+        failures = []
+        monkeypatch.setattr(
+            tunnels.peers, "record_failure", lambda *row: failures.append(row)
+        )
+        began_at = time.monotonic()
+        opened = tunnels.open(engine)
+        took_s = time.monotonic() - began_at
+        assert not failures
+        assert (opened.sock is not None) is (frees_needed == 3)
+        assert took_s < pair.node.fleet.settings.connect_s + SLACK_S
+        if opened.sock is not None:
+            opened.sock.close()
+            assert descriptors.frees == 3
+    finally:
+        pair.stop()
--- a/tests/unit/test_socket_watcher.py
+++ b/tests/unit/test_socket_watcher.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 
-from poplarfold._internal.daemon.socket_watcher import SocketWatcher
+from poplarfold._internal.http.socket_watcher import SocketWatcher
 
 EVENT_LIMIT_S = 5.0
 
--- a/tests/unit/test_whole_answers.py
+++ b/tests/unit/test_whole_answers.py
@@ -4,7 +4,8 @@
 from tests.lib.platform_standin import EndpointStandIn
 from tests.unit.test_answer_heads import Server as AnswerServer
 
-from poplarfold._internal.daemon.endpoint_client import EndpointClient, Target
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import Target
 
 HEADERS = {"Poplarfold-Request-Id": "9c41d07be2a35f68"}
 
