Check the settings files of gateways, and rename their table [door]

`poplarfold check` read settings of the daemon only. It lists every problem of a gateway's file with line and key.

--- a/src/poplarfold/_internal/daemon_settings.py
+++ b/src/poplarfold/_internal/daemon_settings.py
@@ -76,3 +76,4 @@
     max_connections: int
     timeouts: TimeoutSettings
     log_path: Path | None
+    kept_thread_share: float = 0.15
--- a/src/poplarfold/_internal/gateway/settings.py
+++ b/src/poplarfold/_internal/gateway/settings.py
@@ -1,13 +1,36 @@
 """The router's settings on the platform, read from a TOML file and validated."""
 
-import tomllib
+import math
+import sys
 from pathlib import Path
 from typing import Any, NamedTuple, get_type_hints
 
+from result import Err, Ok, Result
+
 from poplarfold._internal.core.fleet.admission_queue import AdmissionPolicy
 from poplarfold._internal.exceptions import SettingsError, SettingsProblem
+from poplarfold._internal.toml_file import TomlFile, read_toml
+
+__all__ = [
+    "OLD_TABLES",
+    "GatewaySettings",
+    "GatewaySettingsFile",
+    "RenamedKey",
+    "check_gateway_settings",
+    "read_gateway_settings",
+]
+
+ADMISSION = "admission"
+# Old names of tables. Version 0.1 is the last one that reads them.
+OLD_TABLES = {"door": ADMISSION}
+
+
+class RenamedKey(NamedTuple):
+    """A key that a file has by its old name, at this line."""
 
-__all__ = ["GatewaySettings", "read_gateway_settings"]
+    old: str
+    new: str
+    line: int
 
 
 class GatewaySettings(NamedTuple):
@@ -44,6 +67,8 @@
     not end in time, and so are calls whose deadline comes after it. In the last
     ``stop_answers_s`` the calls that are still open are ended and answered.
 
+    At most ``tunnels`` connections of peers to endpoints are forwarded at a time.
+
     The slack of the retry budget is divided among ``unknown_nodes`` until the
     number of nodes has been read from the store.
     """
@@ -65,43 +90,76 @@
     store_call_s: float = 0.8
     route_wait_share: float = 0.4
     endpoint_poll_share: float = 0.4
+    tunnels: int = 128
     unknown_nodes: int = 400
     stop_linger_s: float = 3.0
     stop_margin_s: float = 0.3
     stop_streams_s: float = 0.3
     stop_answers_s: float = 0.3
     log_queue_lines: int = 2000
-    door: AdmissionPolicy = AdmissionPolicy()
+    admission: AdmissionPolicy = AdmissionPolicy()
+
+
+class GatewaySettingsFile(NamedTuple):
+    """The settings in a file, and the keys in it that are to be renamed."""
+
+    settings: GatewaySettings
+    renamed: tuple[RenamedKey, ...] = ()
 
 
-def read_gateway_settings(path: Path) -> GatewaySettings:
+def read_gateway_settings(path: Path) -> Result[GatewaySettingsFile, SettingsError]:
     """Read a settings file; missing keys keep their defaults.
 
-    Raises SettingsError with each unknown key and each invalid value.
+    The error has a problem for each unknown key and each invalid value.
     """
+    return read_toml(path).and_then(check_gateway_settings)
+
+
+def check_gateway_settings(
+    source: TomlFile,
+) -> Result[GatewaySettingsFile, SettingsError]:
+    """Check the content of a settings file; return the settings, or all problems."""
     problems: list[SettingsProblem] = []
-    try:
-        fields = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as error:
-        raise SettingsError(f"{path}: {error}") from error
-    door = check_table(fields.pop("door", {}), AdmissionPolicy, "door.", path, problems)
-    top = check_table(fields, GatewaySettings, "", path, problems)
+    renamed: list[RenamedKey] = []
+    tables = {ADMISSION, *OLD_TABLES}
+    top = {key: value for key, value in source.document.items() if key not in tables}
+    fields = check_keys(top, GatewaySettings, "", source, problems)
+    policy = check_table(ADMISSION, source, problems)
+    for old, new in OLD_TABLES.items():
+        if old not in source.document:
+            continue
+        old_policy = check_table(old, source, problems)
+        if new in source.document:
+            message = f"is the old name of [{new}], which the file has, too"
+            problems.append(source.problem(old, message))
+        renamed.append(RenamedKey(old, new, source.problem(old, "").line))
+        policy = {**old_policy, **policy}
     if problems:
-        raise SettingsError("\n".join(map(str, problems)))
-    return GatewaySettings(**top)._replace(door=AdmissionPolicy(**door))
+        problems.sort(key=lambda problem: problem.line)
+        return Err(SettingsError.from_problems(problems))
+    settings = GatewaySettings(**fields)._replace(admission=AdmissionPolicy(**policy))
+    return Ok(GatewaySettingsFile(settings, tuple(renamed)))
 
 
 def check_table(
-    fields: Any,
+    table: str, source: TomlFile, problems: list[SettingsProblem]
+) -> dict[str, Any]:
+    """Return the valid fields of a table of the admission policy, if there is one."""
+    fields = source.document.get(table, {})
+    if not isinstance(fields, dict):
+        problems.append(source.problem(table, "must be a table"))
+        return {}
+    return check_keys(fields, AdmissionPolicy, f"{table}.", source, problems)
+
+
+def check_keys(
+    fields: dict[str, Any],
     kind: type[NamedTuple],
     prefix: str,
-    path: Path,
+    source: TomlFile,
     problems: list[SettingsProblem],
 ) -> dict[str, Any]:
-    """Return the valid fields of a table, and append the others to ``problems``."""
-    if not isinstance(fields, dict):
-        problems.append(SettingsProblem(str(path), 0, prefix, "must be a table"))
-        return {}
+    """Return the valid fields, and append a problem for each other one."""
     types = get_type_hints(kind)
     checked = {}
     for key, value in fields.items():
@@ -109,7 +167,7 @@
         if problem is None:
             checked[key] = float(value) if types[key] is float else value
         else:
-            problems.append(SettingsProblem(str(path), 0, prefix + key, problem))
+            problems.append(source.problem(prefix + key, problem))
     return checked
 
 
@@ -121,6 +179,10 @@
         return "must be a number"
     if kind is int and not isinstance(value, int):
         return "must be a whole number"
+    if kind is float and isinstance(value, int) and value > sys.float_info.max:
+        return "is too large"
     if value < 0:
         return "must not be negative"
+    if isinstance(value, float) and not math.isfinite(value):
+        return "must be a finite number"
     return None
--- a/src/poplarfold/_internal/settings_file.py
+++ b/src/poplarfold/_internal/settings_file.py
@@ -9,8 +9,6 @@
 
 import difflib
 import math
-import re
-import tomllib
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any
@@ -34,6 +32,7 @@
     check_value,
     split_address,
 )
+from poplarfold._internal.toml_file import TomlFile, parse_toml, read_toml
 
 __all__ = [
     "KEYS",
@@ -44,37 +43,27 @@
     "PeerSettings",
     "TimeoutSettings",
     "TlsSettings",
+    "check_settings",
     "parse_settings",
     "read_settings",
 ]
 
-# A file with 400 nodes and 1,200 accounts has about 150 kB. The limit prevents a
-# wrong path (a log file, a device) from using up the memory.
-FILE_LIMIT_BYTES = 4_000_000
 BITS_PER_BYTE = 8
 BYTES_PER_MBIT = 1_000_000 // BITS_PER_BYTE
-HEADER_PATTERN = re.compile(r"\s*\[{1,2}(?P<path>[^\[\]]+)\]{1,2}\s*(#.*)?$")
-ASSIGNMENT_PATTERN = re.compile(r"\s*(?P<path>[A-Za-z0-9_.\"'-]+)\s*=")
-TOML_LINE_PATTERN = re.compile(r"at line (\d+)")
 
 
 class _Reader:
     """Collects the values and the problems of one file."""
 
-    def __init__(self, file: str, text: str, document: dict[str, Any]) -> None:
-        self.file = file
-        self.lines = find_lines(text)
+    def __init__(self, source: TomlFile) -> None:
+        self.source = source
+        self.document = source.document
         self.values: dict[str, Any] = {}
         self.problems: list[SettingsProblem] = []
-        self.document = document
 
     def add_problem(self, key: str, message: str) -> None:
         """Record a problem at the line of the key or of its nearest table."""
-        path = key
-        while path and path not in self.lines:
-            path = path.rpartition(".")[0]
-        line = self.lines.get(path, 1)
-        self.problems.append(SettingsProblem(self.file, line, key, message))
+        self.problems.append(self.source.problem(key, message))
 
     def read(self) -> None:
         """Check each key of the document; add or report the keys that are missing."""
@@ -120,67 +109,23 @@
     text: str | bytes, file: str = "<settings>"
 ) -> Result[DaemonSettings, SettingsError]:
     """Check a settings file; return the settings, or all problems."""
-    if len(text) > FILE_LIMIT_BYTES:
-        return _failed(file, 1, f"the file is larger than {FILE_LIMIT_BYTES} bytes")
-    try:
-        decoded = text.decode("utf-8") if isinstance(text, bytes) else text
-    except UnicodeDecodeError as error:
-        line = error.object[: error.start].count(b"\n") + 1
-        return _failed(file, line, "the file is not UTF-8")
-    try:
-        document = tomllib.loads(decoded)
-    except RecursionError:
-        return _failed(file, 1, "the file is nested too deeply")
-    except ValueError as error:
-        # An integer of thousands of digits raises a plain ValueError without a line.
-        found = TOML_LINE_PATTERN.search(str(error))
-        return _failed(file, int(found[1]) if found else 1, f"not TOML: {error}")
-    reader = _Reader(file, decoded, document)
-    reader.read()
-    check_relations(reader)
-    if reader.problems:
-        problems = sorted(reader.problems, key=lambda problem: problem.line)
-        return Err(SettingsError.from_problems(problems))
-    return Ok(build_settings(reader))
+    return parse_toml(text, file).and_then(check_settings)
 
 
 def read_settings(path: Path) -> Result[DaemonSettings, SettingsError]:
     """Read and check a settings file."""
-    try:
-        with path.open("rb") as stream:
-            content = stream.read(FILE_LIMIT_BYTES + 1)
-    except OSError as error:
-        return _failed(str(path), 0, f"cannot be read: {error.strerror}")
-    return parse_settings(content, str(path))
-
-
-def _failed(file: str, line: int, message: str) -> Err[SettingsError]:
-    return Err(SettingsError.from_problems([SettingsProblem(file, line, "", message)]))
+    return read_toml(path).and_then(check_settings)
 
 
-def find_lines(text: str) -> dict[str, int]:
-    """Return the line of each table header and assignment, by dotted path.
-
-    The lines are matched with patterns and not parsed: keys inside inline tables
-    are not found, and their problems are reported at the line of the table.
-    """
-    lines: dict[str, int] = {}
-    table = ""
-    for number, line in enumerate(text.split("\n"), start=1):
-        header = HEADER_PATTERN.match(line)
-        if header:
-            table = _plain_path(header["path"])
-            lines.setdefault(table, number)
-            continue
-        assignment = ASSIGNMENT_PATTERN.match(line)
-        if assignment:
-            key = _plain_path(assignment["path"])
-            lines.setdefault(f"{table}.{key}" if table else key, number)
-    return lines
-
-
-def _plain_path(path: str) -> str:
-    return ".".join(part.strip().strip("\"'") for part in path.split("."))
+def check_settings(source: TomlFile) -> Result[DaemonSettings, SettingsError]:
+    """Check the content of a settings file; return the settings, or all problems."""
+    reader = _Reader(source)
+    reader.read()
+    check_relations(reader)
+    if reader.problems:
+        problems = sorted(reader.problems, key=lambda problem: problem.line)
+        return Err(SettingsError.from_problems(problems))
+    return Ok(build_settings(reader))
 
 
 def flatten(
@@ -356,4 +301,5 @@
             *(float(values[f"timeouts.{key}"]) for key in TimeoutSettings._fields)
         ),
         log_path=Path(values["log.path"]) if values["log.path"] else None,
+        kept_thread_share=float(values["requests.kept_thread_share"]),
     )
--- a/src/poplarfold/_internal/settings_keys.py
+++ b/src/poplarfold/_internal/settings_keys.py
@@ -84,6 +84,15 @@
         1,
         4096,
     ),
+    KeySpec(
+        "requests.kept_thread_share",
+        "number",
+        0.15,
+        "share of the request threads, and at least one, that serve no model calls; "
+        "further model calls are rejected with 503",
+        0.0,
+        0.9,
+    ),
     KeySpec(
         "requests.body_limit_bytes",
         "integer",
