--- a/src/poplarfold/_internal/core/fleet/directory.py
+++ b/src/poplarfold/_internal/core/fleet/directory.py
@@ -15,6 +15,11 @@
 # Role changes are planned only after the store has answered for this long. That exceeds
 # EXPIRY_GRACE_S, so that engines that stopped during an outage are not counted.
 STORE_SETTLED_S = 4.0
+# After the silence in which the store removes an entry, the time until a node knows it.
+WITHHELD_MARGIN_S = 0.4
+# Removed endpoints are remembered for longer than copies of the store are old. After a
+# return, lost entries may be written again in their order for so long.
+REMOVED_KEPT_S = 60.0
 
 
 class EndpointChange(NamedTuple):
@@ -27,19 +32,35 @@
     after: FleetEndpoint | None
 
 
+class DatedEndpoint(NamedTuple):
+    """An endpoint's last entry, and when it was removed or withheld."""
+
+    row: FleetEndpoint
+    since: float
+
+
 class Directory:
-    """Routes and endpoints as last published. Times are monotonic seconds.
+    """Routes and endpoints as last published. Times are seconds of the runtime's clock.
 
     While the process runs, an older configuration never replaces a newer one, even
     if the store returns an older one after a gap in its log.
+
+    The store removes the entry of an endpoint that is silent for ``silence_s``. If a
+    copy of the store lists an endpoint that was removed since, the entry is withheld
+    for that time and ``WITHHELD_MARGIN_S``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, silence_s: float) -> None:
+        self.withheld_s = silence_s + WITHHELD_MARGIN_S
         self.route_table: RouteTable | None = None
         self.endpoints: Table[str, FleetEndpoint] = Table()
         # Ids of endpoints whose entries were deleted during or shortly after an outage
         # of the store.
         self.expired_ids: set[str] = set()
+        # Endpoints that were removed a short time ago, the earliest first.
+        self.removed: Table[str, DatedEndpoint] = Table()
+        # Removed endpoints that a copy of the store lists again.
+        self.withheld: Table[str, DatedEndpoint] = Table()
         # Cache of the usable endpoints by service and role, cleared by any change.
         self.usable_cache: dict[
             tuple[str, EndpointRole], tuple[FleetEndpoint, ...]
@@ -48,11 +69,15 @@
         # endpoint of a version was removed.
         self.version_counts: Counter[tuple[str, str]] = Counter()
         self.version_left: dict[tuple[str, str], float] = {}
+        # When the first endpoint of a version in service was added.
+        self.version_joined: dict[tuple[str, str], float] = {}
         self.store_changed_at = 0.0
         self.is_store_up = False
         # Whether the store has failed to answer while this process ran. Before that,
         # nothing speaks for an outage in which entries may have expired.
         self.has_lost_store = False
+        # When the store last came back from an older copy.
+        self.returned_at: float | None = None
 
     def set_store_status(self, is_up: bool, now: float) -> bool:
         """Record whether the store answers; return whether that has changed."""
@@ -79,13 +104,13 @@
         kept and only marked as expired.
         """
         before = self.endpoints.get(endpoint_id)
+        self.withheld.pop(endpoint_id, None)
         if found is not None:
             self.expired_ids.discard(endpoint_id)
             self.endpoints.put(endpoint_id, found)
         elif before is not None:
             if self.is_expiry_grace_over(now):
-                del self.endpoints[endpoint_id]
-                self.expired_ids.discard(endpoint_id)
+                self._remove(endpoint_id, now)
             else:
                 self.expired_ids.add(endpoint_id)
         after = self.endpoints.get(endpoint_id)
@@ -94,14 +119,78 @@
             self._count_versions(before, after, now)
         return EndpointChange(before, after)
 
+    def note_store_return(self, now: float) -> None:
+        """Record that the store has come back from an older copy.
+
+        As after an outage, endpoints have EXPIRY_GRACE_S to announce themselves again.
+        """
+        self.has_lost_store = True
+        self.store_changed_at = now
+        self.returned_at = now
+
+    def is_after_return(self, now: float) -> bool:
+        """Return whether entries may be older than those known before a return."""
+        return self.returned_at is not None and now - self.returned_at <= REMOVED_KEPT_S
+
+    def apply_returned(
+        self, endpoint_id: str, found: FleetEndpoint | None, now: float
+    ) -> EndpointChange:
+        """Apply an entry of the store after it has come back from an older copy.
+
+        The entry is in that copy, or was lost and is written again. It must not undo
+        what a later entry has said, such as that the endpoint leaves. An endpoint that
+        was removed since is withheld for as long as the store takes to remove it again.
+        """
+        known = self.endpoints.get(endpoint_id)
+        if found is not None and known is not None and not found.is_newer_than(known):
+            # The removal that was held back is lost, too.
+            self.expired_ids.discard(endpoint_id)
+            return EndpointChange(known, known)
+        removed = self.removed.get(endpoint_id)
+        if found is not None and known is None and removed is not None:
+            if not found.is_newer_than(removed.row):
+                self.withheld.put(endpoint_id, DatedEndpoint(found, now))
+                return EndpointChange(None, None)
+        return self.apply_endpoint(endpoint_id, found, now)
+
+    def take_over_withheld(self, read_at: float, now: float) -> list[FleetEndpoint]:
+        """Add and return the withheld endpoints that the store still lists.
+
+        The endpoints were last read at ``read_at``. While the store is away, and after
+        a further return, it has not removed any.
+        """
+        if not self.is_store_up or read_at - self.store_changed_at < self.withheld_s:
+            return []
+        rows = [
+            row
+            for row, since in self.withheld.values()
+            if read_at - since >= self.withheld_s
+        ]
+        for row in rows:
+            self.apply_endpoint(row.endpoint_id, row, now)
+        return rows
+
+    def _remove(self, endpoint_id: str, now: float) -> FleetEndpoint | None:
+        """Remove an endpoint, and remember it for a return of the store."""
+        self.expired_ids.discard(endpoint_id)
+        row = self.endpoints.pop(endpoint_id, None)
+        for key, removed in self.removed.rows():
+            if now - removed.since <= REMOVED_KEPT_S:
+                break
+            del self.removed[key]
+        if row is not None:
+            self.removed.pop(endpoint_id, None)
+            self.removed.put(endpoint_id, DatedEndpoint(row, now))
+        return row
+
     def withdraw_endpoint(self, endpoint_id: str, now: float) -> EndpointChange:
         """Remove an endpoint at once, because its newest entry is malformed.
 
         Expired entries are deleted, so this one was written now, whatever the state of
         the store. The endpoint is back in use with its next valid entry.
         """
-        self.expired_ids.discard(endpoint_id)
-        before = self.endpoints.pop(endpoint_id, None)
+        self.withheld.pop(endpoint_id, None)
+        before = self._remove(endpoint_id, now)
         self.usable_cache.clear()
         self._count_versions(before, None, now)
         return EndpointChange(before, None)
@@ -111,12 +200,15 @@
     ) -> None:
         """Count an endpoint that has been added, changed or removed."""
         if after is not None:
-            self.version_counts[after.service, after.software_version] += 1
+            key = (after.service, after.software_version)
+            self.version_counts[key] += 1
+            self.version_joined.setdefault(key, now)
         if before is not None:
             key = (before.service, before.software_version)
             self.version_counts[key] -= 1
             if self.version_counts[key] <= 0:
                 del self.version_counts[key]
+                self.version_joined.pop(key, None)
                 self.version_left[key] = now
 
     def versions(self, service: str) -> dict[str, int]:
@@ -124,6 +216,14 @@
         rows = self.version_counts.items()
         return {version: count for (name, version), count in rows if name == service}
 
+    def joined_versions(self, service: str, since: float) -> set[str]:
+        """Return the versions of a service that were first seen later than a time."""
+        return {
+            version
+            for (name, version), at in self.version_joined.items()
+            if name == service and at > since
+        }
+
     def version_left_at(self, service: str, version: str) -> float:
         """Return when the last endpoint of a version was removed, or -inf."""
         return self.version_left.get((service, version), float("-inf"))
@@ -156,8 +256,7 @@
         """Remove and return expired endpoints that were not announced again in time."""
         if not self.expired_ids or not self.is_expiry_grace_over(now):
             return []
-        rows = [self.endpoints.pop(key, None) for key in self.expired_ids]
-        self.expired_ids.clear()
+        rows = [self._remove(key, now) for key in list(self.expired_ids)]
         self.usable_cache.clear()
         found = [row for row in rows if row is not None]
         for row in found:
--- a/src/poplarfold/_internal/core/fleet/endpoint_stats.py
+++ b/src/poplarfold/_internal/core/fleet/endpoint_stats.py
@@ -8,6 +8,7 @@
 from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.core.state import Table
+from poplarfold._internal.utils.backoff import doubled_s
 
 __all__ = [
     "DEFAULT_ANSWER_S",
@@ -188,12 +189,17 @@
         if row.cooldown_until > now:
             # This call began before the current cooldown and must not extend it.
             return
-        cooldown_s = min(COOLDOWN_MAX_S, COOLDOWN_S * 2**row.cooldowns)
+        cooldown_s = doubled_s(COOLDOWN_S, row.cooldowns, COOLDOWN_MAX_S)
         self.put(
             endpoint,
             row._replace(cooldown_until=now + cooldown_s, cooldowns=row.cooldowns + 1),
         )
 
+    def end_cooldown(self, endpoint: FleetEndpoint) -> None:
+        """End a cooldown whose cause was not the endpoint."""
+        row = self.read(endpoint)
+        self.put(endpoint, row._replace(cooldown_until=0.0, cooldowns=0))
+
     def record_refusal(self, endpoint: FleetEndpoint, now: float) -> None:
         """Record a stream that was refused although it held a lease.
 
--- a/src/poplarfold/_internal/core/fleet/presence.py
+++ b/src/poplarfold/_internal/core/fleet/presence.py
@@ -25,8 +25,9 @@
 
 
 class Presence:
-    """The nodes that have announced themselves. Times are monotonic seconds.
+    """The nodes that have announced themselves.
 
+    Times are seconds of the runtime's clock.
     ``assumed_count`` stands for the number of nodes while it is unknown.
     """
 
--- a/src/poplarfold/_internal/core/fleet/relay_messages.py
+++ b/src/poplarfold/_internal/core/fleet/relay_messages.py
@@ -8,12 +8,13 @@
 """
 
 import zlib
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from result import Err, Result
 
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch, ViewRecord
-from poplarfold._internal.core.fleet.prompt_suspects import PartState
+from poplarfold._internal.core.fleet.prompt_suspects import EngineKey, PartState
 from poplarfold._internal.core.message_codec import MESSAGE_MAX_BYTES, MessageCodec
 from poplarfold._internal.exceptions import PeerProtocolError
 
@@ -26,6 +27,8 @@
     "PartStates",
     "RegionSubscribe",
     "RegionUsage",
+    "ReturnReading",
+    "ReturnSeen",
     "Subscribe",
     "TopicRecords",
     "UsageLevels",
@@ -51,8 +54,11 @@
     """Asks for all topics; the first message on a connection.
 
     ``relay`` is the host that the sender wants to reach. Another host may have taken
-    over its address. For each topic in ``known``, only later records are sent. The
-    relay answers ``sent_at``, a time of the sender's clock, with a ClockReply.
+    over its address. For each topic in ``known``, only later records are sent, if its
+    era in ``eras``, in the same order, is that of the relay. ``routes_version`` is that
+    of the configuration in force, or -1 if it is unknown; a relay with a later one
+    sends it anyway. The relay answers ``sent_at``, a time of the sender's clock, with a
+    ClockReply.
     """
 
     host: str
@@ -60,6 +66,8 @@
     relay: str
     sent_at: float
     known: tuple[KnownTopic, ...] = ()
+    eras: tuple[int, ...] = ()
+    routes_version: int = -1
 
 
 class ClockProbe(NamedTuple):
@@ -80,7 +88,7 @@
 
     A snapshot has all of its records instead. ``read_at`` is the time of the relay's
     clock at which all of these records were known. Without ``records``, the message
-    says that nothing has changed.
+    says that nothing has changed. The offsets are those of an ``era`` of the store.
     """
 
     topic: str
@@ -89,23 +97,88 @@
     read_at: float
     is_snapshot: bool
     records: tuple[ViewRecord, ...]
+    era: int = 0
 
     @classmethod
     def of_batch(cls, topic: str, batch: TopicBatch, read_at: float) -> "TopicRecords":
         """Return the message that carries a batch of a topic."""
         return cls(
-            topic, batch.start, batch.end, read_at, batch.is_snapshot, batch.records
+            topic,
+            batch.start,
+            batch.end,
+            read_at,
+            batch.is_snapshot,
+            batch.records,
+            batch.era,
         )
 
     def batch(self) -> TopicBatch:
         """Return the batch of records that the message carries."""
-        return TopicBatch(self.records, self.start, self.end, self.is_snapshot)
+        return TopicBatch(
+            self.records, self.start, self.end, self.is_snapshot, self.era
+        )
+
+
+class PartRow(NamedTuple):
+    """A ``PartState`` without its order.
+
+    The rows of a message have a fixed number of columns in all releases.
+    """
+
+    part: str
+    depth: int
+    round: int
+    blocks: int
+    incidents: int
+    crashes: tuple[EngineKey, ...]
 
 
 class PartStates(NamedTuple):
-    """Suspected parts of prompts, in either direction: all at first, then changes."""
+    """Suspected parts of prompts, in either direction: all at first, then changes.
+
+    ``sound`` are those of them that a stream was answered with before, and ``tested``
+    those that a node has just begun to test. ``orders`` are those of the states, in the
+    same sequence; earlier releases send none.
+    """
+
+    states: tuple[PartRow, ...]
+    sound: tuple[str, ...] = ()
+    tested: tuple[str, ...] = ()
+    orders: tuple[int, ...] = ()
+
+    @classmethod
+    def of_states(
+        cls,
+        states: Iterable[PartState],
+        sound: tuple[str, ...] = (),
+        tested: tuple[str, ...] = (),
+    ) -> "PartStates":
+        """Return the message that carries some states."""
+        rows = tuple(states)
+        return cls(
+            tuple(PartRow(*row[:-1]) for row in rows),
+            sound,
+            tested,
+            tuple(row.order for row in rows),
+        )
+
+    def part_states(self) -> tuple[PartState, ...]:
+        """Return the states that the message carries."""
+        orders = self.orders or (0,) * len(self.states)
+        rows = zip(self.states, orders, strict=False)
+        return tuple(PartState(*row, order) for row, order in rows)
+
+
+class ReturnSeen(NamedTuple):
+    """A subscriber tells that the store has come back older, in an era."""
+
+    era: int
+
+
+class ReturnReading(NamedTuple):
+    """A relay tells that it reads the store in an era, and repeats that meanwhile."""
 
-    states: tuple[PartState, ...]
+    era: int
 
 
 class CostReport(NamedTuple):
@@ -137,10 +210,12 @@
 class UsageReport(NamedTuple):
     """What a host has admitted and refused per account since its last report.
 
-    ``rows`` are packed ``UsageRow``; see ``core/fleet/usage_rows``.
+    ``rows`` are packed ``UsageRow``; see ``core/fleet/usage_rows``. For ``unknown_s``,
+    calls of the host's former process may count that no report has told of.
     """
 
     rows: bytes
+    unknown_s: float = 0.0
 
 
 class UsageLevels(NamedTuple):
@@ -170,12 +245,14 @@
 
     ``hosts`` is the number of hosts that the relay hears. A snapshot has all use
     within the window, any other message that since the last one. ``rows`` are packed
-    ``UsageRow``.
+    ``UsageRow``. The last two fields are an ``UnknownUse`` of the region.
     """
 
     hosts: int
     is_snapshot: bool
     rows: bytes
+    unknown_hosts: int = 0
+    unknown_s: float = 0.0
 
 
 CODEC = MessageCodec(
@@ -185,6 +262,8 @@
         ClockReply,
         TopicRecords,
         PartStates,
+        ReturnSeen,
+        ReturnReading,
         CostReport,
         FleetCost,
         UsageReport,
--- a/src/poplarfold/_internal/core/fleet/relays.py
+++ b/src/poplarfold/_internal/core/fleet/relays.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from poplarfold._internal.core.state import Table
+from poplarfold._internal.utils.backoff import NO_PAUSE, Pause
 from poplarfold._internal.utils.rendezvous import rank_hosts
 
 __all__ = ["Member", "RelayChoice"]
@@ -31,8 +32,9 @@
 class Member(NamedTuple):
     """A node of the fleet.
 
-    ``address`` is that of its relay listener, if it has one. ``link_mbps`` is the rate
-    of its host's network link in Mbit/s, or 0 if that is unknown.
+    ``address`` is that of its relay listener, if it has one, and ``tunnel_address``
+    that at which it connects peers to endpoints. ``link_mbps`` is the rate of its
+    host's network link in Mbit/s, or 0 if that is unknown.
     """
 
     host: str
@@ -40,13 +42,8 @@
     region: str
     address: str | None
     link_mbps: float = 0.0
-
-
-class Unavailability(NamedTuple):
-    """When a member may be chosen again, and how often it has failed in a row."""
-
-    until: float
-    failures: int
+    failure_domain: str = ""
+    tunnel_address: str | None = None
 
 
 class RelayChoice:
@@ -60,14 +57,19 @@
         self.host = host
         self.region = region
         self.members: dict[str, Member] = {}
-        self.order: tuple[str, ...] = ()
+        # The members of the region that may be relays, the preferred ones first.
+        self.ranked: tuple[Member, ...] = ()
         self.order_rank = 0
         self.relay_rank = 0
-        self.unavailable: Table[str, Unavailability] = Table()
+        self.unavailable: Table[str, Pause] = Table()
+
+    @property
+    def order(self) -> tuple[str, ...]:
+        """The hosts of the region that may be relays, the preferred ones first."""
+        return tuple(member.host for member in self.ranked)
 
     def update(self, members: Mapping[str, Member]) -> None:
         """Replace the known members of the fleet."""
-        self.members = dict(members)
         eligible = [
             member.host
             for member in members.values()
@@ -75,43 +77,49 @@
         ]
         # A relay sends a large configuration to all nodes of its region, which takes a
         # slow link seconds. The sort is stable: equal links keep the hashed order.
-        self.order = tuple(
-            sorted(
-                rank_hosts(self.region, eligible),
-                key=lambda host: -members[host].link_mbps,
-            )
+        order = sorted(
+            rank_hosts(self.region, eligible),
+            key=lambda host: -members[host].link_mbps,
         )
-
-        self.relay_rank = self.order.index(self.host) if self.host in self.order else 0
+        # Replaced at once, since other threads choose relays meanwhile.
+        self.ranked = tuple(members[host] for host in order)
+        self.members = dict(members)
+        self.relay_rank = order.index(self.host) if self.host in order else 0
         hosts = rank_hosts(ORDERS_KEY, members)
         self.order_rank = hosts.index(self.host) if self.host in hosts else 0
 
     def record_failure(self, host: str, now: float) -> None:
         """Do not choose a member for a while, because it was unreachable or silent."""
-        row = self.unavailable.get(host)
-        failures = 0 if row is None else row.failures
-        pause_s = min(UNAVAILABLE_MAX_S, UNAVAILABLE_S * 2**failures)
-        self.unavailable.put(host, Unavailability(now + pause_s, failures + 1))
+        pause = self.unavailable.get(host, NO_PAUSE)
+        pause = pause.lengthened(UNAVAILABLE_S, UNAVAILABLE_MAX_S, now)
+        self.unavailable.put(host, pause)
 
     def record_success(self, host: str) -> None:
         """Forget the failures of a member that has sent current records."""
         self.unavailable.pop(host, None)
 
+    def forget_failures(self) -> None:
+        """Choose again among all members, as if none had failed."""
+        self.unavailable.clear()
+
     def relays(self, now: float) -> list[Member]:
         """Return the relays to use, which may include this node itself."""
-        available = [host for host in self.order if self.is_available(host, now)]
-        return [self.members[host] for host in available[:RELAYS_PER_REGION]]
+        available = [row for row in self.ranked if self.is_available(row.host, now)]
+        return available[:RELAYS_PER_REGION]
 
     def is_available(self, host: str, now: float) -> bool:
         """Return whether a member may be chosen."""
-        row = self.unavailable.get(host)
-        return row is None or row.until <= now
+        return self.unavailable.get(host, NO_PAUSE).until <= now
 
     def is_own_relay(self, now: float) -> bool:
         """Return whether this node must read the store by its own knowledge."""
         relays = self.relays(now)
         return not relays or any(member.host == self.host for member in relays)
 
+    def is_first(self) -> bool:
+        """Return whether this node is a relay if all members are available."""
+        return self.host in self.order[:RELAYS_PER_REGION]
+
     def sources(self, now: float) -> list[Member]:
         """Return the members to subscribe to."""
         return [member for member in self.relays(now) if member.host != self.host]
--- a/src/poplarfold/_internal/core/fleet/rows.py
+++ b/src/poplarfold/_internal/core/fleet/rows.py
@@ -113,6 +113,7 @@
     distinguishes a restarted process from the one that ran under the same id before.
     ``cold_start_left_s`` is the remaining time of the endpoint's cold start.
     ``software_version`` is that of the endpoint's program, not of a model's weights.
+    ``revision`` rises with each entry that an incarnation writes.
     """
 
     endpoint_id: str
@@ -125,6 +126,12 @@
     is_leaving: bool
     cold_start_left_s: float
     software_version: str = ""
+    revision: int = 0
+
+    def is_newer_than(self, other: "FleetEndpoint") -> bool:
+        """Return whether this entry was written after another one of its id."""
+        written = (self.incarnation, self.revision)
+        return written > (other.incarnation, other.revision)
 
 
 class EndpointLoad(NamedTuple):
--- a/src/poplarfold/_internal/gateway/member_records.py
+++ b/src/poplarfold/_internal/gateway/member_records.py
@@ -19,6 +19,8 @@
         "region": member.region,
         "relay": member.address,
         "link_mbps": member.link_mbps,
+        "failure_domain": member.failure_domain,
+        "tunnel": member.tunnel_address,
     }
     return json.dumps(fields).encode()
 
@@ -35,13 +37,15 @@
         fields = None
     if not isinstance(fields, dict):
         fields = {}
-    region = fields.get("region")
+    region, domain = fields.get("region"), fields.get("failure_domain")
     return Member(
         host,
         value_or(check_integer, fields, "incarnation", 0),
         region if isinstance(region, str) else "",
         value_or(check_address, fields, "relay", None),
         value_or(check_number, fields, "link_mbps", 0.0),
+        domain if isinstance(domain, str) else "",
+        value_or(check_address, fields, "tunnel", None),
     )
 
 
--- a/src/poplarfold/_internal/gateway/relay_link.py
+++ b/src/poplarfold/_internal/gateway/relay_link.py
@@ -6,15 +6,17 @@
 """
 
 import asyncio
+import contextlib
 import threading
 import traceback
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from websockets.asyncio.server import Server, ServerConnection, broadcast, serve
 from websockets.exceptions import ConnectionClosed
 
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch
-from poplarfold._internal.core.fleet.prompt_suspects import PartState
+from poplarfold._internal.core.fleet.prompt_suspects import PartState, trial_delay_s
 from poplarfold._internal.core.fleet.relay_messages import (
     ClockProbe,
     ClockReply,
@@ -22,6 +24,8 @@
     FleetCost,
     PartStates,
     RegionSubscribe,
+    ReturnReading,
+    ReturnSeen,
     Subscribe,
     TopicRecords,
     UsageReport,
@@ -33,6 +37,7 @@
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.part_guard import PartGuard
 from poplarfold._internal.gateway.region_link import RegionLink
+from poplarfold._internal.gateway.return_notices import ReturnNotices
 from poplarfold._internal.gateway.subscription import (
     USAGE_PERIOD_S,
     NodeParts,
@@ -40,7 +45,7 @@
     cost_period_s,
     decode,
 )
-from poplarfold._internal.gateway.topic_state import TopicState
+from poplarfold._internal.gateway.topic_state import TopicPosition, TopicState
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import StoreTopic
 
@@ -83,22 +88,37 @@
         self.guard = guard
         self.usage = usage
         self.write_log = write_log
-        self.me = Member(host.host, incarnation, host.region, None, host.link_mbps)
+        self.me = Member(
+            host.host,
+            incarnation,
+            host.region,
+            None,
+            host.link_mbps,
+            host.failure_domain,
+        )
         self.choice = RelayChoice(host.host, host.region)
+        self.notices = ReturnNotices(state)
         self.region_link = RegionLink(usage, host.host, host.region, write_log)
         self.subscribers: dict[ServerConnection, CostReport | None] = {}
         self.sources: dict[str, Source] = {}
         self.loop = asyncio.new_event_loop()
         self.started = threading.Event()
-        self.stopping = asyncio.Event()
+        # Ends the pause before the periodic work.
+        self.wake_up = asyncio.Event()
+        self.is_stopping = False
         self.stopped = threading.Event()
-        self.is_known = False
+        # The latest era of the store for which relays were chosen afresh.
+        self.chosen_era = 0
+        # Set once the members of the fleet have been read.
+        self.members_known = threading.Event()
         self.sent_cost: CostReport | None = None
         self.cost_sent_at = 0.0
         state.publish = self.publish
         state.updates.update_members = self.update_members
         state.updates.update_parts = guard.merge_stored
         guard.share = self.share_parts
+        guard.share_test = self.share_test
+        guard.trial_delay_s = self.trial_delay_s
 
     def start(self) -> None:
         """Start the thread and wait until it listens."""
@@ -108,19 +128,61 @@
 
     def stop(self) -> None:
         """Close all connections and the listener."""
-        self.loop.call_soon_threadsafe(self.stopping.set)
+        self.is_stopping = True
+        self.loop.call_soon_threadsafe(self.wake_up.set)
         self.stopped.wait()
 
+    def set_tunnel_address(self, address: str | None) -> None:
+        """Set where this node connects peers to endpoints, before it is announced."""
+        self.me = self.me._replace(tunnel_address=address)
+
+    def members(self) -> Mapping[str, Member]:
+        """Return the known members of the fleet."""
+        return self.choice.members
+
     def is_relay(self) -> bool:
         """Return whether this node must read the store for itself or for others."""
         if self.subscribers:
             return True
-        return self.is_known and self.choice.is_own_relay(self.fleet.clock())
+        is_known = self.members_known.is_set()
+        return is_known and self.choice.is_own_relay(self.fleet.clock())
+
+    def note_return(self, era: int) -> None:
+        """Choose the relays afresh, once for each era of the store, and tell them.
+
+        While the store was away, all relays fell silent, and nodes have chosen others
+        in turn. Now those that come first can read again, and all nodes find them.
+        """
+        self.notices.see(era)
+        self.loop.call_soon_threadsafe(self._choose_afresh, era)
+
+    def must_read_return(self, era: int) -> bool:
+        """Return whether this node must read an era of the store for the others.
+
+        Subscribers that it has got during an outage choose afresh, too.
+        """
+        return self.chosen_era >= era and self.choice.is_own_relay(self.fleet.clock())
+
+    def begin_read(self, topic: StoreTopic) -> None:
+        """Tell the subscribers if this node begins to read a return of the store."""
+        self.notices.begin(topic)
+        if self.subscribers and self.notices.reading_era() is not None:
+            self.loop.call_soon_threadsafe(self._tell_reading)
+
+    def trial_delay_s(self) -> float | None:
+        """Return how long this node leaves tests of blocked parts to others.
+
+        It is None before this node knows the others.
+        """
+        is_known = self.members_known.is_set()
+        return trial_delay_s(self.choice.relay_rank) if is_known else None
 
     def update_members(self, members: dict[str, Member]) -> None:
         """Replace the known members of the fleet."""
         self.choice.update({**members, self.me.host: self.me})
-        self.is_known = True
+        if not self.members_known.is_set():
+            self.members_known.set()
+            self.loop.call_soon_threadsafe(self.wake_up.set)
 
     def publish(self, topic: StoreTopic, batch: TopicBatch, read_at: float) -> None:
         """Send the changes of a topic that was just read to all subscribers."""
@@ -129,12 +191,19 @@
         message = TopicRecords.of_batch(topic.value, batch, read_at)
         self.loop.call_soon_threadsafe(self._broadcast, pack(message))
 
-    def share_parts(self, states: tuple[PartState, ...]) -> None:
+    def share_parts(
+        self, states: tuple[PartState, ...], tested: tuple[str, ...] = ()
+    ) -> None:
         """Send changed states of parts to all relays and subscribers."""
         if self.subscribers or self.sources:
-            data = pack(PartStates(states))
+            sound = self.guard.sound_parts(states)
+            data = pack(PartStates.of_states(states, sound, tested))
             self.loop.call_soon_threadsafe(self._send_parts, data)
 
+    def share_test(self, state: PartState) -> None:
+        """Tell all relays and subscribers that a test of a part has begun."""
+        self.share_parts((state,), (state.part,))
+
     # Methods of the event loop's thread.
 
     def _run(self) -> None:
@@ -152,17 +221,16 @@
             self.me = self.me._replace(address=f"{self.fleet.host.ip}:{port}")
         self.started.set()
         usage_task = asyncio.create_task(self._send_usage())
-        while not self.stopping.is_set():
+        while not self.is_stopping:
+            self.wake_up.clear()
             try:
                 self._run_periodic_work()
             except Exception:
                 # Without the loop, all subscriptions and subscribers would be lost.
                 self._log_unexpected("periodic work")
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CHOICE_PERIOD_S):
-                    await self.stopping.wait()
-            except TimeoutError:
-                continue
+                    await self.wake_up.wait()
         await self.region_link.close()
         tasks = [usage_task, *(source.task for source in self.sources.values())]
         for task in tasks:
@@ -175,6 +243,7 @@
     def _run_periodic_work(self) -> None:
         """Follow the choice of relays, and send what is due."""
         self._update_sources()
+        self._tell_reading()
         is_relay = self.is_relay()
         self.region_link.update_sources(self.choice.members, is_relay)
         self.usage.update(is_relay)
@@ -233,7 +302,11 @@
                 elif isinstance(message, ClockProbe):
                     self._answer_probe(connection, message.sent_at)
                 elif isinstance(message, PartStates):
-                    self.guard.merge(message.states)
+                    states = message.part_states()
+                    self.guard.merge(states, message.sound, message.tested)
+                elif isinstance(message, ReturnSeen):
+                    if self.notices.see(message.era):
+                        self._tell_reading()
                 elif isinstance(message, UsageReport):
                     self._record_usage(connection, host, message)
         except PeerProtocolError as error:
@@ -251,12 +324,25 @@
         this, since only the thread of the event loop sends.
         """
         self._answer_probe(connection, hello.sent_at)
-        known = {row.topic: row.end for row in hello.known}
+        # A node of an earlier release names no eras.
+        eras = hello.eras or (0,) * len(hello.known)
+        known = {
+            row.topic: TopicPosition(era, row.end)
+            for row, era in zip(hello.known, eras, strict=False)
+        }
+        if 0 <= hello.routes_version < self.state.routes_version():
+            # It has read a copy that lacks the newest configuration.
+            known.pop(StoreTopic.ROUTES.value, None)
         for topic in StoreTopic:
             records = self.state.message_for(topic, known.get(topic.value))
             if records is not None:
                 broadcast([connection], pack(records))
-        broadcast([connection], pack(PartStates(self.guard.states())))
+        states = self.guard.states()
+        sound = self.guard.sound_parts(states)
+        broadcast([connection], pack(PartStates.of_states(states, sound)))
+        era = self.notices.reading_era()
+        if era is not None:
+            broadcast([connection], pack(ReturnReading(era)))
 
     def _record_usage(
         self, connection: ServerConnection, host: str, report: UsageReport
@@ -291,6 +377,12 @@
                 connection.transport.abort()
         broadcast(self.subscribers, data)
 
+    def _tell_reading(self) -> None:
+        """Tell the subscribers if this node reads a return of the store."""
+        era = self.notices.reading_era()
+        if era is not None:
+            self._broadcast(pack(ReturnReading(era)))
+
     def _send_parts(self, data: bytes) -> None:
         self._broadcast(data)
         for source in self.sources.values():
@@ -308,7 +400,7 @@
 
     def _update_sources(self) -> None:
         """Subscribe to the chosen relays, and end the subscriptions to others."""
-        if not self.is_known:
+        if not self.members_known.is_set():
             return
         chosen = {
             member.host: member for member in self.choice.sources(self.fleet.clock())
@@ -322,9 +414,27 @@
             if host not in self.sources:
                 self.sources[host] = self._subscribe(member)
 
+    def _choose_afresh(self, era: int) -> None:
+        """Forget which relays fell silent before an era of the store."""
+        if era <= self.chosen_era:
+            return
+        self.choice.forget_failures()
+        for source in self.sources.values():
+            source.subscription.restart_silence()
+            source.subscription.send(pack(ReturnSeen(era)))
+        self.chosen_era = era
+        self.wake_up.set()
+
     def _subscribe(self, relay: Member) -> Source:
         """Begin to subscribe to a relay."""
-        node = NodeParts(self.fleet, self.state, self.guard, self.usage, self.write_log)
+        node = NodeParts(
+            self.fleet,
+            self.state,
+            self.guard,
+            self.usage,
+            self.notices,
+            self.write_log,
+        )
         subscription = Subscription(
             node, self.me, relay, lambda: self.choice.record_success(relay.host)
         )
--- a/src/poplarfold/_internal/gateway/role_orders.py
+++ b/src/poplarfold/_internal/gateway/role_orders.py
@@ -4,7 +4,11 @@
 import threading
 from collections.abc import Callable
 
-from poplarfold._internal.core.fleet.order_lease import FIRST_FENCING_NUMBER, OrderLease
+from poplarfold._internal.core.fleet.order_lease import (
+    LogEnd,
+    OrderLease,
+    fencing_number,
+)
 from poplarfold._internal.core.fleet.roles import RoleChange, plan_role_changes
 from poplarfold._internal.core.fleet.rows import Service
 from poplarfold._internal.core.model import EndpointRole
@@ -30,6 +34,8 @@
 ROLE_CHANGE_VISIBLE_S = 6.0
 CLAIM_VALID_S = 1.0
 ORDER_TIMEOUT_S = 0.8
+# The pause after a first read of the log that failed.
+FIRST_READ_RETRY_S = 3.0
 
 
 class RoleOrders:
@@ -53,6 +59,7 @@
         self.planned_role: EndpointRole | None = None
         self.mismatch_since = 0.0
         self.required_s = 0.0
+        self.first_read_due_at = 0.0
         self.stopping = threading.Event()
 
     def start(self) -> None:
@@ -67,6 +74,10 @@
     def check_pool_sizes(self) -> None:
         """Order role changes if a mismatch has persisted and a claim is allowed."""
         now = self.fleet.clock()
+        if self.lease.end_seen_at is None and now >= self.first_read_due_at:
+            # A node must know the log for a while before it may claim.
+            self.first_read_due_at = now + FIRST_READ_RETRY_S
+            self.refresh_order_log_end()
         changes = self.plan_changes()
         role = changes[0].role if changes else None
         if role is not self.planned_role:
@@ -128,12 +139,27 @@
 
     def refresh_order_log_end(self) -> bool:
         """Read the current end of the order log; return whether the store answered."""
-        end = self.store.read_end(ORDERS_TOPIC, self.lease.end, ORDER_TIMEOUT_S)
-        if end.is_err():
-            problem = str(end.unwrap_err())
+        result = self.store.read_end(ORDERS_TOPIC, self.lease.log.end, ORDER_TIMEOUT_S)
+        if result.is_err():
+            problem = str(result.unwrap_err())
             self.write_log("PF3502", None, {"problem": problem})
             return False
-        self.lease = self.lease.with_end(end.unwrap(), self.fleet.clock())
+        return self.note_log_end(result.unwrap())
+
+    def note_log_end(self, log: LogEnd) -> bool:
+        """Take over what an answer says of the log, unless that is outdated."""
+        known = self.lease
+        if known.is_outdated(log):
+            return False
+        self.lease = known.with_end(log, self.fleet.clock())
+        if known.end_seen_at is not None and log.era > known.log.era:
+            fields: dict[str, object] = {
+                "era": log.era,
+                "previous": known.log.era,
+                "end_before": known.log.end,
+                "end": log.end,
+            }
+            self.write_log("PF3503", None, fields)
         return True
 
     def claim_and_order(self) -> None:
@@ -141,7 +167,7 @@
         claimed_at = self.fleet.clock()
         record = json.dumps({"host": self.fleet.host.host}).encode()
         result = self.store.append_at(
-            ORDERS_TOPIC, self.lease.end, record, ORDER_TIMEOUT_S
+            ORDERS_TOPIC, self.lease.log.end, record, ORDER_TIMEOUT_S
         )
         if result.is_err():
             # The record may have been appended nevertheless; the next read of the
@@ -149,8 +175,12 @@
             problem = str(result.unwrap_err())
             self.write_log("PF3502", None, {"problem": problem})
             return
-        fence = result.unwrap() + FIRST_FENCING_NUMBER
-        self.lease = self.lease.with_end(result.unwrap() + 1, self.fleet.clock())
+        offset, era = result.unwrap()
+        has_returned = era != self.lease.log.era
+        if not self.note_log_end(LogEnd(offset + 1, era)) or has_returned:
+            # A claim that the store has lost may still be in force.
+            return
+        fence = fencing_number(offset, era)
         for change in self.plan_changes():
             self.send_order(change, fence, claimed_at)
         self.planned_role = None
--- a/src/poplarfold/_internal/gateway/subscription.py
+++ b/src/poplarfold/_internal/gateway/subscription.py
@@ -15,6 +15,8 @@
     CostReport,
     FleetCost,
     PartStates,
+    ReturnReading,
+    ReturnSeen,
     Subscribe,
     TopicRecords,
     UsageLevels,
@@ -27,6 +29,7 @@
 from poplarfold._internal.gateway.account_usage import AccountUsage
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.part_guard import PartGuard
+from poplarfold._internal.gateway.return_notices import ReturnNotices
 from poplarfold._internal.gateway.topic_state import TopicState
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import StoreTopic
@@ -55,6 +58,7 @@
     state: TopicState
     guard: PartGuard
     usage: AccountUsage
+    notices: ReturnNotices
     write_log: WriteLog
 
 
@@ -80,6 +84,7 @@
         # A restarted relay has forgotten all reports.
         self.usage_name = f"{relay.host}/{relay.incarnation}"
         self.connection: ClientConnection | None = None
+        self.silence: asyncio.Timeout | None = None
         bounds = node.fleet.host.bounds
         self.silence_s = SILENCE_SHARE * min(bounds.apply_s, bounds.leaving_s)
 
@@ -99,6 +104,11 @@
             return str(error)
         return "the connection was closed"
 
+    def restart_silence(self) -> None:
+        """Give the relay the whole time again in which it must send records."""
+        if self.silence is not None and not self.silence.expired():
+            self.silence.reschedule(asyncio.get_running_loop().time() + self.silence_s)
+
     def send(self, data: bytes) -> None:
         """Send a message if the connection is open, without waiting."""
         if self.connection is not None:
@@ -122,26 +132,34 @@
             self.me.incarnation,
             self.relay.host,
             self.node.fleet.clock(),
-            self.node.state.known_topics(),
+            *self.node.state.known_topics(),
+            self.node.state.routes_version(),
         )
         await connection.send(pack(hello))
-        await connection.send(pack(PartStates(self.node.guard.states())))
+        states = self.node.guard.states()
+        sound = self.node.guard.sound_parts(states)
+        await connection.send(pack(PartStates.of_states(states, sound)))
+        seen_era = self.node.notices.seen_era
+        if seen_era:
+            await connection.send(pack(ReturnSeen(seen_era)))
         self.node.write_log("PF6404", None, {"relay": self.relay.host})
 
     async def _receive_all(self, connection: ClientConnection) -> None:
         """Receive records and send reports until the relay fails or falls silent."""
         self.connection = connection
+        self.node.usage.restart_reports(self.usage_name)
         reporters = [
             asyncio.create_task(self._send_reports(connection)),
             asyncio.create_task(self._send_usage(connection)),
         ]
         try:
             while True:
-                async with asyncio.timeout(self.silence_s):
+                async with asyncio.timeout(self.silence_s) as self.silence:
                     await self._receive(connection)
+                self.silence = None
                 self.on_recent()
         finally:
-            self.connection = None
+            self.connection = self.silence = None
             for reporter in reporters:
                 reporter.cancel()
 
@@ -152,7 +170,10 @@
             if isinstance(message, FleetCost):
                 self.node.fleet.set_fleet_cost(message.cost)
             elif isinstance(message, PartStates):
-                self.node.guard.merge(message.states)
+                states = message.part_states()
+                self.node.guard.merge(states, message.sound, message.tested)
+            elif isinstance(message, ReturnReading):
+                self.node.notices.hear(message.era)
             elif isinstance(message, ClockReply):
                 self.clock.measure(message.sent_at, message.relay_at)
             elif isinstance(message, UsageLevels):
@@ -171,6 +192,9 @@
         if topic is None or read_at is None:
             return False
         state = self.node.state
+        if state.is_outdated(topic, message.era):
+            # The relay has yet to notice that the store has come back older.
+            return False
         if not state.apply(topic, message.batch(), read_at, self.relay.host):
             raise RecordGapError(
                 f"records of {topic.value} are missing before offset {message.start}"
--- a/src/poplarfold/_internal/platform/__init__.py
+++ b/src/poplarfold/_internal/platform/__init__.py
@@ -21,6 +21,8 @@
 from poplarfold._internal.platform.store import (
     ORIGINS_TOPIC,
     VERSIONS_TOPIC,
+    Appended,
+    AppendPlace,
     Record,
     RecordBatch,
     StoreClient,
@@ -28,6 +30,8 @@
 )
 
 __all__ = [
+    "AppendPlace",
+    "Appended",
     "CallTarget",
     "CallerCall",
     "EngineClient",
--- a/src/poplarfold/_internal/platform/boot.py
+++ b/src/poplarfold/_internal/platform/boot.py
@@ -14,6 +14,10 @@
 BOOT_VARIABLE = "POPLARFOLD_BOOT"
 # The longest description of a problem, in characters: an error may quote the value.
 PROBLEM_MAX = 300
+# The store removes an endpoint's entry after so many heartbeats without a write.
+MISSED_HEARTBEATS = 3
+HEARTBEAT_MS = 1200
+APPEND_MS = 4.0
 
 
 class Address(NamedTuple):
@@ -58,7 +62,10 @@
     router's own nodes may listen for each other. ``link_mbps`` is the rate of the
     host's network link in Mbit/s, ``memory_mb`` the limit of this process's memory, and
     ``max_files`` that of its descriptors. They are 0 if they are not given. A topic of
-    the store has up to ``store_parts`` partitions.
+    the store has up to ``store_parts`` partitions, and each of them takes one append in
+    ``store_append_s``. ``is_first_start`` is whether all nodes start for the first
+    time, so that none has served calls before. The store removes the entry of an
+    endpoint that has not written for ``endpoint_silence_s``.
     """
 
     host: str
@@ -75,6 +82,9 @@
     memory_mb: float = 0.0
     max_files: int = 0
     store_parts: int = 1
+    store_append_s: float = APPEND_MS / 1000
+    is_first_start: bool = False
+    endpoint_silence_s: float = MISSED_HEARTBEATS * HEARTBEAT_MS / 1000
 
 
 def read_boot_file(path: str | None = None) -> HostSettings:
@@ -113,6 +123,12 @@
         memory_mb=float(limits.get("memory_mb") or 0.0),
         max_files=int(limits.get("max_fds") or 0),
         store_parts=max(1, int(store.get("parts") or 1)),
+        store_append_s=check_number(store.get("append_ms", APPEND_MS), "append_ms")
+        / 1000,
+        is_first_start=fields.get("bootstrap") is True,
+        endpoint_silence_s=MISSED_HEARTBEATS
+        * check_number(fields.get("heartbeat_ms", HEARTBEAT_MS), "heartbeat_ms")
+        / 1000,
     )
 
 
--- a/src/poplarfold/_internal/platform/records.py
+++ b/src/poplarfold/_internal/platform/records.py
@@ -23,6 +23,7 @@
     check_address,
     check_integer,
     check_number,
+    check_sendable,
     check_text,
 )
 from poplarfold._internal.utils.json_documents import parse_json
@@ -44,10 +45,10 @@
 # The fields that each endpoint writes into its entry, and their checks. An entry
 # without one of them comes from another writer. Engines also write ``stage``.
 ENTRY_FIELDS: Mapping[str, Callable[[object, str], Any]] = {
-    "service": check_text,
+    "service": check_sendable,
     "address": check_address,
     "zone": check_text,
-    "version": check_text,
+    "version": check_sendable,
     "slots": check_integer,
     "state": check_text,
     "cold_left_ms": check_number,
@@ -151,7 +152,8 @@
     """Decode the entry of one endpoint.
 
     Raises PlatformFormatError if a field is missing or has a wrong type or an
-    unknown value. Such an entry was not written by an endpoint.
+    unknown value, or if the id or a field cannot be sent as it is. Such an entry was
+    not written by an endpoint.
     """
     try:
         fields = parse_json(value)
@@ -161,7 +163,7 @@
             name: check(fields[name], name) for name, check in ENTRY_FIELDS.items()
         }
         return FleetEndpoint(
-            endpoint_id=endpoint_id,
+            endpoint_id=check_sendable(endpoint_id, "id"),
             incarnation=entry["born"],
             service=entry["service"],
             address=entry["address"],
@@ -171,7 +173,8 @@
             is_leaving=STATES[entry["state"]],
             cold_start_left_s=entry["cold_left_ms"] / 1000,
             software_version=entry["version"],
+            revision=entry["seq"],
         )
     except MALFORMED_DOCUMENT_ERRORS as error:
-        problem = f"endpoint {endpoint_id}: {error!r}"
+        problem = f"endpoint {endpoint_id!r}: {error!r}"
         raise PlatformFormatError(problem[:PROBLEM_MAX]) from error
--- a/src/poplarfold/_internal/platform/store.py
+++ b/src/poplarfold/_internal/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+import threading
 from collections.abc import Callable, Sequence
 from enum import StrEnum
 from typing import Any, NamedTuple
@@ -9,18 +10,16 @@
 
 from result import Err, Ok, Result
 
-from poplarfold._internal.daemon.endpoint_client import (
-    Answer,
-    EndpointClient,
-    Failure,
-    Target,
-)
+from poplarfold._internal.core.fleet.order_lease import LogEnd
 from poplarfold._internal.exceptions import (
     PlatformFormatError,
     StoreGapError,
     StoreTopicMissingError,
     StoreUnavailableError,
 )
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import Answer, Target
+from poplarfold._internal.http.failures import Failure
 from poplarfold._internal.utils.checks import check_integer, check_text
 from poplarfold._internal.utils.json_documents import parse_json
 from poplarfold._internal.utils.malformed import MALFORMED_DOCUMENT_ERRORS
@@ -28,6 +27,8 @@
 __all__ = [
     "ORIGINS_TOPIC",
     "VERSIONS_TOPIC",
+    "AppendPlace",
+    "Appended",
     "Record",
     "RecordBatch",
     "StoreClient",
@@ -39,6 +40,12 @@
 RECORD_LENGTH = struct.Struct(">I")
 READ_LIMIT_KB = 4096
 KEY_LIMIT_BYTES = 255
+# Rises each time the store comes back from an older copy. Offsets of another era name
+# other records.
+ERA_HEADER = "Store-Era"
+ERA_DIGITS_MAX = 7
+# With a higher era, fencing numbers would not be exact in JSON (2**53).
+ERA_MAX = 2**21 - 1
 # An answer may take longer than a call's timeout if it arrives at this rate. That is a
 # tenth of the slowest link, which a host shares with its callers.
 BYTES_PER_S_MIN = 62_500
@@ -47,6 +54,9 @@
 ORIGINS_TOPIC = "keyed.poplarfold.origins"
 # The base version of each service, by its name.
 VERSIONS_TOPIC = "keyed.poplarfold.versions"
+OK = 200
+NOT_FOUND = 404
+GONE = 410
 SERVER_ERROR = 500
 # The longest description of a problem, in characters: an error may quote the answer.
 PROBLEM_MAX = 300
@@ -77,19 +87,41 @@
 class RecordBatch(NamedTuple):
     """Records in the order of their offsets, and the offset to read on from.
 
-    An answer ``has_more`` if its topic has records that did not fit into it.
+    An answer ``has_more`` if its topic has records that did not fit into it. The
+    offsets are those of an ``era`` of the store.
     """
 
     records: tuple[Record, ...]
     end: int
     has_more: bool = False
+    era: int = 0
+
+
+class Appended(NamedTuple):
+    """The offset of the first record of an append, in an era of the store."""
+
+    offset: int
+    era: int
+
+
+class AppendPlace(NamedTuple):
+    """The place of an append in the order of a producer's appends to a partition.
+
+    The store rejects appends of an earlier epoch than it has seen. Within an epoch,
+    numbers follow each other; a higher epoch may begin with any number.
+    """
+
+    producer: str
+    epoch: int
+    seq: int
 
 
 class StoreClient:
     """Reads and writes the store over one HTTP client. Thread-safe.
 
     ``on_call`` is called after each call with its kind (newest, read or append) and
-    whether the store answered it without a server error.
+    whether the store answered it without a server error. ``on_era`` gets the era in
+    each answer.
     """
 
     def __init__(
@@ -97,10 +129,15 @@
         endpoint_client: EndpointClient,
         address: str,
         on_call: Callable[[str, bool], None] = lambda kind, is_ok: None,
+        on_era: Callable[[int], None] = lambda era: None,
     ) -> None:
         self.endpoint_client = endpoint_client
         self.address = address
         self.on_call = on_call
+        self.on_era = on_era
+        self.lock = threading.Lock()
+        # The highest era that an answer has named.
+        self.last_era = 0
 
     def read_newest(
         self, topic: str, timeout_s: float, part: int = 0
@@ -113,6 +150,7 @@
         """
         records: list[Record] = []
         first_end: int | None = None
+        first_era: int | None = None
         after: str | None = None
         while True:
             query = {"topic": str(topic), "part": str(part)}
@@ -121,8 +159,13 @@
             page_result = self._get(NEWEST_PATH, query, timeout_s)
             if page_result.is_err():
                 return Err(page_result.unwrap_err())
+            answer = page_result.unwrap()
+            era = self.era_of(answer)
+            if first_era not in (None, era):
+                return Err(StoreGapError("the store came back older between pages"))
+            first_era = era
             try:
-                page = parse_json(page_result.unwrap())
+                page = parse_json(answer.body)
                 rows = page["items"]
                 end = check_integer(page["end"], "end")
                 has_more = bool(page.get("has_more")) and bool(rows)
@@ -134,7 +177,7 @@
                 return Err(PlatformFormatError(problem[:PROBLEM_MAX]))
             first_end = end if first_end is None else first_end
             if not has_more:
-                return Ok(RecordBatch(tuple(records), first_end))
+                return Ok(RecordBatch(tuple(records), first_end, era=era))
 
     def read_from(
         self,
@@ -158,36 +201,52 @@
         read_result = self._get("/v1/log-read", query, wait_s + timeout_s)
         if read_result.is_err():
             return Err(read_result.unwrap_err())
+        answer = read_result.unwrap()
         try:
-            return Ok(decode_read(read_result.unwrap(), offset))
+            return Ok(
+                decode_read(answer.body, offset)._replace(era=self.era_of(answer))
+            )
         except (struct.error, ValueError) as error:
             return Err(PlatformFormatError(f"records of {topic}: {error!r}"))
 
     def read_end(
         self, topic: str, offset: int, timeout_s: float
-    ) -> Result[int, StoreUnavailableError]:
-        """Return the end offset of a topic, from a read that starts at ``offset``."""
-        query = {"topic": topic, "part": "0", "from": str(offset), "wait_ms": "0"}
-        target = Target(self.address, "GET", f"/v1/log-read?{urlencode(query)}")
-        result = self._send_request("read", target, timeout_s)
+    ) -> Result[LogEnd, StoreUnavailableError]:
+        """Return the end of a topic, from a read that starts at ``offset``.
+
+        If the log has no such offset any more, the read starts at its first record.
+        """
+        result = self._read_head(topic, offset, timeout_s)
+        if result.is_ok() and result.unwrap().status == GONE:
+            first = result.unwrap().json().get("first")
+            if type(first) is int:
+                result = self._read_head(topic, first, timeout_s)
         if result.is_err():
             return Err(StoreUnavailableError(str(result.unwrap_err().error)))
         answer = result.unwrap()
-        if answer.status == 404:
+        if answer.status == NOT_FOUND:
             # A topic does not exist before its first record.
-            return Ok(0)
-        if answer.status != 200 or len(answer.body) < READ_HEADER.size:
+            return Ok(LogEnd(0, self.era_of(answer)))
+        if answer.status != OK or len(answer.body) < READ_HEADER.size:
             return Err(
                 StoreUnavailableError(
                     f"{topic}: the store answered with status {answer.status}"
                 )
             )
-        return Ok(int(READ_HEADER.unpack_from(answer.body)[0]))
+        return Ok(LogEnd(READ_HEADER.unpack_from(answer.body)[0], self.era_of(answer)))
+
+    def _read_head(
+        self, topic: str, offset: int, timeout_s: float
+    ) -> Result[Answer, Failure]:
+        """Make a read of which only the head of the answer is of interest."""
+        query = {"topic": topic, "part": "0", "from": str(offset), "wait_ms": "0"}
+        target = Target(self.address, "GET", f"/v1/log-read?{urlencode(query)}")
+        return self._send_request("read", target, timeout_s)
 
     def append_at(
         self, topic: str, end: int, record: bytes, timeout_s: float
-    ) -> Result[int, StoreUnavailableError]:
-        """Append a record if the log still ends at ``end``; return its offset.
+    ) -> Result[Appended, StoreUnavailableError]:
+        """Append a record if the log still ends at ``end``; return its position.
 
         After an error it is unknown whether the record was appended.
         """
@@ -200,34 +259,56 @@
         part: int,
         rows: Sequence[tuple[str, bytes]],
         timeout_s: float,
-    ) -> Result[int, StoreUnavailableError]:
+        place: AppendPlace | None = None,
+    ) -> Result[Appended, StoreUnavailableError]:
         """Append records for keys to a partition, all or none.
 
-        An empty value deletes its key. Returns the offset of the first record. After an
-        error it is unknown whether they were appended.
+        An empty value deletes its key. Returns the position of the first record. After
+        an error it is unknown whether they were appended, or will be. With a place,
+        they will not be once an append of a later epoch was accepted.
         """
         records = [keyed_record(key, value) for key, value in rows]
-        return self._append({"topic": topic, "part": str(part)}, records, timeout_s)
+        query = {"topic": topic, "part": str(part)}
+        if place is not None:
+            query["producer"] = place.producer
+            query |= {"epoch": str(place.epoch), "seq": str(place.seq)}
+        return self._append(query, records, timeout_s)
+
+    def delete_keys_at(
+        self,
+        topic: str,
+        part: int,
+        keys: Sequence[str],
+        end: int,
+        timeout_s: float,
+    ) -> Result[Appended, StoreUnavailableError]:
+        """Delete keys of a partition, all or none, if it still ends at ``end``.
+
+        After an error it is unknown whether they were deleted.
+        """
+        records = [keyed_record(key, b"") for key in keys]
+        query = {"topic": topic, "part": str(part), "at": str(end)}
+        return self._append(query, records, timeout_s)
 
     def put_keyed(
         self, topic: StoreTopic, key: str, value: bytes, timeout_s: float
-    ) -> Result[int, StoreUnavailableError]:
-        """Append a record for a key; return its offset."""
+    ) -> Result[Appended, StoreUnavailableError]:
+        """Append a record for a key; return its position."""
         query = {"topic": topic.value, "part": "0"}
         return self._append(query, (keyed_record(key, value),), timeout_s)
 
     def put_keyed_at(
         self, topic: str, key: str, value: bytes, end: int, timeout_s: float
-    ) -> Result[int, StoreUnavailableError]:
+    ) -> Result[Appended, StoreUnavailableError]:
         """Append a record for a key if the topic still ends at ``end``.
 
-        Returns its offset. After an error it is unknown whether it was appended.
+        Returns its position. After an error it is unknown whether it was appended.
         """
         return self.append_at(topic, end, keyed_record(key, value), timeout_s)
 
     def _append(
         self, query: dict[str, str], records: Sequence[bytes], timeout_s: float
-    ) -> Result[int, StoreUnavailableError]:
+    ) -> Result[Appended, StoreUnavailableError]:
         topic = query["topic"]
         target = Target(self.address, "POST", f"/v1/log-append?{urlencode(query)}")
         body = b"".join(RECORD_LENGTH.pack(len(row)) + row for row in records)
@@ -236,13 +317,13 @@
             return Err(StoreUnavailableError(str(result.unwrap_err().error)))
         answer = result.unwrap()
         offset = answer.json().get("offset")
-        if answer.status != 200 or type(offset) is not int:
+        if answer.status != OK or type(offset) is not int:
             return Err(
                 StoreUnavailableError(
                     f"{topic}: the store answered with status {answer.status}"
                 )
             )
-        return Ok(offset)
+        return Ok(Appended(offset, self.era_of(answer)))
 
     def _send_request(
         self, kind: str, target: Target, timeout_s: float, body: bytes | None = None
@@ -259,30 +340,44 @@
         )
         is_ok = result.is_ok() and result.unwrap().status < SERVER_ERROR
         self.on_call(kind, is_ok)
+        if result.is_ok():
+            self.on_era(self.era_of(result.unwrap()))
         return result
 
+    def era_of(self, answer: Answer) -> int:
+        """Return the era in an answer, or the last one if it names none."""
+        text = answer.headers.get(ERA_HEADER, "")
+        is_number = text.isascii() and text.isdigit() and len(text) <= ERA_DIGITS_MAX
+        if not is_number or int(text) > ERA_MAX:
+            return self.last_era
+        era = int(text)
+        with self.lock:
+            # An answer that comes late names an earlier one.
+            self.last_era = max(self.last_era, era)
+        return era
+
     def _get(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> Result[bytes, StoreUnavailableError]:
+    ) -> Result[Answer, StoreUnavailableError]:
         target = Target(self.address, "GET", f"{path}?{urlencode(query)}")
         kind = "newest" if path == NEWEST_PATH else "read"
         result = self._send_request(kind, target, timeout_s)
         if result.is_err():
             return Err(StoreUnavailableError(str(result.unwrap_err().error)))
         answer = result.unwrap()
-        if answer.status == 410:
+        if answer.status == GONE:
             return Err(
                 StoreGapError(f"{path}: the requested records have been deleted")
             )
-        if answer.status == 404:
+        if answer.status == NOT_FOUND:
             return Err(StoreTopicMissingError(f"{path}: the topic does not exist"))
-        if answer.status != 200:
+        if answer.status != OK:
             return Err(
                 StoreUnavailableError(
                     f"{path}: the store answered with status {answer.status}"
                 )
             )
-        return Ok(answer.body)
+        return Ok(answer)
 
 
 def keyed_record(key: str, value: bytes) -> bytes:
