Settle software versions before streams begin at them

Cause: a host without the store relied on its list for up to 5 s, while others began streams at a new version as soon as they saw it. A list counts for 3 s now, and no host begins a stream at a version that it has seen for less than 3.2 s.

Besides: records of streams are written with growing pauses in an outage, late ones take no effect, and those of ended hosts are deleted.

--- a/src/poplarfold/_internal/core/fleet/stream_origins.py
+++ b/src/poplarfold/_internal/core/fleet/stream_origins.py
@@ -15,17 +15,43 @@
 
 from poplarfold._internal.core.state import Table
 
-__all__ = ["BaseVersion", "Origin", "OriginTable", "must_record", "next_base"]
+__all__ = [
+    "LIST_AGE_MAX_S",
+    "VERSION_SETTLED_S",
+    "BaseVersion",
+    "Origin",
+    "OriginTable",
+    "must_record",
+    "next_base",
+]
+
+# Without the store, a list of endpoints tells which versions are in service for so
+# long. No stream begins at a version before all hosts have seen it, or rely on their
+# lists no more.
+LIST_AGE_MAX_S = 3.0
+VERSION_SETTLED_S = LIST_AGE_MAX_S + 0.2
 
 
 class BaseVersion(NamedTuple):
     """The version that has begun the streams of a service without a record.
 
-    While it ``is_ending``, the streams that it begins are recorded too.
+    While it ``is_ending``, the streams that it begins are recorded too. ``era`` is that
+    of the store when it was written, or None if a release wrote it that knew no eras.
+    In a later era, the record may be a copy that undoes a change, and records of
+    streams may be missing.
     """
 
     version: str
     is_ending: bool = False
+    era: int | None = None
+
+    def is_confirmed(self, era: int) -> bool:
+        """Return whether it was written in the current era of the store."""
+        return self.era is None or self.era >= era
+
+    def is_same_step(self, other: "BaseVersion | None") -> bool:
+        """Return whether another one says the same of streams without a record."""
+        return other is not None and self[:2] == other[:2]
 
 
 class Origin(NamedTuple):
--- a/src/poplarfold/_internal/gateway/origin_log.py
+++ b/src/poplarfold/_internal/gateway/origin_log.py
@@ -1,35 +1,44 @@
-"""The origins of streams in the store, written in batches and read when needed."""
+"""The origins of the streams of this host, written to the store in batches."""
 
+import math
+import random
 import threading
+import uuid
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
-from result import Err, Ok, Result
+from result import Result
 
 from poplarfold._internal.core.fleet.stream_origins import OriginTable
-from poplarfold._internal.exceptions import (
-    PlatformFormatError,
-    StoreGapError,
-    StoreTopicMissingError,
-)
+from poplarfold._internal.core.fleet.write_retries import WriteRetries
 from poplarfold._internal.gateway.origin_records import (
     OriginRecord,
-    decode_origin,
     encode_origin,
     partition_of,
 )
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import (
     ORIGINS_TOPIC,
-    Record,
-    RecordBatch,
+    Appended,
+    AppendPlace,
     StoreClient,
 )
 
 __all__ = ["OriginLog", "Recording"]
 
+Row = TypeVar("Row")
+
 # A write that takes longer shows that the store is slow or away.
 WRITE_SLOW_S = 0.4
+# The longest pauses after the first failed write and after many. A stream that waits
+# for its record sees at least one more write, see ``RECORD_WAIT_S``.
+RETRY_FIRST_S = 0.3
+RETRY_LONGEST_S = 1.2
+# The same for deletions, for which nobody waits.
+DELETE_RETRY_FIRST_S = 5.0
+DELETE_RETRY_LONGEST_S = 60.0
+# During a pause, a host looks this often whether the store answers again.
+ANSWER_CHECK_S = 0.1
 
 
 class Recording(NamedTuple):
@@ -39,29 +48,23 @@
     is_written: threading.Event
 
 
-class PartState:
-    """What this host has read of one partition, up to ``offset``.
-
-    The last read that succeeded began at ``read_at``, the last one that failed at
-    ``failed_at``. Its topic ``is_missing`` before the first record of any partition.
-    """
+class WrittenOrigin(NamedTuple):
+    """When a record was written, and the era of the store that accepted it."""
 
-    def __init__(self) -> None:
-        self.lock = threading.Lock()
-        # None before the newest records have been read.
-        self.offset: int | None = None
-        self.read_at = float("-inf")
-        self.failed_at = float("-inf")
-        self.is_missing = False
+    at: float
+    era: int
 
 
 class OriginLog:
-    """The origins that this host knows, and those that it has yet to write.
+    """The origins of this host's streams, and those that it has yet to write.
 
     Each caller's attempt has its partition, so that a host that looks for one origin
     reads one partition. The store keeps the newest record of each key for good, so that
     no origin is lost with the history of the topic; the host that has written one
     deletes it after the life of the stream. Thread-safe.
+
+    ``answered_at`` returns when the last call began that the store has answered, as far
+    as is known, and ``draw`` random numbers from 0 to 1.
     """
 
     def __init__(
@@ -72,6 +75,8 @@
         life_s: float,
         clock: Callable[[], float],
         write_log: WriteLog,
+        answered_at: Callable[[], float] = lambda: -math.inf,
+        draw: Callable[[], float] = random.random,
     ) -> None:
         self.store = store
         self.timeout_s = timeout_s
@@ -80,37 +85,42 @@
         self.write_log = write_log
         self.lock = threading.Lock()
         self.has_pending = threading.Condition(self.lock)
-        # Streams of this host, and those that were read from the store.
         self.own = OriginTable(life_s)
-        self.read_rows = OriginTable(life_s)
         self.pending: list[Recording] = []
-        # The ids of written records, and when they were written.
-        self.written: dict[str, float] = {}
+        # The records that the store has accepted, by the id of the caller's attempt.
+        self.written: dict[str, WrittenOrigin] = {}
         self.writing_since: float | None = None
         self.has_failed = False
-        self.parts = [PartState() for _ in range(partitions)]
+        self.partitions = partitions
+        # The places of the next writes. Each process is a producer of its own.
+        producer = f"poplarfold-{uuid.uuid4().hex}"
+        self.places = [AppendPlace(producer, 1, 0) for _ in range(partitions)]
+        self.places_era = 0
+        self.answered_at = answered_at
+        self.retries = WriteRetries(RETRY_FIRST_S, RETRY_LONGEST_S, draw)
+        self.delete_retries = WriteRetries(
+            DELETE_RETRY_FIRST_S, DELETE_RETRY_LONGEST_S, draw
+        )
 
     def set_life(self, life_s: float) -> None:
         """Set how long origins are kept."""
         with self.lock:
-            self.life_s = self.own.life_s = self.read_rows.life_s = life_s
+            self.life_s = self.own.life_s = life_s
 
-    def find_own(self, request_id: str) -> str | None:
-        """Return the version that began a stream of this host, or None."""
+    def set_spread(self, spread_s: float) -> None:
+        """Set the time within which all hosts write again after an outage."""
         with self.lock:
-            return self.own.find(request_id, self.clock())
+            self.retries.spread_s = self.delete_retries.spread_s = spread_s
 
-    def find_read(self, request_id: str) -> str | None:
-        """Return the version that began a stream by what was read, or None."""
+    def find(self, request_id: str) -> str | None:
+        """Return the version that began a stream of this host, or None."""
         with self.lock:
-            return self.read_rows.find(request_id, self.clock())
+            return self.own.find(request_id, self.clock())
 
     def versions(self, service: str) -> set[str]:
-        """Return the versions that have begun the known streams of a service."""
+        """Return the versions that have begun this host's streams of a service."""
         with self.lock:
-            now = self.clock()
-            found = self.own.versions(service, now)
-            return found | self.read_rows.versions(service, now)
+            return self.own.versions(service, self.clock())
 
     def is_healthy(self) -> bool:
         """Return whether the store accepts records at once, as far as is known."""
@@ -138,148 +148,166 @@
         return recording
 
     def wait_pending(self, timeout_s: float) -> None:
-        """Wait until there is a record to write, or the time is over."""
+        """Wait for a record to write, or until the pause after a failure is over."""
         with self.lock:
-            if not self.pending:
-                self.has_pending.wait(timeout_s)
+            until = self.clock() + timeout_s
+            while (left_s := min(until - self.clock(), self._pause_s())) > 0.0:
+                wait_s = min(left_s, ANSWER_CHECK_S) if self.pending else left_s
+                if self.has_pending.wait(wait_s):
+                    return
+
+    def _pause_s(self) -> float:
+        """Return for how long no record may be written. The lock must be held."""
+        now, answered_at = self.clock(), self.answered_at()
+        parts = {self._part_of(row) for row in self.pending}
+        pauses = (self.retries.left_s(part, now, answered_at) for part in parts)
+        return min(pauses, default=math.inf)
 
     def write_pending(self) -> bool:
-        """Write the records that wait; return whether the store has accepted them."""
+        """Write the records that wait; return whether the store has accepted them all.
+
+        The partitions that are in a pause after a failure are left out.
+        """
         with self.lock:
             oldest = self.clock() - self.life_s
             recordings, self.pending = self.pending, []
-        by_part: dict[int, list[Recording]] = {}
-        for recording in recordings:
-            part = partition_of(recording.record.request_id, len(self.parts))
-            by_part.setdefault(part, []).append(recording)
+            by_part = self._by_part(recordings, lambda row: row.record.request_id)
+            parts = self.retries.in_order(by_part)
         failed: list[Recording] = []
-        for part, rows in by_part.items():
-            if not self._write(part, rows):
-                failed.extend(rows)
+        for part in parts:
+            if not self._write(part, by_part[part]):
+                failed.extend(by_part[part])
         with self.lock:
-            # Records that fail must not delay newer ones of other partitions.
-            self.pending += [row for row in failed if self._is_alive(row, oldest)]
+            # The last record of a stream counts, so that those that failed come before
+            # newer ones of their partitions, but must not delay those of others.
+            failed_parts = {self._part_of(row) for row in failed}
+            newer = [row for row in self.pending if self._part_of(row) in failed_parts]
+            others = [row for row in self.pending if row not in newer]
+            again = [row for row in failed if self._is_alive(row, oldest)]
+            self.pending = [*others, *again, *newer]
             self.has_failed = bool(failed) and bool(self.pending)
         return not failed
 
+    def _by_part(
+        self, rows: Iterable[Row], request_id: Callable[[Row], str]
+    ) -> dict[int, list[Row]]:
+        """Group rows by the partition of the caller's attempt."""
+        found: dict[int, list[Row]] = {}
+        for row in rows:
+            part = partition_of(request_id(row), self.partitions)
+            found.setdefault(part, []).append(row)
+        return found
+
+    def _part_of(self, row: Recording) -> int:
+        return partition_of(row.record.request_id, self.partitions)
+
     def _is_alive(self, row: Recording, oldest: float) -> bool:
         """Return whether a stream that began after ``oldest`` is known."""
         found = self.own.rows.get(row.record.request_id)
         return found is not None and found[1] >= oldest
 
     def _write(self, part: int, rows: list[Recording]) -> bool:
-        """Write records of one partition; return whether the store accepted them."""
+        """Write records of one partition; return whether the store accepted them.
+
+        Nothing is written during the pause after a failure. A write without an answer
+        may be carried out late, but not after the next one, which has a later epoch:
+        the newest record of a stream is that of its last attempt.
+        """
         values = [
             (row.record.request_id, encode_origin(row.record.origin)) for row in rows
         ]
-        result = self._put(part, values)
+        with self.lock:
+            now = self.clock()
+            if self.retries.left_s(part, now, self.answered_at()) > 0.0:
+                return False
+            self.writing_since = now
+            place = self.places[part]
+        try:
+            result = self._put(part, values, self.retries, place)
+        finally:
+            with self.lock:
+                self.writing_since = None
+                place = self.places[part]
+                self.places[part] = place._replace(seq=place.seq + 1)
         if result.is_err():
+            self._begin_epoch(part)
             fields = {"count": len(rows), "problem": str(result.unwrap_err())}
             self.write_log("PF7116", None, fields)
             return False
         with self.lock:
-            now = self.clock()
+            written = WrittenOrigin(self.clock(), result.unwrap().era)
             for row in rows:
-                self.written[row.record.request_id] = now
+                self.written[row.record.request_id] = written
         for row in rows:
             row.is_written.set()
         return True
 
-    def _put(self, part: int, values: list[tuple[str, bytes]]) -> Result[int, Any]:
-        """Make one write, and note for how long it has been under way."""
+    def _put(
+        self,
+        part: int,
+        values: list[tuple[str, bytes]],
+        retries: WriteRetries,
+        place: AppendPlace | None = None,
+    ) -> Result[Appended, Any]:
+        """Write or delete records of one partition."""
+        began_at = self.clock()
+        result = self.store.put_records(
+            ORIGINS_TOPIC, part, values, self.timeout_s, place
+        )
         with self.lock:
-            self.writing_since = self.clock()
-        try:
-            return self.store.put_records(ORIGINS_TOPIC, part, values, self.timeout_s)
-        finally:
-            with self.lock:
-                self.writing_since = None
+            if result.is_ok():
+                retries.note_success(part, self.clock())
+            else:
+                retries.note_failure(part, began_at, self.clock())
+        return result
+
+    def _begin_epoch(self, part: int) -> None:
+        """Let the next write to a partition rule out those before it."""
+        with self.lock:
+            place = self.places[part]
+            self.places[part] = place._replace(epoch=place.epoch + 1, seq=0)
 
     def delete_old(self) -> None:
         """Delete the records of this host whose streams have ended long ago."""
+        retries = self.delete_retries
         with self.lock:
             until = self.clock() - 2.0 * self.life_s
-            old = [name for name, at in self.written.items() if at <= until]
-        by_part: dict[int, list[tuple[str, bytes]]] = {}
-        for name in old:
-            part = partition_of(name, len(self.parts))
-            by_part.setdefault(part, []).append((name, b""))
-        for part, values in by_part.items():
-            if self._put(part, values).is_ok():
+            old = [name for name, row in self.written.items() if row.at <= until]
+            by_part = self._by_part(old, str)
+            parts = retries.in_order(by_part)
+        for part in parts:
+            with self.lock:
+                if retries.left_s(part, self.clock(), self.answered_at()) > 0.0:
+                    continue
+            values = [(name, b"") for name in by_part[part]]
+            if self._put(part, values, retries).is_ok():
                 with self.lock:
-                    for name, _ in values:
+                    for name in by_part[part]:
                         del self.written[name]
 
-    def read_all(self) -> bool:
-        """Read all partitions; return whether the store answered."""
-        since = self.clock()
-        if not self._read(0, since):
-            return False
-        if self.parts[0].is_missing:
-            # Nothing has been written to the topic yet.
-            return True
-        return all(self._read(part, since) for part in range(1, len(self.parts)))
-
-    def read_origin(self, request_id: str) -> bool:
-        """Read what the store has of a stream; return whether it answered.
+    def write_lost(self, era: int) -> None:
+        """Write the records of this host again that an era of the store may lack.
 
-        Threads that look for origins of one partition at the same time share a read.
+        It came back from an older copy, which has only those from before the copy, and
+        knows earlier places of this host's writes.
         """
-        return self._read(partition_of(request_id, len(self.parts)), self.clock())
-
-    def _read(self, part: int, since: float) -> bool:
-        """Read a partition, unless another thread has begun to since a time."""
-        state = self.parts[part]
-        with state.lock:
-            if state.read_at > since:
-                return True
-            if state.failed_at > since:
-                return False
-            started_at = self.clock()
-            result = self._read_new(part, state)
-            if result.is_err():
-                state.failed_at = started_at
-                self.write_log("PF7117", None, {"problem": str(result.unwrap_err())})
-                return False
-            state.read_at = started_at
-            return True
-
-    def _read_new(self, part: int, state: PartState) -> Result[None, Any]:
-        """Read the records that this host does not know yet."""
-        while True:
-            result = self._read_batch(part, state)
-            if result.is_err():
-                error = result.unwrap_err()
-                if isinstance(error, StoreGapError) and state.offset is not None:
-                    state.offset = None
-                    continue
-                state.is_missing = isinstance(error, StoreTopicMissingError)
-                return Ok(None) if state.is_missing else Err(error)
-            batch = result.unwrap()
-            state.is_missing = False
-            self._keep(batch.records)
-            state.offset = batch.end
-            if not batch.has_more:
-                return Ok(None)
-
-    def _read_batch(self, part: int, state: PartState) -> Result[RecordBatch, Any]:
-        """Read the newest record of each key, or those after the known ones."""
-        if state.offset is None:
-            return self.store.read_newest(ORIGINS_TOPIC, self.timeout_s, part)
-        return self.store.read_from(
-            ORIGINS_TOPIC, state.offset, 0.0, self.timeout_s, part
-        )
-
-    def _keep(self, records: Iterable[Record]) -> None:
-        """Keep the origins in records; a malformed one costs only itself."""
+        if self.places_era < era:
+            self.places_era = era
+            for part in range(self.partitions):
+                self._begin_epoch(part)
         with self.lock:
-            now = self.clock()
-            for record in records:
-                if record.value is None:
-                    continue
-                try:
-                    origin = decode_origin(record.value)
-                except PlatformFormatError as error:
-                    self.write_log("PF7117", None, {"problem": str(error)})
-                    continue
-                self.read_rows.put(record.key, origin, now)
+            oldest = self.clock() - self.life_s
+            lost = [name for name, row in self.written.items() if row.era < era]
+            for name in lost:
+                # The copy may have the record, so that it has still to be deleted.
+                self.written[name] = self.written[name]._replace(era=era)
+            rows = [(name, self.own.rows.get(name)) for name in lost]
+            again = [
+                Recording(OriginRecord(name, row[0]), threading.Event())
+                for name, row in rows
+                if row is not None and row[1] >= oldest
+            ]
+            self.pending += again
+            self.has_pending.notify()
+        if again:
+            self.write_log("PF7120", None, {"era": era, "count": len(again)})
--- a/src/poplarfold/_internal/gateway/origin_records.py
+++ b/src/poplarfold/_internal/gateway/origin_records.py
@@ -52,7 +52,8 @@
 
 def encode_base(base: BaseVersion) -> bytes:
     """Return the value of the record of a base version."""
-    return json.dumps({"version": base.version, "ending": base.is_ending}).encode()
+    fields = {"version": base.version, "ending": base.is_ending, "era": base.era}
+    return json.dumps(fields).encode()
 
 
 def decode_base(service: str, value: bytes) -> BaseVersion:
@@ -60,7 +61,10 @@
     try:
         fields = parse_json(value)
         version = check_text(fields["version"], "version")
-        return BaseVersion(version, fields["ending"] is True)
+        era = fields.get("era")
+        if era is not None:
+            era = check_integer(era, "era")
+        return BaseVersion(version, fields["ending"] is True, era)
     except MALFORMED_DOCUMENT_ERRORS as error:
         problem = f"base version of {service}: {error!r}"
         raise PlatformFormatError(problem[:300]) from error
--- a/src/poplarfold/_internal/gateway/stream_versions.py
+++ b/src/poplarfold/_internal/gateway/stream_versions.py
@@ -7,8 +7,13 @@
 import threading
 from collections.abc import Callable
 
+from poplarfold._internal.core.fleet.fallback import (
+    announce_spread_s,
+    fallback_spread_s,
+)
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.fleet.stream_origins import (
+    LIST_AGE_MAX_S,
     BaseVersion,
     Origin,
     must_record,
@@ -18,7 +23,9 @@
 from poplarfold._internal.gateway.base_versions import READ_AGE_MAX_S, BaseVersions
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.origin_log import OriginLog, Recording
+from poplarfold._internal.gateway.origin_reader import OriginReader
 from poplarfold._internal.gateway.origin_records import OriginRecord
+from poplarfold._internal.gateway.origin_sweep import OriginSweep
 from poplarfold._internal.gateway.threads import start_thread
 from poplarfold._internal.logs.writer import WriteLog
 from poplarfold._internal.platform import CallerCall, StoreClient
@@ -26,17 +33,14 @@
 __all__ = ["StreamVersions"]
 
 CHECK_PERIOD_S = 1.0
-# After a failed write, and between two attempts to read at the start.
-RETRY_PAUSE_S = 0.3
+# During a pause after a failed read, a host looks this often whether the store answers.
+ANSWER_CHECK_S = 0.1
 # A stream lives for as long as its caller waits, in all of the caller's attempts. That
 # is taken to be at most twice the longest timeout of a route, and at least this long.
 LIFE_MIN_S = 30.0
 # The first event of a stream waits so long for the record of its origin, at most. That
 # is enough for a second write after the answer to the first one was lost.
 RECORD_WAIT_S = 1.5
-# Without the store, a list of endpoints tells which versions are in service for so
-# long.
-LIST_AGE_MAX_S = 5.0
 
 
 class StreamVersions:
@@ -64,55 +68,112 @@
             LIFE_MIN_S,
             fleet.clock,
             write_log,
+            self.answered_at,
+            fleet.rng.random,
+        )
+        self.reader = OriginReader(
+            store,
+            fleet.host.store_parts,
+            timeout_s,
+            LIFE_MIN_S,
+            fleet.clock,
+            write_log,
+        )
+        self.sweep = OriginSweep(
+            store,
+            fleet.host.store_parts,
+            timeout_s,
+            fleet.clock,
+            fleet.rng,
+            write_log,
         )
-        self.bases = BaseVersions(fleet, store, rank, write_log)
-        # When the base versions had first been read, and whether all origins have been
-        # read since. That takes a call for each partition, and is done when needed.
-        self.synced_at = float("inf")
-        self.has_read_origins = False
+        self.bases = BaseVersions(fleet, store, rank, write_log, self.answered_at)
+        # The services for which all origins have been read since the base versions had
+        # been read. That takes a call for each partition, and is done when needed.
+        self.read_services: set[str] = set()
+        # How long streams live at most, by the current configuration.
+        self.life_s: float | None = None
         self.stopping = threading.Event()
 
     def start(self) -> None:
-        """Start the threads. A base version that is written must delay no record."""
+        """Start the threads.
+
+        A base version that is written must delay no record, and the deletion of old
+        records must delay neither of these.
+        """
         start_thread("stream-origins", self.write_origins, self.write_log)
         start_thread("stream-versions", self.run, self.write_log)
+        start_thread("origin-deletions", self.delete_origins, self.write_log)
 
     def write_origins(self) -> None:
         """Write the origins of this host's streams, until stopped."""
         while not self.stopping.is_set():
             self.origins.wait_pending(CHECK_PERIOD_S)
-            if not self.origins.write_pending():
-                self.stopping.wait(RETRY_PAUSE_S)
+            self.origins.write_pending()
+
+    def delete_origins(self) -> None:
+        """Delete the old origins of this host and of ended ones, until stopped."""
+        while not self.stopping.wait(CHECK_PERIOD_S):
+            self.delete_old()
 
     def run(self) -> None:
         """Read what other hosts have written, then do what is due until stopped."""
         while not self.stopping.is_set():
-            is_synced = not math.isinf(self.synced_at) or self.sync()
+            if not self.bases.has_been_read():
+                self.bases.read_unless_paused()
             self.check()
-            self.stopping.wait(CHECK_PERIOD_S if is_synced else RETRY_PAUSE_S)
+            self.wait_for_check()
 
-    def sync(self) -> bool:
-        """Read the base versions; return whether the store answered."""
-        started_at = self.fleet.clock()
-        if not self.bases.read():
-            return False
-        self.synced_at = started_at
-        return True
+    def wait_for_check(self) -> None:
+        """Wait for the next check, which is due at once when a pause ends."""
+        until = self.fleet.clock() + CHECK_PERIOD_S
+        is_paused = self.bases.pause_left_s() > 0.0
+        while (left_s := until - self.fleet.clock()) > 0.0:
+            if is_paused:
+                pause_s = self.bases.pause_left_s()
+                if pause_s <= 0.0:
+                    return
+                left_s = min(left_s, pause_s, ANSWER_CHECK_S)
+            if self.stopping.wait(left_s):
+                return
+
+    def answered_at(self) -> float:
+        """Return when the last read began that is known to have been answered.
+
+        A relay may have made it.
+        """
+        known = list(self.fleet.knowledge.values())
+        return max((row.read_at for row in known), default=-math.inf)
 
     def check(self) -> None:
-        """Delete old origins, and write the base versions that should change."""
-        self.origins.delete_old()
+        """Write the base versions that should change.
+
+        What the store has lost since it came back from an older copy is written again.
+        """
+        nodes, host = self.fleet.node_count_assumed(), self.fleet.host
+        spread_s = announce_spread_s(nodes, host.store_append_s)
+        self.origins.set_spread(spread_s / host.store_parts)
+        self.bases.set_spread(fallback_spread_s(nodes))
+        self.origins.write_lost(self.fleet.current_era())
         with self.fleet.lock:
             table = self.fleet.directory.route_table
         if table is None:
             return
         longest_s = max((route.timeout_s for route in table.routes), default=0.0)
         life_s = max(LIFE_MIN_S, 2.0 * longest_s + READ_AGE_MAX_S)
+        self.life_s = life_s
         self.origins.set_life(life_s)
+        self.reader.set_life(life_s)
         for service in table.services.values():
             if service.has_engines:
                 self.bases.check(service.name, life_s)
 
+    def delete_old(self) -> None:
+        """Delete the origins of this host, and those of ended hosts that are due."""
+        self.origins.delete_old()
+        if self.life_s is not None and self.fleet.is_store_up:
+            self.sweep.step(self.life_s)
+
     def begin(
         self, request_id: str, endpoint: FleetEndpoint, attempt: int
     ) -> Recording | None:
@@ -179,24 +240,30 @@
         """
         if call.resumes is None:
             return self._find_unnamed(service)
-        version = self.origins.find_own(call.resumes)
+        version = self.origins.find(call.resumes)
         if version is not None:
             return version
-        if not self.fleet.is_store_up or not self.origins.read_origin(call.resumes):
+        if not self.fleet.is_store_up or not self.reader.read_origin(call.resumes):
             return self._find_without_store(call.resumes, service)
         # The origin first: a stream that began under a later base version has a record.
-        version = self.origins.find_read(call.resumes)
+        version = self.reader.find(call.resumes)
         if version is not None:
             return version
         base = self.bases.current(service)
         if base is None:
             raise StreamVersionUnknownError("the base version cannot be read")
+        is_confirmed = self.bases.is_confirmed(service)
+        if not is_confirmed and not self._is_only_version(service, base):
+            raise StreamVersionUnknownError("the store has just come back older")
         return base.version
 
     def _find_unnamed(self, service: str) -> str:
         """Return the version of a stream whose first attempt is not named."""
         base = self.bases.current(service)
-        self.has_read_origins = self.has_read_origins or self.origins.read_all()
+        # Before it is confirmed, other hosts may have origins to write again.
+        is_due = service not in self.read_services and self.bases.is_confirmed(service)
+        if is_due and self.reader.read_all() and self.bases.is_confirmed(service):
+            self.read_services.add(service)
         if base is not None and self._is_only_version(service, base):
             return base.version
         raise StreamVersionUnknownError("the caller does not say what it resumes")
@@ -207,7 +274,7 @@
         if base is not None and self._is_only_version(service, base):
             return base.version
         # Only an attempt of the same caller at the same host may have a later record.
-        version = self.origins.find_read(request_id)
+        version = self.reader.find(request_id)
         if version is not None:
             return version
         raise StreamVersionUnknownError("the store does not say what began the stream")
@@ -219,12 +286,14 @@
         record of one, and its list must be recent. It must have read all records, or
         run for longer than streams live.
         """
-        age_s = self.fleet.clock() - self.synced_at
-        if not self.has_read_origins and age_s < self.origins.life_s:
+        first_read_at = self.bases.first_read_at
+        age_s = self.fleet.clock() - first_read_at
+        if service not in self.read_services and age_s < self.origins.life_s:
             return False
-        if base.is_ending or math.isinf(self.synced_at):
+        if base.is_ending:
             return False
-        if self.origins.versions(service) - {base.version}:
+        begun_by = self.origins.versions(service) | self.reader.versions(service)
+        if begun_by - {base.version}:
             return False
         with self.fleet.lock:
             known = self.fleet.knowledge.get("endpoints")
@@ -233,5 +302,5 @@
                 return False
             is_listed = base.version in directory.versions(service)
             return is_listed and directory.had_only_version(
-                service, base.version, self.synced_at
+                service, base.version, first_read_at
             )
