Serve more streams after a power cut of all hosts, and charge retries once

After a power cut, streams that callers take up kept new ones from the engines of a service with one software version. Both kinds are ordered by arrival now.

The retry budget was charged for attempts that reached no endpoint, and failed prefills twice.

--- a/src/poplarfold/_internal/core/fleet/admission_queue.py
+++ b/src/poplarfold/_internal/core/fleet/admission_queue.py
@@ -32,9 +32,10 @@
 
     A call that can still meet its latency target waits for at most
     ``fresh_wait_share`` of the target, a stream that has begun and goes on for
-    ``begun_wait_share``, any other call for at most ``late_wait_share`` of it. A
-    rejected caller is told to retry after ``retry_after_s``. An engine that has refused
-    a lease is asked again after about ``full_retry_s``.
+    ``begun_wait_share``, or for ``begun_among_new_share`` if all engines have its
+    version, any other call for at most ``late_wait_share`` of it. A rejected caller is
+    told to retry after ``retry_after_s``. An engine that has refused a lease is asked
+    again after about ``full_retry_s``.
 
     ``forecast_waits`` is 0 for forecasts only if there are client accounts, 1 always,
     and 2 never. With forecasts, waits follow from what was learned, see ``slot_wait``:
@@ -48,6 +49,7 @@
     fresh_wait_share: float = 0.55
     late_wait_share: float = 0.55
     begun_wait_share: float = 3.0
+    begun_among_new_share: float = 1.0
     retry_after_s: float = 4.0
     full_retry_s: float = 0.06
     forecast_waits: int = 0
--- a/src/poplarfold/_internal/core/fleet/budget.py
+++ b/src/poplarfold/_internal/core/fleet/budget.py
@@ -50,6 +50,11 @@
         allowed += self.slack / max(1, nodes)
         return len(self.retries) + 1 <= allowed
 
+    def give_back(self, taken_at: float) -> None:
+        """Return a retry that was taken at a time and reached no endpoint."""
+        if taken_at in self.retries:
+            self.retries.remove(taken_at)
+
     def count_retry(self, now: float) -> None:
         """Charge a call that has already been sent, such as a rejected prefill.
 
--- a/src/poplarfold/_internal/gateway/slot_turn.py
+++ b/src/poplarfold/_internal/gateway/slot_turn.py
@@ -11,12 +11,19 @@
 
 
 class SlotTurn:
-    """A stream's place in the admission queue, from its arrival until it leaves."""
+    """A stream's place in the admission queue, from its arrival until it leaves.
+
+    ``version`` is the software version at which the stream goes on, or None if it
+    begins. If the service has engines of other versions, those of this one are kept for
+    the streams that go on there, and these wait longer. Otherwise all streams need the
+    same engines: those that go on wait among new ones in the order of arrival. Behind
+    them, few would get a slot in a burst; before them, few new ones would.
+    """
 
     def __init__(self, context: CallContext, version: str | None = None) -> None:
         self.context = context
         self.fleet = context.services.fleet
-        self.policy = self.fleet.settings.door
+        self.policy = self.fleet.settings.admission
         route = context.route
         wait_s = context.deadline_at - context.arrived_at
         with self.fleet.lock:
@@ -26,19 +33,24 @@
             self.is_late = is_retry_call(wait_s, route.timeout_s, self.shortest_retry_s)
             outlook = self.fleet.slot_outlook(context.service)
             self.plan = self.plan_wait(outlook, now)
+            ranks_late, queue_version = self.is_late, version
             if version is not None:
                 # Its caller would have to begin anew, and leaves after four targets.
-                until = now + self.policy.begun_wait_share * route.target_s
+                share = self.policy.begun_wait_share
+                if set(self.fleet.directory.versions(context.service)) == {version}:
+                    share = self.policy.begun_among_new_share
+                    ranks_late, queue_version = False, None
+                until = now + share * route.target_s
                 until = max(self.plan.until, min(until, context.deadline_at))
                 self.plan = self.plan._replace(until=until)
             self.row: WaitingStream = self.fleet.admission_queue.add(
                 context.service,
-                self.is_late,
+                ranks_late,
                 route.target_s,
                 now,
                 stream_class(context),
                 self.plan.on_time_until,
-                version,
+                queue_version,
             )
 
     def plan_wait(self, outlook: SlotOutlook, now: float) -> WaitPlan:
--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -7,14 +7,7 @@
 from result import Err, Result
 
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
-from poplarfold._internal.core.fleet.stream_cost import expected_stream_s
 from poplarfold._internal.core.model import EndpointRole
-from poplarfold._internal.daemon.endpoint_client import (
-    AbortHandle,
-    EndpointStream,
-    Failure,
-    Target,
-)
 from poplarfold._internal.exceptions import (
     AnswerTooLargeError,
     EndpointError,
@@ -25,18 +18,25 @@
     PoplarfoldError,
     ResponseMismatchError,
     StoppingError,
-    StreamVersionUnknownError,
 )
 from poplarfold._internal.gateway.context import CallContext
 from poplarfold._internal.gateway.events import (
+    EVENT_STREAM,
     EventSplitter,
     continues_stream,
     ends_inside_event,
+    media_type,
 )
-from poplarfold._internal.gateway.origin_log import Recording
 from poplarfold._internal.gateway.part_evidence import PartEvidence
+from poplarfold._internal.gateway.retry_charge import RetryCharge
 from poplarfold._internal.gateway.stream_failover import StreamFailover
+from poplarfold._internal.gateway.stream_failures import relay_failure
+from poplarfold._internal.gateway.stream_pace import StreamPace
+from poplarfold._internal.gateway.stream_recording import StreamRecording
 from poplarfold._internal.gateway.stream_setup import PreparedDecode, StreamSetup
+from poplarfold._internal.http.endpoint_stream import EndpointStream
+from poplarfold._internal.http.exchange import AbortHandle, Target
+from poplarfold._internal.http.failures import Failure
 from poplarfold._internal.platform import (
     CallTarget,
     caller_answer_headers,
@@ -49,9 +49,6 @@
 
 # Answers with these statuses promise that the call has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-# After this many events, the pace of a stream tells how long it will take.
-PACE_EVENTS = 3
-EVENT_STREAM = "text/event-stream"
 
 
 class StreamCall:
@@ -65,20 +62,19 @@
         self.splitter = EventSplitter(context.call.resume_after)
         self.setup = StreamSetup(context)
         self.failover = StreamFailover(context, self.setup)
-        # The record of the version that may begin the stream, if the store needs one.
-        self.recording: Recording | None = None
+        self.recording = StreamRecording(context)
         self.attempts = 0
+        # Whether an attempt may have reached an engine, so that others are retries.
+        self.has_arrived = False
+        self.charge = RetryCharge(context)
+        # Whether the retry budget was used up when another attempt was to be sent.
+        self.is_denied = False
+        self.last_error: PoplarfoldError = EndpointError("no attempt was made")
         self.is_unexecuted = True
         self.has_started = False
         # The media type of the answer that has begun.
         self.media_type = ""
-        # When events were last sent, and the longest pause between events so far.
-        self.last_sent_at = 0.0
-        self.longest_pause_s = 0.0
-        # When the first events were sent, and how many they were.
-        self.first_sent_at = 0.0
-        self.first_events = 0
-        self.is_pace_recorded = False
+        self.pace = StreamPace(context)
         self.evidence = PartEvidence(context)
         # What this node keeps of the answer that is being read.
         self.held = context.services.client.memory.hold()
@@ -86,6 +82,7 @@
     def run(self) -> None:
         """Serve the stream. Raises PoplarfoldError or OSError."""
         call = self.context.call
+        self.evidence.check(self.is_unexecuted)
         # Before the origin of a stream is looked for, which may take a while.
         self.check_stop()
         if call.resume_after is not None:
@@ -118,6 +115,7 @@
                 raise self.without_promise(failure) from None
             if not self.may_retry(error):
                 raise self.final_error(error)
+            self.last_error = error
 
     def final_error(self, error: PoplarfoldError) -> PoplarfoldError:
         """Return the error for the caller: status 503 only if nothing has run."""
@@ -136,11 +134,22 @@
         return EndpointError(f"an earlier attempt may have run; {error}")
 
     def may_retry(self, error: PoplarfoldError) -> bool:
-        """Return whether another attempt is allowed; may take a retry."""
+        """Return whether another attempt is allowed."""
         self.context.check_caller()
         if self.failover.reservation is not None:
             return True
-        return self.is_repeatable() and self.context.try_spend_retry()
+        if self.is_denied or not self.is_repeatable():
+            return False
+        return not self.has_arrived or self.context.may_spend_retry()
+
+    def take_retry(self) -> None:
+        """Take a retry for an attempt after one that may have reached an engine.
+
+        Raises the error of the last attempt if none is left any more.
+        """
+        if self.has_arrived and not self.charge.take():
+            self.is_denied = True
+            raise self.last_error
 
     def is_repeatable(self) -> bool:
         """Return whether another attempt is allowed, if the retry budget has room."""
@@ -167,12 +176,14 @@
     def attempt(self) -> bool:
         """Make one attempt; return whether the stream was completed."""
         self.check_stop()
-        reservation = self.failover.take() or self.setup.reserve()
+        reservation = self.failover.take(self.charge) or self.setup.reserve()
         prepared = PreparedDecode(reservation)
         used = False
         try:
             self.evidence.check(self.is_unexecuted)
-            self.record_origin(reservation.endpoint)
+            self.take_retry()
+            if self.setup.version is None:
+                self.recording.begin(reservation.endpoint, self.attempts + 1)
             prepared = self.setup.prefill(reservation, is_first=self.attempts == 0)
             self.evidence.check(self.is_unexecuted)
             remaining_s = self.context.remaining_s()
@@ -180,36 +191,10 @@
             return self.decode(prepared, remaining_s)
         finally:
             self.fleet.finish_call(reservation.endpoint)
+            self.charge.settle(has_arrived=False)
             if not used:
                 self.setup.release(prepared)
 
-    def record_origin(self, endpoint: FleetEndpoint) -> None:
-        """Have the version recorded that begins the stream, beside the prefill."""
-        if self.setup.version is None and self.context.route.resumable:
-            self.recording = self.services.versions.begin(
-                self.context.call.request_id, endpoint, self.attempts + 1
-            )
-
-    def wait_recorded(self, endpoint: FleetEndpoint) -> None:
-        """Wait for the record of the version before the stream begins.
-
-        Raises StreamVersionUnknownError if the stream must not begin without it.
-        """
-        recording = self.recording
-        if recording is None or self.setup.version is not None:
-            return
-        versions = self.services.versions
-        if versions.wait_written(recording, self.context.remaining_s()):
-            return
-        self.context.check_caller()
-        may_begin = versions.may_begin_unrecorded(endpoint.service)
-        version = endpoint.software_version
-        self.context.log("PF1114", software_version=version, has_begun=may_begin)
-        if not may_begin:
-            # A further attempt would need a record as well, since this one may be
-            # written later.
-            raise StreamVersionUnknownError("what begins the stream is not recorded")
-
     def decode(self, prepared: PreparedDecode, remaining_s: float) -> bool:
         """Open the stream and relay it; return whether it was completed."""
         context = self.context
@@ -235,14 +220,23 @@
             context.account_name,
             context.priority,
         )
-        result = self.services.client.open_stream(
-            Target(endpoint.address, context.call.method, context.call.path),
-            context.body,
-            endpoint_headers(context.call, target),
-            self.read_timeout_s(self.settings.first_output_s),
-            abort,
-            self.await_answer if context.route.resumable else None,
-        )
+        headers = endpoint_headers(context.call, target)
+        timeout_s = self.read_timeout_s(self.settings.first_output_s)
+        was_sent = True
+        try:
+            result = self.services.client.open_stream(
+                Target(endpoint.address, context.call.method, context.call.path),
+                context.body,
+                headers,
+                timeout_s,
+                abort,
+                self.await_answer if context.route.resumable else None,
+                remaining_s,
+            )
+            was_sent = result.is_ok() or result.unwrap_err().sent
+        finally:
+            self.has_arrived = self.has_arrived or was_sent
+            self.charge.settle(was_sent)
         if result.is_err():
             failure = result.unwrap_err()
             self.is_unexecuted = self.is_unexecuted and not failure.sent
@@ -264,7 +258,7 @@
     def record_break(self, endpoint: FleetEndpoint, failure: Failure) -> None:
         """Record a stream that broke off, or is taken away from a silent engine."""
         self.evidence.record_break(endpoint, failure)
-        if not self.failover.has_noticed:
+        if not self.failover.has_noticed and not failure.is_own_shortage:
             self.fleet.record_unresponsive(endpoint)
         self.context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
 
@@ -330,7 +324,10 @@
             if metadata.not_run:
                 self.record_refusal(prepared)
                 raise EndpointRefusedError(f"{endpoint.address} refused the stream")
-            return self.relay_failure(stream, endpoint, started_at)
+            ok = stream.status < 500
+            self.fleet.record_answer(endpoint, started_at, ok, metadata.load)
+            relay_failure(context, stream, self.held, self.has_started)
+            return True
         self.failover.record_head()
         # Whether the events follow those that were sent; None before the first one.
         is_continued: bool | None = None if self.has_started else True
@@ -376,13 +373,15 @@
             self.reject_continuation(endpoint)
         context.exchange.end_stream()
         self.evidence.record_sound()
-        self.services.metrics.observe_pause(self.longest_pause_s)
-        self.record_end(boot_time() - started_at)
+        self.services.metrics.observe_pause(self.pace.longest_pause_s)
+        self.pace.record_end(
+            boot_time() - started_at, self.splitter.events, self.setup.lease_tokens
+        )
         context.log(
             "PF1107",
             endpoint=endpoint.endpoint_id,
             events=self.splitter.events,
-            pause_s=round(self.longest_pause_s, 3),
+            pause_s=round(self.pace.longest_pause_s, 3),
             expected_outputs=context.call.expected_outputs,
             max_outputs=context.call.max_outputs,
             stream_s=round(boot_time() - started_at, 3),
@@ -394,14 +393,14 @@
 
         A server may end its body as usual then, so that its framing is complete.
         """
-        may_be_other = media_type(stream) not in ("", EVENT_STREAM)
+        may_be_other = media_type(stream.headers) not in ("", EVENT_STREAM)
         if may_be_other and not stream.is_unframed:
             return False
         return ends_inside_event(self.splitter.rest)
 
     def check_media_type(self, stream: EndpointStream, endpoint: FleetEndpoint) -> None:
         """Raise EndpointError if an answer cannot go on with the stream."""
-        if media_type(stream) not in (EVENT_STREAM, self.media_type):
+        if media_type(stream.headers) not in (EVENT_STREAM, self.media_type):
             self.reject_continuation(endpoint)
 
     def reject_continuation(self, endpoint: FleetEndpoint) -> NoReturn:
@@ -467,39 +466,6 @@
             self.context.log_failure(endpoint.endpoint_id, error, True)
             raise
 
-    def record_pace(self, started_at: float) -> None:
-        """Record the expected duration of a stream once its pace is known."""
-        call = self.context.call
-        is_whole = call.resume_after is None and self.attempts == 1
-        if self.is_pace_recorded or self.splitter.events < PACE_EVENTS or not is_whole:
-            return
-        self.is_pace_recorded = True
-        if self.context.details is None or not call.expected_outputs:
-            return
-        stream_s = expected_stream_s(
-            self.first_sent_at - started_at,
-            self.last_sent_at - self.first_sent_at,
-            self.splitter.events - self.first_events,
-            call.expected_outputs / self.context.details.outputs_per_event,
-        )
-        if stream_s is not None:
-            self.fleet.record_pace(stream_s, self.setup.lease_tokens)
-
-    def record_end(self, stream_s: float) -> None:
-        """Record a completed stream's duration and outputs."""
-        call = self.context.call
-        if call.resume_after is not None or self.context.details is None:
-            # A resumed stream has only part of the outputs, so its numbers would
-            # mislead.
-            return
-        self.fleet.record_stream(
-            stream_s,
-            self.setup.lease_tokens,
-            self.splitter.events * self.context.details.outputs_per_event,
-            call.expected_outputs,
-            call.max_outputs,
-        )
-
     def send_events(
         self,
         stream: EndpointStream,
@@ -511,20 +477,22 @@
         context = self.context
         endpoint = prepared.reservation.endpoint
         if not self.has_started:
-            self.wait_recorded(endpoint)
+            if self.setup.version is None:
+                self.recording.wait(endpoint)
             self.setup.version = endpoint.software_version
         now = boot_time()
         self.evidence.record_events()
         if self.has_started:
-            self.longest_pause_s = max(self.longest_pause_s, now - self.last_sent_at)
-            self.last_sent_at = now
+            self.pace.record_events(now)
             context.exchange.send_chunk(event_bytes)
-            self.record_pace(started_at)
+            if self.attempts == 1:
+                self.pace.record_pace(
+                    started_at, self.splitter.events, self.setup.lease_tokens
+                )
             return
         self.has_started = True
-        self.first_sent_at = self.last_sent_at = now
-        self.first_events = self.splitter.events
-        self.media_type = media_type(stream)
+        self.pace.record_first(now, self.splitter.events)
+        self.media_type = media_type(stream.headers)
         headers = caller_answer_headers(stream.headers.items())
         context.exchange.begin_stream(stream.status, headers, event_bytes)
         if self.attempts == 1:
@@ -550,39 +518,3 @@
             return
         self.setup.may_prefill = False
         self.fleet.record_refusal(prepared.prefill, prepared.reservation.endpoint)
-
-    def relay_failure(
-        self, stream: EndpointStream, endpoint: FleetEndpoint, started_at: float
-    ) -> bool:
-        """Forward an answer with an error status, or raise if it may be retried."""
-        context = self.context
-        metadata = decode_answer_metadata(stream.status, stream.headers)
-        ok = stream.status < 500
-        self.fleet.record_answer(endpoint, started_at, ok, metadata.load)
-        parts = []
-        while not stream.ended:
-            result = stream.read()
-            self.context.check_caller()
-            if result.is_err():
-                raise result.unwrap_err().error
-            parts.append(result.unwrap())
-            self.held.resize(self.held.size + len(parts[-1]))
-        if stream.is_truncated or self.has_started:
-            raise EndpointError("the answer was truncated")
-        if stream.status >= 500 and context.route.resumable:
-            raise EndpointError(f"{endpoint.address} answered {stream.status}")
-        headers = caller_answer_headers(stream.headers.items())
-        holding = self.held.detach()
-        try:
-            context.exchange.send_whole(
-                stream.status, headers, b"".join(parts), holding
-            )
-        finally:
-            holding.release()
-        return True
-
-
-def media_type(stream: EndpointStream) -> str:
-    """Return the media type of an answer, without its parameters."""
-    value: str = stream.headers.get("Content-Type", "")
-    return value.partition(";")[0].strip().lower()
--- a/src/poplarfold/_internal/gateway/stream_failover.py
+++ b/src/poplarfold/_internal/gateway/stream_failover.py
@@ -10,7 +10,9 @@
 
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
+from poplarfold._internal.exceptions import StreamVersionUnknownError
 from poplarfold._internal.gateway.context import CallContext
+from poplarfold._internal.gateway.retry_charge import RetryCharge
 from poplarfold._internal.gateway.stream_setup import (
     PreparedDecode,
     Reservation,
@@ -34,8 +36,9 @@
         self.context = context
         self.fleet = context.services.fleet
         self.setup = setup
-        # The slot for the next attempt, whose retry has been paid for.
+        # The slot for the next attempt, and the retry that was taken for it.
         self.reservation: Reservation | None = None
+        self.charge = RetryCharge(context)
         self.endpoint: FleetEndpoint | None = None
         self.check_at = 0.0
         self.has_noticed = False
@@ -78,11 +81,16 @@
         self._notice()
         if not may_repeat or not self.fleet.may_spend_retry(self.context.service):
             return False
+        try:
+            version = self.setup.version_to_use()
+        except StreamVersionUnknownError:
+            # The stream may still go on where it is.
+            return False
         endpoint = self.fleet.pick(
             self.context.service,
             EndpointRole.DECODE,
             log=self.context.log,
-            version=self.setup.version_to_use(),
+            version=version,
         )
         if endpoint is None:
             return False
@@ -92,20 +100,25 @@
         self.context.abort.attach(sock)
         if found is None:
             return False
-        if self._may_wait(sock) or not self.context.try_spend_retry():
+        if self._may_wait(sock) or not self.charge.take():
             self._release(found)
             return False
         self.reservation = found
         return True
 
-    def take(self) -> Reservation | None:
-        """Return the slot that was found for the next attempt, if there is one."""
+    def take(self, charge: RetryCharge) -> Reservation | None:
+        """Return the slot that was found for the next attempt, if there is one.
+
+        Its retry goes to ``charge``.
+        """
         found, self.reservation = self.reservation, None
+        charge.take_over(self.charge)
         return found
 
     def release(self) -> None:
-        """Give a slot back that was found and is not used."""
-        found = self.take()
+        """Give a slot back that was found and is not used, and its retry."""
+        self.charge.settle(has_arrived=False)
+        found, self.reservation = self.reservation, None
         if found is not None:
             self._release(found)
 
--- a/src/poplarfold/_internal/gateway/stream_setup.py
+++ b/src/poplarfold/_internal/gateway/stream_setup.py
@@ -11,11 +11,9 @@
 from poplarfold._internal.core.fleet.paced_choice import AttemptNeeds
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
-from poplarfold._internal.exceptions import (
-    EndpointRefusedError,
-    EndpointUnreachableError,
-)
+from poplarfold._internal.exceptions import EndpointRefusedError
 from poplarfold._internal.gateway.context import CallContext
+from poplarfold._internal.gateway.retry_charge import RetryCharge, may_have_arrived
 from poplarfold._internal.gateway.slot_turn import SlotTurn
 from poplarfold._internal.platform import CallTarget
 from poplarfold._internal.utils.clock import boot_time
@@ -72,6 +70,7 @@
         # The first prefill of a request that an engine accepts is not counted as an
         # arrival by the retry budget; each further one is.
         self.has_prefilled = False
+        self.prefill_charge = RetryCharge(context)
         self.reserved_at = 0.0
         # The software version that has begun the stream, None before its first event.
         self.version: str | None = None
@@ -109,7 +108,7 @@
                     return reservation
                 fleet.requeue(row)
             if endpoint is None:
-                fleet.check_version(row.service, row.version)
+                fleet.check_version(row.service, self.version)
                 fleet.check_pool(row.service, EndpointRole.DECODE, turn.left_s())
             left_s = turn.check()
             if endpoint is None:
@@ -165,7 +164,8 @@
         if is_refused:
             self.fleet.mark_full(endpoint)
         else:
-            self.fleet.record_unresponsive(endpoint)
+            if not failure.is_own_shortage:
+                self.fleet.record_unresponsive(endpoint)
             context.log_failure(endpoint.endpoint_id, failure.error, maybe_sent=False)
         return None
 
@@ -186,7 +186,7 @@
             )
             if endpoint is None:
                 break
-            if self.has_prefilled and not self.context.try_spend_retry():
+            if self.has_prefilled and not self.prefill_charge.take():
                 self.fleet.finish_call(endpoint)
                 break
             started_at = boot_time()
@@ -194,7 +194,8 @@
             if prepared is not None:
                 return prepared
             took_s = boot_time() - started_at
-            if took_s > PREFILL_RETRY_WITHIN_S or not self.fleet.try_spend_retry(
+            # What has reached an engine is paid for already.
+            if took_s > PREFILL_RETRY_WITHIN_S or not self.fleet.may_spend_retry(
                 context.service
             ):
                 break
@@ -208,6 +209,8 @@
         context = self.context
         started_at = boot_time()
         context.was_sent = True
+        # Unless it is certain that nothing has reached the engine.
+        has_arrived = False
         try:
             target = CallTarget(
                 endpoint.endpoint_id,
@@ -216,24 +219,23 @@
                 account=context.account_name,
                 priority=context.priority,
             )
+            timeout_s = min(self.settings.prefill_s, context.remaining_s())
+            has_arrived = True
             result = self.services.engines.prefill(
-                endpoint,
-                context.call,
-                context.body,
-                target,
-                min(self.settings.prefill_s, context.remaining_s()),
-                context.abort,
+                endpoint, context.call, context.body, target, timeout_s, context.abort
             )
+            has_arrived = result.is_ok() or may_have_arrived(result.unwrap_err())
         finally:
             self.fleet.finish_call(endpoint)
+            self.prefill_charge.settle(has_arrived)
         self.context.check_caller()
         outcome = "ok" if result.is_ok() else "failed"
         self.services.metrics.count_prefill(outcome)
         if result.is_err():
             failure = result.unwrap_err()
-            self.fleet.record_unresponsive(endpoint)
-            is_unreachable = isinstance(failure.error, EndpointUnreachableError)
-            if not is_unreachable and not self.has_prefilled:
+            if not failure.is_own_shortage:
+                self.fleet.record_unresponsive(endpoint)
+            if has_arrived and not self.has_prefilled:
                 self.fleet.charge_failed_prefill(context.service)
             context.log_failure(endpoint.endpoint_id, failure.error, failure.sent)
             return None
--- a/tests/unit/test_admission_load.py
+++ b/tests/unit/test_admission_load.py
@@ -7,22 +7,18 @@
 
 import math
 import random
-import threading
-from types import SimpleNamespace
 from typing import NamedTuple
 
 import pytest
 from tests.lib.relay_nodes import host_settings
+from tests.lib.stream_calls import SERVICE, TIMEOUT_S, call_context
 
 from poplarfold._internal.core.fleet.admission_queue import AdmissionPolicy
 from poplarfold._internal.core.fleet.rows import (
-    CallKind,
     EndpointLoad,
     FleetEndpoint,
-    Route,
     RouteTable,
     Service,
-    WeightedService,
 )
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.exceptions import DecodePoolFullError
@@ -35,7 +31,6 @@
 LOAD_S = 34.0
 TAIL_S = 14.0
 COST_PERIOD_S = 2.0
-TIMEOUT_S = 14.0
 SECONDS_PER_OUTPUT = 0.048 / 72
 PREFILL_TOKENS_PER_S = 50_000
 DOMAINS = ("lhr-a", "lhr-b", "khi-a")
@@ -44,13 +39,6 @@
 LATE_VALUE = 0.2
 
 
-def ignore(*_, **__):
-    """Take the place of a log or metric."""
-
-
-METRICS = SimpleNamespace(count_stream_refusal=ignore, observe_wait=ignore)
-
-
 class Load(NamedTuple):
     """Streams per second, the factor of the burst, and what serves them.
 
@@ -96,23 +84,23 @@
 
     def __init__(self, load, policy, seed):
         self.load, self.now, self.rng = load, 0.0, random.Random(seed + 1_000)
-        service = Service("llm", 12, load.memory_tokens)
+        service = Service(SERVICE, 12, load.memory_tokens)
         rows = [
             FleetEndpoint(
-                f"d{number}", 1, "llm", f"10.0.0.{number}:80", DOMAINS[number % 3],
+                f"d{number}", 1, SERVICE, f"10.0.0.{number}:80", DOMAINS[number % 3],
                 EndpointRole.DECODE, 12, False, 0.0,
             )
             for number in range(load.engines)
         ]  # fmt: skip
         self.running = {row.endpoint_id: [] for row in rows}
-        settings = GatewaySettings(door=policy)
+        settings = GatewaySettings(admission=policy)
         self.fleets = []
         for number in range(load.hosts):
             host = host_settings(f"h{number}", "")._replace(
                 failure_domain=DOMAINS[number % 3], regions=REGIONS
             )
             fleet = Fleet(host, settings, number, lambda: self.now)
-            fleet.directory.apply_routes(RouteTable(1, (), {"llm": service}))
+            fleet.directory.apply_routes(RouteTable(1, (), {SERVICE: service}))
             for row in rows:
                 fleet.directory.apply_endpoint(row.endpoint_id, row, 0.0)
             self.fleets.append(fleet)
@@ -133,7 +121,9 @@
             due = arrivals + self.returning
             for _, caller in [pair for pair in due if pair[0] <= self.now]:
                 fleet = self.rng.choice(self.fleets)
-                turn = SlotTurn(call_context(fleet, caller, self.now))
+                turn = SlotTurn(
+                    call_context(fleet, self.now, caller.deadline_at, caller.target_s)
+                )
                 self.waiting.append((turn, caller))
             arrivals = [pair for pair in arrivals if pair[0] > self.now]
             self.returning = [pair for pair in self.returning if pair[0] > self.now]
@@ -215,19 +205,6 @@
         self.returning.append((self.now + min(wait_s, left_s / 3), caller))
 
 
-def call_context(fleet, caller, now):
-    """Return what ``SlotTurn`` needs of a call."""
-    route = Route(
-        "r", "h", "/", CallKind.STREAM, (WeightedService("llm", 1.0),), TIMEOUT_S,
-        caller.target_s, 2, True, True,
-    )  # fmt: skip
-    return SimpleNamespace(
-        services=SimpleNamespace(fleet=fleet, metrics=METRICS), route=route,
-        service="llm", arrived_at=now, deadline_at=caller.deadline_at,
-        priority=None, caller_gone=threading.Event(), log=ignore,
-    )  # fmt: skip
-
-
 def draw_callers(load, seed):
     rng = random.Random(seed)
     callers, now = [], 0.0
--- a/tests/unit/test_fleet_decisions.py
+++ b/tests/unit/test_fleet_decisions.py
@@ -18,7 +18,7 @@
     sample_candidates,
 )
 from poplarfold._internal.core.fleet.directory import Directory
-from poplarfold._internal.core.fleet.order_lease import OrderLease
+from poplarfold._internal.core.fleet.order_lease import LogEnd, OrderLease
 from poplarfold._internal.core.fleet.outputs import OutputForecast
 from poplarfold._internal.core.fleet.own_prefill import (
     OwnPrefillPolicy,
@@ -47,6 +47,8 @@
 from poplarfold._internal.core.model import EndpointRole
 
 REGIONS = {"lhr-a": "lahore", "lhr-b": "lahore", "khi-a": "karachi"}
+# After this silence of an endpoint, the store removes its entry.
+SILENCE_S = 3.6
 ENGINES = Service("llm", slots=12, memory_tokens=85_406, lease_max_s=2.0)
 # Streams of 5,000 prompt tokens that occupy a decode engine for 3.3 s.
 LEARNED = StreamCost(
@@ -75,7 +77,7 @@
 
 def test_older_configuration_is_never_put_in_force():
     """Guards against a return to an older configuration after a gap in the log."""
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     assert directory.apply_routes(table(7))
     assert not directory.apply_routes(table(5, "/b/"))
     assert not directory.apply_routes(table(7, "/b/"))
@@ -84,7 +86,7 @@
 
 def test_longest_prefix_of_the_host_wins():
     """Guards against a route that is hidden by another with a shorter prefix."""
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     short, long = table(1).routes[0], table(1, "/a/b/").routes[0]
     long = long._replace(name="long")
     directory.apply_routes(table(1)._replace(routes=(short, long)))
@@ -111,7 +113,7 @@
 
 def test_usable_endpoints_are_current_after_each_change():
     """Guards against a stale cache: choosing endpoints that left or changed."""
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     directory.set_store_status(True, 0.0)
     first, second = endpoint("i-1"), endpoint("i-2")
     directory.apply_endpoint("i-1", first, 0.0)
@@ -133,7 +135,7 @@
 
 def test_entry_deleted_in_normal_operation_is_removed_at_once():
     """Guards against new work for an endpoint that left without draining."""
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     directory.set_store_status(True, 0.0)
     directory.apply_endpoint("i-1", endpoint("i-1"), 1.0)
     directory.apply_endpoint("i-1", None, 10.0)
@@ -142,7 +144,7 @@
 
 def test_entry_that_expired_in_an_outage_stays_for_the_grace_time():
     """Guards against losing all endpoints in an outage of the store."""
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     directory.set_store_status(True, 0.0)
     directory.apply_endpoint("i-1", endpoint("i-1"), 1.0)
     directory.set_store_status(False, 20.0)
@@ -160,7 +162,7 @@
     If its entry were kept like one that expired in the outage, the endpoint would
     still get work 2.5 s after it left.
     """
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     directory.apply_endpoint("i-1", endpoint("i-1"), 1.0)
     directory.set_store_status(True, 11.83)
     directory.apply_endpoint("i-1", None, 14.86)
@@ -169,7 +171,7 @@
 
 def test_expired_entry_that_is_announced_again_stays():
     """Guards against removing a living endpoint after an outage."""
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     directory.set_store_status(True, 0.0)
     directory.apply_endpoint("i-1", endpoint("i-1"), 1.0)
     directory.set_store_status(False, 20.0)
@@ -182,7 +184,7 @@
 
 def test_restarted_endpoint_starts_with_new_statistics():
     """Guards against using the load and failures of an earlier incarnation."""
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     directory.apply_endpoint("i-1", endpoint("i-1", born=2), 1.0)
     assert not directory.is_usable(endpoint("i-1", born=1))
     endpoint_stats = EndpointStatsTable()
@@ -636,9 +638,13 @@
     """Guards against two nodes that give role orders alternately."""
     winner = OrderLease(claim_interval_s=9.0, claim_valid_s=1.0)
     other = OrderLease(claim_interval_s=9.0, claim_valid_s=1.0)
+    # A node that has just started does not know when the lease was claimed.
+    assert not winner.may_claim(0.0)
+    winner = winner.with_end(LogEnd(0), -9.0)
+    other = other.with_end(LogEnd(0), -9.0)
     assert winner.may_claim(0.0) and other.may_claim(0.0)
-    winner = winner.with_end(1, 0.0)
-    other = other.with_end(1, 0.5)
+    winner = winner.with_end(LogEnd(1), 0.0)
+    other = other.with_end(LogEnd(1), 0.5)
     assert not other.may_claim(9.0)
     assert other.may_claim(9.5)
     assert winner.may_order(claimed_at=0.0, now=0.9)
@@ -647,12 +653,12 @@
 
 def test_deletion_takes_effect_at_once_unless_the_store_was_lost():
     """Guards against calls to a removed endpoint by a node that has just started."""
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     directory.set_store_status(True, 10.0)
     directory.apply_endpoint("a", endpoint("a"), 10.0)
     directory.apply_endpoint("a", None, 10.1)
     assert not directory.endpoints
-    lost_first = Directory()
+    lost_first = Directory(SILENCE_S)
     lost_first.set_store_status(False, 9.0)
     lost_first.set_store_status(True, 10.0)
     lost_first.apply_endpoint("a", endpoint("a"), 10.0)
@@ -665,7 +671,7 @@
 
     Entries that expire in an outage are deleted, and do not become malformed.
     """
-    directory = Directory()
+    directory = Directory(SILENCE_S)
     directory.set_store_status(True, 0.0)
     directory.apply_endpoint("a", endpoint("a"), 10.0)
     directory.set_store_status(False, 11.0)
@@ -673,3 +679,43 @@
     assert change.before is not None and change.after is None
     assert not directory.endpoints
     assert directory.withdraw_endpoint("a", 0.0) == (None, None)
+
+
+def test_copy_of_the_store_does_not_undo_what_an_endpoint_said():
+    """Guards against requests to an endpoint that leaves or has gone, by an older entry
+    in the copy from which the store has come back."""
+    directory = Directory(SILENCE_S)
+    directory.set_store_status(True, 10.0)
+    ready, leaving = endpoint("a"), endpoint("a")._replace(is_leaving=True, revision=2)
+    gone = endpoint("b")._replace(revision=3)
+    directory.apply_endpoint("a", ready, 10.0)
+    directory.apply_endpoint("a", leaving, 10.1)
+    directory.apply_endpoint("b", gone, 10.1)
+    directory.apply_endpoint("b", None, 10.2)
+    directory.note_store_return(11.0)
+    directory.apply_returned("a", ready, 11.0)
+    directory.apply_returned("b", gone, 11.0)
+    assert directory.endpoints == {"a": leaving}
+    # A new entry of the same incarnation, and a new incarnation, are taken over.
+    directory.apply_returned("b", gone._replace(revision=4), 11.1)
+    directory.apply_returned("a", ready._replace(incarnation=99), 11.1)
+    assert set(directory.endpoints) == {"a", "b"}
+    assert not directory.endpoints["a"].is_leaving
+
+
+def test_endpoint_that_a_copy_still_lists_is_back_if_it_lives():
+    """Guards against an endpoint that is never used again: its entry had expired, and
+    the copy has it unchanged, so that it writes no other one."""
+    directory = Directory(SILENCE_S)
+    directory.set_store_status(True, 10.0)
+    for key in ("a", "b"):
+        directory.apply_endpoint(key, endpoint(key), 10.0)
+        directory.apply_endpoint(key, None, 10.1)
+    directory.note_store_return(11.0)
+    for key in ("a", "b"):
+        directory.apply_returned(key, endpoint(key), 11.0)
+    directory.apply_endpoint("b", None, 12.0)
+    assert directory.take_over_withheld(read_at=14.9, now=99.0) == []
+    found = directory.take_over_withheld(read_at=15.0, now=15.0)
+    assert [row.endpoint_id for row in found] == ["a"]
+    assert set(directory.endpoints) == {"a"} and not directory.withheld
--- a/tests/unit/test_second_attempts.py
+++ b/tests/unit/test_second_attempts.py
@@ -1,5 +1,6 @@
 """Tests of the attempts of plain calls, with a client that answers by a script."""
 
+import socket
 from types import SimpleNamespace
 
 import pytest
@@ -10,7 +11,6 @@
 from poplarfold._internal.core.fleet.account_admission import AdmittedCaller
 from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
-from poplarfold._internal.daemon.endpoint_client import Answer
 from poplarfold._internal.exceptions import EndpointError
 from poplarfold._internal.gateway.choice_log import LOGGED_CHOICES_PER_S
 from poplarfold._internal.gateway.context import CallContext
@@ -19,6 +19,8 @@
 from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.gateway.settings import GatewaySettings
 from poplarfold._internal.http.answer_memory import AnswerMemory
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import Answer
 from poplarfold._internal.http.failures import Failure
 from poplarfold._internal.platform import decode_call, decode_routes
 from poplarfold._internal.utils.clock import boot_time
@@ -184,3 +186,28 @@
             fleet.remove_endpoint_stats([change])
         fleet.finish_call(row)
     assert len(fleet.endpoint_stats.rows) <= 1
+
+
+def test_call_that_leaves_a_cut_path_starts_no_cooldown():
+    """Guards against sound endpoints that get no calls for a second or more, since
+    their paths are found to be cut, and calls that waited there have gone on."""
+    gateway = Gateway()
+    paths = SimpleNamespace(
+        connect=lambda address, connect_directly, time_left_s: connect_directly(),
+        may_use_kept=lambda address: True,
+        await_answer=lambda sock, address, until: False,
+    )
+    client = EndpointClient(30.0, paths=paths)
+    gateway.exchange = client.exchange
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        for name, row in gateway.rows.items():
+            gateway.rows[name] = row._replace(address=address)
+            gateway.fleet.directory.apply_endpoint(
+                name, gateway.rows[name], boot_time()
+            )
+        assert gateway.call("/lookup/1") == 502
+    assert len(gateway.events("PF1103")) == 2
+    stats = [gateway.fleet.endpoint_stats.read(row) for row in gateway.rows.values()]
+    assert [row.cooldown_until for row in stats] == [0.0] * 3
+    assert [row.failure_rate for row in stats] == [0.0] * 3
