Keep the same suspected parts of prompts on all nodes, and end their suspicion

Nodes that forgot a suspected part at different times wrote it again to each other, so that it never ended; relays that dropped different parts beyond 1,000 did so without end; a part with eight crashes before its third incident was never blocked; and of several parts under the same crashes a sound one could be blocked first.

--- a/src/poplarfold/_internal/gateway/part_evidence.py
+++ b/src/poplarfold/_internal/gateway/part_evidence.py
@@ -2,9 +2,9 @@
 
 from poplarfold._internal.core.fleet.prompt_suspects import SOUND_AFTER_S
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
-from poplarfold._internal.daemon.endpoint_client import Failure
 from poplarfold._internal.exceptions import EndpointError, EndpointStalledError
 from poplarfold._internal.gateway.context import CallContext
+from poplarfold._internal.http.failures import Failure
 from poplarfold._internal.utils.clock import boot_time
 
 __all__ = ["PartEvidence"]
@@ -26,6 +26,8 @@
         self.is_sound = False
         # Whether a part of this call's prompt may have crashed an engine.
         self.is_suspect = False
+        # Whether this call tests a blocked part of its prompt.
+        self.is_test = False
 
     def begin(self, sent_at: float) -> None:
         """Begin an attempt at an engine."""
@@ -36,10 +38,11 @@
     def check(self, is_unexecuted: bool) -> None:
         """Raise an error if requests with a part of this prompt are rejected now.
 
-        Raises PromptBlockedError only if nothing has run, EndpointError otherwise.
+        Raises PromptBlockedError only if nothing has run, EndpointError otherwise. A
+        call that was let through to test a block is not rejected by a later check.
         """
         if is_unexecuted:
-            self.guard.check(self.parts)
+            self.is_test = self.is_test or self.guard.check(self.parts)
         elif self.is_blocked():
             self.is_suspect = True
             raise EndpointError("engines have crashed under a part of the prompt")
--- a/src/poplarfold/_internal/gateway/part_records.py
+++ b/src/poplarfold/_internal/gateway/part_records.py
@@ -16,14 +16,16 @@
 
 
 def encode_part_state(state: PartState) -> bytes:
-    """Return the value of a part's record."""
-    fields = {
+    """Return the value of a part's record. Earlier releases write no order."""
+    fields: dict[str, object] = {
         "depth": state.depth,
         "round": state.round,
         "blocks": state.blocks,
         "incidents": state.incidents,
         "crashes": [list(key) for key in state.crashes],
     }
+    if state.order:
+        fields["order"] = state.order
     return json.dumps(fields).encode()
 
 
@@ -44,6 +46,7 @@
             check_integer(fields["blocks"], "blocks"),
             check_integer(fields["incidents"], "incidents"),
             tuple(sorted(crashes)),
+            check_integer(fields.get("order", 0), "order"),
         )
     except MALFORMED_DOCUMENT_ERRORS as error:
         problem = f"state of part {part}: {error!r}"
--- a/tests/functional/test_shared_parts.py
+++ b/tests/functional/test_shared_parts.py
@@ -1,38 +1,43 @@
 """Tests of suspected parts of prompts that nodes share over relays and the store."""
 
-import pytest
-from tests.lib.platform_standin import EndpointStandIn, StoreStandIn, configuration
-from tests.lib.relay_nodes import RelayNode, wait_for
+import itertools
+import time
 
-from poplarfold._internal.core.fleet.prompt_suspects import BLOCKING_INCIDENTS
+import pytest
+from tests.lib.relay_nodes import (
+    START_LIMIT_S,
+    RelayNode,
+    configured_store,
+    settled_nodes,
+    wait_for,
+)
+
+from poplarfold._internal.core.fleet.prompt_suspects import (
+    BLOCKING_INCIDENTS,
+    TEST_PERIOD_S,
+)
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
+from poplarfold._internal.exceptions import PromptBlockedError
 
 NODES = 5
 PARTS = "keyed.poplarfold.parts"
-START_LIMIT_S = 10.0
 # A part must be blocked everywhere within the 4 s in which the platform settles.
 SHARE_LIMIT_S = 4.0
+# A wrong block ends within twice that time.
+WRONG_BLOCK_S = 8.0
 
 
 @pytest.fixture
 def store():
-    found = StoreStandIn()
-    found.put("keyed.op", "config", configuration(version=7))
-    entry = EndpointStandIn("i-1").entry("registry")
-    found.put("keyed.servers", "i-1", entry)
-    yield found
-    found.stop()
+    with configured_store("i-1") as found:
+        yield found
 
 
 @pytest.fixture
 def nodes(store):
-    found = [RelayNode(f"node-{n}", store).start() for n in range(NODES)]
-    wait_for(lambda: all(node.routes_version() == 7 for node in found), START_LIMIT_S)
-    wait_for(lambda: sum(node.link.is_relay() for node in found) == 2, START_LIMIT_S)
-    yield found
-    for node in found:
-        node.stop()
+    with settled_nodes(store, NODES) as found:
+        yield found
 
 
 def engine(number):
@@ -42,10 +47,18 @@
     )  # fmt: skip
 
 
-def crash_engines(node, part, count):
-    """Let engines crash under a part, as the node's calls would find."""
+def crash_engines(node, *parts, count=BLOCKING_INCIDENTS):
+    """Let engines crash under some parts, as the node's calls would find."""
     for number in range(count):
-        node.guard.record_crash((part,), engine(number), node.fleet.clock())
+        node.guard.record_crash(parts, engine(number), node.fleet.clock())
+
+
+def begins_test(node, *parts):
+    """Return whether a request at a node is let through to test a blocked part."""
+    try:
+        return node.guard.check(parts)
+    except PromptBlockedError:
+        return False
 
 
 def is_blocked(node, part):
@@ -74,7 +87,7 @@
 
 def test_blocked_part_outlives_all_nodes_that_know_it(store, nodes):
     """Guards against a part that crashes engines again after all nodes were killed."""
-    crash_engines(nodes[0], "bad0", BLOCKING_INCIDENTS)
+    crash_engines(nodes[0], "bad0")
     wait_for(lambda: "bad0" in store.newest.get(PARTS, {}), SHARE_LIMIT_S)
     for node in nodes:
         node.stop()
@@ -87,8 +100,38 @@
 
 def test_part_that_is_cleared_at_once_is_not_stored(store, nodes):
     """Guards against calls to the store for parts that many sound prompts share."""
-    crash_engines(nodes[0], "first", 1)
+    crash_engines(nodes[0], "first", count=1)
     nodes[0].guard.record_sound(("first",), nodes[0].fleet.clock())
-    crash_engines(nodes[0], "bad0", BLOCKING_INCIDENTS)
+    crash_engines(nodes[0], "bad0")
     wait_for(lambda: "bad0" in store.newest.get(PARTS, {}), SHARE_LIMIT_S)
     assert "first" not in store.newest[PARTS]
+
+
+@pytest.mark.parametrize("number", range(NODES))
+def test_wrong_block_is_tested_at_any_node(nodes, number):
+    """Guards against a block that never ends since the only node which may test it gets
+    no sound requests: a caller's connection stays with its node."""
+    crash_engines(nodes[0], "bad0", "tools")
+    wait_for(lambda: all(is_blocked(node, "tools") for node in nodes), SHARE_LIMIT_S)
+    node = nodes[number]
+    wait_for(lambda: begins_test(node, "usual", "tools"), WRONG_BLOCK_S)
+    node.guard.record_sound(("usual", "tools"), node.fleet.clock())
+    wait_for(lambda: not any(is_blocked(n, "tools") for n in nodes), SHARE_LIMIT_S)
+    assert all(is_blocked(node, "bad0") for node in nodes)
+
+
+def test_nodes_test_a_block_one_after_the_other(nodes):
+    """Guards against tests of a right block that each cost an engine at all nodes."""
+    crash_engines(nodes[0], "bad0", "tools")
+    wait_for(lambda: all(is_blocked(node, "tools") for node in nodes), SHARE_LIMIT_S)
+    began_at = []
+    ends_at = nodes[0].fleet.clock() + WRONG_BLOCK_S
+    while nodes[0].fleet.clock() < ends_at:
+        for node in nodes:
+            if begins_test(node, "usual", "tools"):
+                began_at.append(node.fleet.clock())
+        time.sleep(0.01)
+    assert len(began_at) >= 2
+    pauses = [later - at for at, later in itertools.pairwise(began_at)]
+    # The clock is read again after the decision.
+    assert min(pauses) >= TEST_PERIOD_S - 0.05
