Keep what ended processes and lost reports have used of a quota

An account could exceed its quota when hosts ended and started within its window, or when a report was lost with its connection. What former processes may have admitted is kept free until it has left the window, and lost reports are sent again.

--- a/src/poplarfold/_internal/core/fleet/account_quota.py
+++ b/src/poplarfold/_internal/core/fleet/account_quota.py
@@ -10,6 +10,11 @@
 Hosts that a relay doesn't hear may use an equal share of the bound each, which the
 relay keeps free for them. A host that hears no relay decides by its own ledger, in
 which all other hosts are unheard.
+
+What a process has admitted may be unknown after its end, if all relays that it has
+reported to have ended as well. A relay that hears the next process of that host, and
+has not heard the one before, keeps the equal share of the former one until its calls
+have left the window. So does a host that has just started, for itself.
 """
 
 import math
@@ -20,6 +25,7 @@
 from result import Err, Ok, Result
 
 from poplarfold._internal.core.fleet.accounts import AccountLimit
+from poplarfold._internal.core.fleet.sent_reports import SentReports
 from poplarfold._internal.core.fleet.usage_window import (
     SLOT_S,
     UsageCounter,
@@ -29,12 +35,15 @@
 
 __all__ = [
     "FRESH_S",
+    "LEVELS_EXPECTED_S",
     "REGION_ROWS_MAX",
+    "RETRY_JITTER",
     "HostQuota",
     "LevelRow",
     "QuotaRule",
     "RelayLedger",
     "Room",
+    "UnknownUse",
 ]
 
 # A host does not rely on levels that are older than this.
@@ -48,6 +57,11 @@
 # when it hears this share of the fleet. Before that, its levels would be too low.
 SETTLE_S = 0.75
 SETTLED_SHARE = 0.9
+# Within this time after its start, or after its last levels became too old, a host has
+# levels of its relays unless it is cut off from them: a relay settles for up to
+# SETTLE_S, a report, an exchange between regions and a level take 0.9 s at most, and
+# the rest is for finding the relay.
+LEVELS_EXPECTED_S = 2.0
 # How long a count of the heard hosts is used again.
 COUNTED_S = 0.1
 # From this age on, levels count as overdue: it is assumed that what was asked for last
@@ -60,6 +74,12 @@
 # The part of what the rule allows beyond the quota that relays give out. The rest
 # covers what was admitted by hosts that ended before they reported it.
 SPARE_SHARE = 0.55
+# A host that starts again is down for about two seconds. A relay that has heard it
+# within this time knows what its former process has admitted.
+RESTART_S = 4.0
+# The part of the spare units that may be used in place of a former process's share, so
+# that hosts that start together serve some calls at once.
+FORMER_SPARE_SHARE = 0.25
 # A relay sends the level of an account if less than this share of its bound is left,
 # or less than is asked for in this time.
 LISTED_SHARE = 0.5
@@ -97,6 +117,23 @@
         quota = self.quota(limit)
         return quota + SPARE_SHARE * (self.bound(limit) - quota)
 
+    def spare(self, limit: AccountLimit) -> float:
+        """Return the units per window that are not given out."""
+        return self.bound(limit) - self.usable(limit)
+
+
+class UnknownUse(NamedTuple):
+    """Hosts whose former processes may have admitted calls that nobody knows of.
+
+    ``left_s`` is the sum of the times until the last of these calls leave the window.
+    """
+
+    hosts: int = 0
+    left_s: float = 0.0
+
+
+NOTHING_UNKNOWN = UnknownUse()
+
 
 class Room(NamedTuple):
     """What is left of an account's bound, its demand, and when more is free."""
@@ -121,6 +158,7 @@
     def __init__(self, window_s: float) -> None:
         self.counter = UsageCounter(window_s)
         self.hosts = 0
+        self.unknown = NOTHING_UNKNOWN
         self.heard_at = -math.inf
 
 
@@ -128,11 +166,15 @@
     """A relay's account of what all hosts have admitted.
 
     ``local`` counts the hosts of the relay's own region, including its own. Every node
-    keeps a ledger; on those that are no relay, it has only the node's own use.
+    keeps a ledger; on those that are no relay, it has only the node's own use. What the
+    former process of the own host has admitted may count until ``unknown_until``.
     """
 
-    def __init__(self, rule: QuotaRule) -> None:
+    def __init__(self, rule: QuotaRule, unknown_until: float = -math.inf) -> None:
         self.rule = rule
+        self.unknown_until = unknown_until
+        # Until when the unknown use of other hosts' former processes may count.
+        self.unknown_hosts: dict[str, float] = {}
         self.local = UsageCounter(rule.window_s)
         # When each host of the region last reported.
         self.heard: dict[str, float] = {}
@@ -144,12 +186,20 @@
         self.listed_at: dict[int, float] = {}
         self.regions: dict[str, RegionUse] = {}
 
-    def record_report(self, host: str, rows: list[UsageRow], now: float) -> None:
-        """Count what a host of the own region has admitted since its last report."""
+    def record_report(
+        self, host: str, rows: list[UsageRow], now: float, unknown_s: float = 0.0
+    ) -> None:
+        """Count what a host of the own region has admitted since its last report.
+
+        What its former process has admitted may count for ``unknown_s``.
+        """
         if self.local_hosts(now) == 1:
             self.serving_since = now
+        unheard_s = now - self.heard.get(host, -math.inf)
+        if unknown_s > 0.0 and unheard_s >= RESTART_S:
+            self.unknown_hosts[host] = now + min(unknown_s, self.rule.window_s)
         # The first report has all of the window.
-        is_recent = now - self.heard.get(host, -math.inf) < self.rule.window_s
+        is_recent = unheard_s < self.rule.window_s
         self.heard[host] = now
         self.counted_at = -math.inf
         for row in rows:
@@ -162,12 +212,16 @@
         rows: list[UsageRow],
         is_snapshot: bool,
         now: float,
+        unknown: UnknownUse = NOTHING_UNKNOWN,
     ) -> None:
-        """Count what another region has admitted, or all of its window at once."""
+        """Count what another region has admitted, or all of its window at once.
+
+        ``unknown`` is what the region's relay returns as ``local_unknown``.
+        """
         use = self.regions.setdefault(region, RegionUse(self.rule.window_s))
         if is_snapshot:
             use.counter.reset()
-        use.hosts, use.heard_at = hosts, now
+        use.hosts, use.unknown, use.heard_at = hosts, unknown, now
         for row in rows:
             use.counter.add(row, now, not is_snapshot)
 
@@ -186,6 +240,41 @@
             if now - region.heard_at < REGION_HEARD_S
         )
 
+    def local_unknown(self, now: float) -> UnknownUse:
+        """Return the hosts of the region whose former processes may have such use."""
+        heard = [
+            until
+            for host, until in self.unknown_hosts.items()
+            if now - self.heard.get(host, -math.inf) < HEARD_S
+        ]
+        left = [until - now for until in (self.unknown_until, *heard) if until > now]
+        return UnknownUse(len(left), sum(left))
+
+    def unknown(self, now: float) -> UnknownUse:
+        """Return the heard hosts whose former processes may have unknown use."""
+        found = self.local_unknown(now)
+        regions = [
+            region.unknown
+            for region in self.regions.values()
+            if now - region.heard_at < REGION_HEARD_S
+        ]
+        return UnknownUse(
+            found.hosts + sum(max(0, row.hosts) for row in regions),
+            found.left_s + sum(max(0.0, row.left_s) for row in regions),
+        )
+
+    def kept_units(
+        self, limit: AccountLimit, unknown: UnknownUse, nodes: int
+    ) -> tuple[float, float]:
+        """Return the least and the most units that are kept for former processes.
+
+        The most is an equal share for each of them. The least falls evenly with time,
+        as it does if their calls are evenly distributed over the window.
+        """
+        spare = FORMER_SPARE_SHARE * self.rule.spare(limit)
+        share = max(0.0, self.rule.usable(limit) - spare) / max(1, nodes)
+        return share * unknown.left_s / self.rule.window_s, share * unknown.hosts
+
     def silent_regions(self, now: float) -> frozenset[str]:
         """Return the other regions whose relays have fallen silent."""
         return frozenset(
@@ -221,7 +310,9 @@
         usable = self.rule.usable(limit)
         # Each host that is not heard may use an equal share.
         unheard_share = max(0, nodes - self.heard_hosts(now)) / max(1, nodes)
-        room = usable - used - max(unheard_used, usable * unheard_share)
+        usable_here = usable - max(unheard_used, usable * unheard_share)
+        usable_here -= self._kept(key, limit, usable_here, nodes, now)
+        room = usable_here - used
         wait_s = 0.0
         missing = RETRY_SHARE * usable - room
         if missing > 0:
@@ -236,6 +327,22 @@
             )
         return Room(room, demand, wait_s)
 
+    def _kept(
+        self, key: int, limit: AccountLimit, usable: float, nodes: int, now: float
+    ) -> float:
+        """Return the units of ``usable`` that are kept for former processes.
+
+        An account that asks for more than the others' part is likely to have done so
+        before, all at once. Then its former use does not fall evenly with time.
+        """
+        unknown = self.unknown(now)
+        if unknown.hosts == 0:
+            return 0.0
+        least, most = self.kept_units(limit, unknown, nodes)
+        counters = [self.local, *(r.counter for r in self.regions.values())]
+        asked = sum(counter.asked_sum(key, now) for counter in counters)
+        return min(most, least + max(0.0, asked - (usable - least)))
+
     def levels(
         self, limits: Mapping[int, AccountLimit], nodes: int, now: float
     ) -> list[LevelRow]:
@@ -246,6 +353,7 @@
         tables = [self.local.uses, *(r.counter.uses for r in self.regions.values())]
         heard_hosts = self.heard_hosts(now)
         heard_share = min(1.0, heard_hosts / max(1, nodes))
+        unknown = self.unknown(now)
         rows = []
         for key, limit in limits.items():
             used = asked = 0
@@ -254,8 +362,9 @@
                 if use is not None:
                     used += use.in_window
                     asked += use.asked + use.asked_before
-            usable = self.rule.usable(limit)
-            room = usable * heard_share - used
+            least, most = self.kept_units(limit, unknown, nodes)
+            room = self.rule.usable(limit) * heard_share - most - used
+            usable = self.rule.usable(limit) - least
             # Most accounts have more room than the exact figures could tell.
             if room >= max(LISTED_SHARE * usable, LISTED_DEMAND_S * asked / SLOT_S):
                 continue
@@ -285,6 +394,9 @@
         for host, at in list(self.heard.items()):
             if now - at >= self.rule.window_s:
                 del self.heard[host]
+        for host, until in list(self.unknown_hosts.items()):
+            if until <= now:
+                del self.unknown_hosts[host]
 
 
 class KnownLevel(NamedTuple):
@@ -315,16 +427,28 @@
 
 
 class HostQuota:
-    """One host's decisions, by the levels of its relays or by its own ledger."""
+    """One host's decisions, by the levels of its relays or by its own ledger.
+
+    What a former process of the host has admitted may count until ``unknown_until``.
+    The process has started at ``started_at``.
+    """
 
-    def __init__(self, rule: QuotaRule, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rule: QuotaRule,
+        rng: random.Random,
+        unknown_until: float = -math.inf,
+        started_at: float = -math.inf,
+    ) -> None:
         self.rule = rule
         self.rng = rng
         self.own = UsageCounter(rule.window_s)
-        self.ledger = RelayLedger(rule)
+        self.ledger = RelayLedger(rule, unknown_until)
         self.levels: dict[str, RelayLevels] = {}
-        # By relay: what has been reported to it, as a cursor of ``own``.
-        self.cursors: dict[str, dict[int, tuple[int, int]]] = {}
+        # When the host started, or its last levels became too old.
+        self.without_levels_since = started_at
+        # By relay: what has been reported to it, and when that was done last.
+        self.reports: dict[str, SentReports] = {}
         self.reported_at: dict[str, float] = {}
 
     def admit(
@@ -340,10 +464,12 @@
         if self._is_admitted(key, units, room, now):
             self._count(UsageRow(key, units, 0), now)
             return Ok(None)
+        wait_s = room.wait_s
         if units <= self.rule.usable(limit):
             # Units that never fit are no demand that the other calls compete with.
             self._count(UsageRow(key, 0, units), now)
-        wait_s = max(room.wait_s, KNOWN_AFTER_S)
+            wait_s = min(wait_s, self.levels_wait_s(nodes, now))
+        wait_s = max(wait_s, KNOWN_AFTER_S)
         wait_s *= 1.0 + RETRY_JITTER * self.rng.random()
         return Err(QuotaExceededError("the account's quota is used up", wait_s))
 
@@ -368,6 +494,16 @@
                 rooms.append(row.room._replace(units=row.room.units - used))
         return min(rooms, default=Room(math.inf, 0.0, 0.0))
 
+    def levels_wait_s(self, nodes: int, now: float) -> float:
+        """Return how soon levels are expected that replace the host's own share.
+
+        Infinity if there are levels, or if the host may be cut off from its relays.
+        """
+        left_s = self.without_levels_since + LEVELS_EXPECTED_S - now
+        if nodes <= 1 or left_s <= 0 or self.fresh_relays(now):
+            return math.inf
+        return math.inf if self.ledger.is_settled(nodes, now) else left_s
+
     def give_back(self, key: int, units: int, now: float, age_s: float = 0.0) -> None:
         """Return the units of a call, admitted ``age_s`` ago, that has not run."""
         for counter in (self.own, self.ledger.local):
@@ -381,7 +517,12 @@
             return
         known = self.levels.setdefault(relay, RelayLevels())
         known.heard_at = max(known.heard_at, sent_at)
-        cursor = self.cursors.get(relay, {})
+        self.without_levels_since = max(self.without_levels_since, sent_at + FRESH_S)
+        reports = self.reports.get(relay)
+        if reports is not None:
+            reports.record_level(sent_at)
+        # What has been reported since is not in these levels.
+        cursor = {} if reports is None else reports.arrived
         for key, level in list(known.rows.items()):
             if sent_at - level.at >= FRESH_S:
                 # The relay no longer sends the account's level.
@@ -399,10 +540,22 @@
         reported_at = self.reported_at.get(relay, -math.inf)
         rows_max: int | None = REPORT_ROWS_MAX
         if now - reported_at >= self.rule.window_s:
-            self.cursors[relay] = self.own.window_cursor(now)
+            self.reports[relay] = SentReports(self.own.window_cursor(now))
             rows_max = None
         self.reported_at[relay] = now
-        return self.own.new_rows(self.cursors[relay], rows_max)
+        reports = self.reports[relay]
+        rows = self.own.new_rows(reports.cursor, rows_max)
+        reports.record_sent(now)
+        return rows
+
+    def restart_reports(self, relay: str) -> None:
+        """Report again what may not have reached a relay over an earlier connection."""
+        if relay in self.reports:
+            self.reports[relay].restart()
+
+    def unknown_s(self, now: float) -> float:
+        """Return how long calls of this host's former process may still count."""
+        return max(0.0, self.ledger.unknown_until - now)
 
     def fresh_relays(self, now: float) -> list[RelayLevels]:
         """Return what those relays have sent that are heard."""
@@ -419,7 +572,7 @@
                 del self.levels[relay]
         for relay, at in list(self.reported_at.items()):
             if now - at >= self.rule.window_s:
-                del self.reported_at[relay], self.cursors[relay]
+                del self.reported_at[relay], self.reports[relay]
 
     def _is_admitted(self, key: int, units: int, room: Room, now: float) -> bool:
         if units > room.units:
--- a/src/poplarfold/_internal/core/fleet/usage_window.py
+++ b/src/poplarfold/_internal/core/fleet/usage_window.py
@@ -97,6 +97,14 @@
         self._expire(use, now)
         return use.in_window
 
+    def asked_sum(self, key: int, now: float) -> int:
+        """Return the units of an account that were asked for within the window."""
+        use = self.uses.get(key)
+        if use is None:
+            return 0
+        self._expire(use, now)
+        return sum(asked for _, _, asked in use.slots)
+
     def demand_per_s(self, key: int, now: float) -> float:
         """Return the units per second that the account has asked for lately."""
         use = self.uses.get(key)
--- a/src/poplarfold/_internal/gateway/account_usage.py
+++ b/src/poplarfold/_internal/gateway/account_usage.py
@@ -13,6 +13,7 @@
     HostQuota,
     LevelRow,
     QuotaRule,
+    UnknownUse,
 )
 from poplarfold._internal.core.fleet.accounts import (
     AccountLimit,
@@ -43,7 +44,8 @@
     """What a node knows of an account's use, for the log.
 
     ``room`` is None if nothing limits the account here. ``relays`` has each relay's
-    last level of the account, or None.
+    last level of the account, or None. For ``unknown_s``, calls of a former process of
+    this host may count that it does not know of.
     """
 
     room: int | None
@@ -52,6 +54,7 @@
     relays: dict[str, dict[str, float] | None]
     heard_hosts: int
     nodes: int
+    unknown_s: float
 
 
 class AccountUsage:
@@ -72,7 +75,14 @@
         self.metrics = metrics
         self.write_log = write_log
         self.lock = threading.Lock()
-        self.quota = HostQuota(rule, random.Random(fleet.rng.getrandbits(64)))
+        # What a former process of this host has admitted is not known.
+        started_at = fleet.clock()
+        unknown_until = started_at + rule.window_s
+        if fleet.host.is_first_start:
+            unknown_until = -math.inf
+        self.quota = HostQuota(
+            rule, random.Random(fleet.rng.getrandbits(64)), unknown_until, started_at
+        )
         # The limits by the account's number, for the table that they were taken from.
         self.table: AccountTable | None = None
         self.keyed_limits: dict[int, AccountLimit] = {}
@@ -132,6 +142,7 @@
                 },
                 self.quota.ledger.heard_hosts(now),
                 nodes,
+                round(self.quota.unknown_s(now), 3),
             )
 
     def limits(self) -> Mapping[int, AccountLimit]:
@@ -155,8 +166,15 @@
     def report(self, relay: str) -> UsageReport:
         """Return what this host has admitted since its last report to a relay."""
         with self.lock:
-            rows = self.quota.take_report(relay, self.fleet.clock())
-        return UsageReport(pack_rows(rows))
+            now = self.fleet.clock()
+            rows = self.quota.take_report(relay, now)
+            unknown_s = self.quota.unknown_s(now)
+        return UsageReport(pack_rows(rows), unknown_s)
+
+    def restart_reports(self, relay: str) -> None:
+        """Report again what a relay may not have got over an earlier connection."""
+        with self.lock:
+            self.quota.restart_reports(relay)
 
     def record_report(self, host: str, message: UsageReport) -> bool:
         """Count a subscriber's report; return whether its host was not heard before.
@@ -167,7 +185,7 @@
         with self.lock:
             now = self.fleet.clock()
             before = self.quota.ledger.local_hosts(now)
-            self.quota.ledger.record_report(host, rows, now)
+            self.quota.ledger.record_report(host, rows, now, message.unknown_s)
             return self.quota.ledger.local_hosts(now) > before
 
     def levels(self) -> UsageLevels | None:
@@ -217,6 +235,7 @@
                 rows,
                 message.is_snapshot,
                 self.fleet.clock(),
+                UnknownUse(message.unknown_hosts, message.unknown_s),
             )
 
     def update(self, is_relay: bool) -> None:
@@ -248,8 +267,10 @@
         """Return the message for another region. The lock must be held."""
         ledger = self.quota.ledger
         rows = ledger.local.new_rows(cursor, rows_max)
-        hosts = ledger.local_hosts(self.fleet.clock())
-        return RegionUsage(hosts, is_snapshot, pack_rows(rows))
+        now = self.fleet.clock()
+        hosts = ledger.local_hosts(now)
+        unknown = ledger.local_unknown(now)
+        return RegionUsage(hosts, is_snapshot, pack_rows(rows), *unknown)
 
 
 def whole_units(units: float) -> int:
--- a/src/poplarfold/_internal/platform/account_records.py
+++ b/src/poplarfold/_internal/platform/account_records.py
@@ -13,7 +13,12 @@
     UsageUnit,
 )
 from poplarfold._internal.platform.api_keys import config_key_digest
-from poplarfold._internal.utils.checks import check_integer, check_number, check_text
+from poplarfold._internal.utils.checks import (
+    check_integer,
+    check_number,
+    check_sendable,
+    check_text,
+)
 
 __all__ = ["decode_accounts", "decode_priority"]
 
@@ -37,10 +42,8 @@
 
 def decode_account(row: dict[str, Any]) -> tuple[ClientAccount, list[bytes]]:
     """Decode one account with the digests of its keys."""
-    name = check_text(row["name"], "name of a tenant")
     # Endpoints get the name in a header.
-    if not (name.isascii() and name.isprintable() and name == name.strip()):
-        raise ValueError("name of a tenant has characters that no header may have")
+    name = check_sendable(row["name"], "name of a tenant")
     keys = row["api_keys"]
     if not isinstance(keys, list):
         raise TypeError("api_keys is not a list")
--- a/tests/functional/test_api_keys.py
+++ b/tests/functional/test_api_keys.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import log_events, ready_fleet, wait_until
 from tests.lib.platform_standin import configuration, route, tenant
 
 KEYS = ("banfqasnmgkcuyj8pjbv", "k9m68k7b2ex5wa5xwyhk", "w3nq2zr7v5tydf8hs4xe")
@@ -54,9 +54,9 @@
     return fleet.call("GET", path, {**given, **headers})
 
 
-def events(fleet, number):
-    rows = [json.loads(line) for line in fleet.log.read_text().splitlines()]
-    return [row for row in rows if row["number"] == number]
+def account_changes(fleet, version):
+    rows = log_events(fleet.log, "PF1203")
+    return [row for row in rows if row["fields"]["version"] == version]
 
 
 def test_key_decides_about_the_account(fleet):
@@ -66,7 +66,9 @@
     assert [lookup(fleet, key).status for key in (None, "other")] == [401, 401]
     assert fleet.caption().status == 401
     assert len(runs(fleet)) == before
-    rejected = events(fleet, "PF1201")
+    # The log is written after the answers.
+    wait_until(lambda: len(log_events(fleet.log, "PF1201")) >= 3, 2.0)
+    rejected = log_events(fleet.log, "PF1201")
     assert [row["fields"]["has_key"] for row in rejected] == [False, True, False]
     assert rejected[0]["call_id"] == "9c41d07be2a35f68"
     forged = {"Poplarfold-Tenant": "forged", "Poplarfold-Request-Priority": "9"}
@@ -86,7 +88,8 @@
     against series of metrics that add up over the versions."""
     assert lookup(fleet, KEYS[2]).status == 200
     moa = b'poplarfold_account_calls_total{account="moa",result="ok"} 1'
-    assert moa in fleet.get("metrics", "/metrics").data
+    # Calls are counted after their answers.
+    wait_until(lambda: moa in fleet.get("metrics", "/metrics").data, 2.0)
     new = "p6cjx9u4mgb2wvke7tsz"
     changed = config(9, tenant("huka", KEYS[1]), tenant("kea", new))
     fleet.store.put("keyed.op", "config", b"\xff" + FIRST)
@@ -94,10 +97,12 @@
     wait_until(lambda: lookup(fleet, new).status == 200, APPLY_LIMIT_S)
     statuses = [lookup(fleet, key).status for key in KEYS]
     assert statuses == [401, 200, 401]
-    metrics = fleet.get("metrics", "/metrics").data
-    assert b'account="kea",result="ok"' in metrics
-    assert b'account="moa"' not in metrics
-    (event,) = [row for row in events(fleet, "PF1203") if row["fields"]["version"] == 9]
+    kea = b'account="kea",result="ok"'
+    wait_until(lambda: kea in fleet.get("metrics", "/metrics").data, 2.0)
+    assert b'account="moa"' not in fleet.get("metrics", "/metrics").data
+    # The log is written later, too.
+    wait_until(lambda: account_changes(fleet, 9), 2.0)
+    (event,) = account_changes(fleet, 9)
     assert (event["fields"]["added"], event["fields"]["removed"]) == (["kea"], ["moa"])
     assert new not in fleet.log.read_text()
     fleet.store.put("keyed.op", "config", configuration(10))
@@ -124,7 +129,7 @@
     assert 0.1 < float(answer.getheader("Retry-After")) < 1.0
     assert lookup(fleet, "other").status == 503
     assert lookup(fleet, None, "/open/1").status == 200
-    assert events(fleet, "PF1202")
+    assert log_events(fleet.log, "PF1202")
     fleet.store.mode = "up"
     wait_until(lambda: lookup(fleet, KEYS[1]).status == 200, 6.0)
     assert lookup(fleet, KEYS[0]).status == 401
@@ -134,7 +139,7 @@
     """Guards against the first requests after a pause, which arrive before the host
     has read the configuration again."""
     before = len(runs(fleet))
-    fleet.process.send_signal(signal.SIGSTOP)
+    fleet.pause()
     fleet.store.put("keyed.op", "config", config(8, tenant("huka", KEYS[1])))
     time.sleep(REVOKE_S + 0.2)
     statuses = []
--- a/tests/functional/test_quota_over_hosts.py
+++ b/tests/functional/test_quota_over_hosts.py
@@ -1,5 +1,6 @@
 """Quotas of accounts over several router processes of two regions, on loopback."""
 
+import http.client
 import json
 import time
 
@@ -88,15 +89,55 @@
     assert all(node.call("key-other").status == 200 for node in nodes)
 
 
+def call_or_fail(node):
+    """Return whether a call is admitted; one to a process that is down is not."""
+    try:
+        return node.call("key-spread").status == 200
+    except (OSError, http.client.HTTPException):
+        return False
+
+
+@pytest.mark.timeout(90)
+def test_hosts_that_start_again_keep_the_quota(start, endpoint):
+    """Guards against processes that admit anew what the former processes of their
+    hosts have admitted within the window, when no relay has outlived these."""
+    nodes = start([account("spread")])
+    wait_until(lambda: all(n.heard_hosts() == 3 for n in nodes), START_LIMIT_S)
+    wait_until(lambda: all(n.logged("PF6301") for n in nodes), START_LIMIT_S)
+    time.sleep(1.0)
+    started_at = time.monotonic()
+    actions = [
+        (2.2, nodes[0].kill), (2.6, nodes[1].kill),
+        (2.7, lambda: nodes[0].start(bootstrap=False)),
+        (3.0, lambda: nodes[1].start(bootstrap=False)),
+    ]  # fmt: skip
+    admitted = []
+    number = 0
+    while (now := time.monotonic() - started_at) < 14.0:
+        if actions and now >= actions[0][0]:
+            actions.pop(0)[1]()
+        number += 1
+        if call_or_fail(nodes[number % 3]):
+            admitted.append(now)
+        time.sleep(1 / 12)
+    highest = max(sum(at - WINDOW_S < a <= at for a in admitted) for at in admitted)
+    print(f"highest window {highest} of {BOUND:.0f}, {admitted}")
+    assert highest <= BOUND
+    # After a window nothing is kept for the former processes.
+    assert admitted[-1] > 11.0
+
+
 @pytest.mark.timeout(90)
 def test_units_of_a_rejected_call_are_returned(start, endpoint, store):
     """Guards against calls without a usable endpoint that use up the quota."""
-    nodes = start([account("spread")])
+    nodes = start([account("spread"), account("free", rate_per_s=0)])
     wait_until(lambda: all(n.heard_hosts() == 3 for n in nodes), START_LIMIT_S)
     wait_until(lambda: nodes[0].call("key-spread").status == 200, START_LIMIT_S)
     entry = endpoint.entry("registry", state="draining")
     store.put("keyed.servers", "i-plain-1", entry)
-    wait_until(lambda: nodes[0].call("key-spread").status == 503, START_LIMIT_S)
+    # Calls of the limited account that are served while the node does not know of the
+    # drain would use up its quota before the check.
+    wait_until(lambda: nodes[0].call("key-free").status == 503, START_LIMIT_S)
     statuses = {nodes[0].call("key-spread").status for _ in range(int(2 * BOUND))}
     assert statuses == {503}
 
--- a/tests/lib/quota_fleet.py
+++ b/tests/lib/quota_fleet.py
@@ -1,5 +1,6 @@
 """A fleet of hosts that share quotas, under a clock that the test advances."""
 
+import math
 import random
 from typing import NamedTuple
 
@@ -30,21 +31,41 @@
 class SimulatedHost:
     """A host with the tick in its period at which it sends."""
 
-    def __init__(self, name: str, region: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        rng: random.Random,
+        rule: QuotaRule,
+        unknown_until: float = -math.inf,
+    ) -> None:
         self.name = name
         self.region = region
-        self.quota = HostQuota(RULE, rng)
+        self.quota = HostQuota(rule, rng, unknown_until)
         self.phase = rng.randrange(PERIOD_TICKS)
         self.is_cut = False
         self.paused_until = 0.0
+        # A process that has just started is connected to no relay yet.
+        self.connected_at = 0.0
+        self.incarnation = 0
+        self.place = 0
         self.cursors: dict[str, dict] = {}
+        # The relays to which the connection has broken.
+        self.broken: set[str] = set()
 
 
 class QuotaFleet:
     """Hosts in two regions. Messages arrive one tick after they were sent."""
 
-    def __init__(self, hosts: int, limits: dict[str, AccountLimit], seed: int) -> None:
+    def __init__(
+        self,
+        hosts: int,
+        limits: dict[str, AccountLimit],
+        seed: int,
+        rule: QuotaRule = RULE,
+    ) -> None:
         self.rng = random.Random(seed)
+        self.rule = rule
         self.limits = dict(limits)
         self.now = 1000.0
         self.tick = 0
@@ -58,16 +79,33 @@
             self.join(f"h{number}", "ab"[number % 2])
 
     def join(self, name: str, region: str) -> None:
-        self.hosts[name] = SimulatedHost(name, region, self.rng)
+        self.hosts[name] = SimulatedHost(name, region, self.rng, self.rule)
+        self.hosts[name].place = self.nodes
         self.nodes += 1
 
     def end(self, name: str) -> None:
         """End a host; it counts as present until its record expires."""
         del self.hosts[name]
 
+    def start_again(self, host: SimulatedHost, connect_s: float) -> None:
+        """Start a new process of a host that has ended."""
+        unknown_until = self.now + self.rule.window_s
+        found = SimulatedHost(
+            host.name, host.region, self.rng, self.rule, unknown_until
+        )
+        found.connected_at = self.now + connect_s
+        found.incarnation = host.incarnation + 1
+        # The host keeps its place in the order of the relays.
+        found.place = host.place
+        self.hosts[host.name] = found
+        self.hosts = dict(sorted(self.hosts.items(), key=lambda row: row[1].place))
+
     def relays(self, region: str) -> list[SimulatedHost]:
         found = [h for h in self.hosts.values() if h.region == region]
-        return [h for h in found if h.name not in self.unavailable][:2]
+        return [h for h in found if self._is_available(h)][:2]
+
+    def _is_available(self, host: SimulatedHost) -> bool:
+        return host.name not in self.unavailable and host.connected_at <= self.now
 
     def keyed_limits(self) -> dict[int, AccountLimit]:
         return {account_key(name): limit for name, limit in self.limits.items()}
@@ -108,15 +146,29 @@
                     self._send_as_relay(host)
 
     def _report(self, host: SimulatedHost) -> None:
+        if host.connected_at > self.now:
+            return
         for relay in self.relays(host.region):
-            if relay is host or relay.is_cut or host.is_cut:
+            if relay is host:
+                continue
+            name = f"{relay.name}/{relay.incarnation}"
+            is_cut = relay.is_cut or host.is_cut
+            if name in host.broken and not is_cut:
+                host.broken.discard(name)
+                host.quota.restart_reports(name)
+            rows = host.quota.take_report(name, self.now)
+            if is_cut:
+                # The report goes into a connection that ends without an error.
+                host.broken.add(name)
                 continue
-            rows = host.quota.take_report(relay.name, self.now)
+            unknown_s = host.quota.unknown_s(self.now)
             self.mail.append(
                 (
                     relay,
-                    lambda now, relay=relay, rows=rows: (
-                        relay.quota.ledger.record_report(host.name, rows, now)
+                    lambda now, relay=relay, rows=rows, unknown_s=unknown_s: (
+                        relay.quota.ledger.record_report(
+                            host.name, rows, now, unknown_s
+                        )
                     ),
                 )
             )
@@ -125,17 +177,20 @@
         if relay.is_cut:
             return
         sent_at = self.now
+        name = f"{relay.name}/{relay.incarnation}"
         rows = relay.quota.ledger.levels(self.keyed_limits(), self.nodes, sent_at)
         for host in self.hosts.values():
             if not relay.quota.ledger.is_settled(self.nodes, sent_at):
                 break
             if host.region != relay.region or host is relay or host.is_cut:
                 continue
+            if host.connected_at > self.now:
+                continue
             self.mail.append(
                 (
                     host,
                     lambda now, host=host: host.quota.record_levels(
-                        relay.name, rows, sent_at, now
+                        name, rows, sent_at, now
                     ),
                 )
             )
@@ -144,22 +199,24 @@
 
     def _send_region(self, relay: SimulatedHost, other: SimulatedHost) -> None:
         """Send the use of a region to the relays that get it from this relay."""
+        name = f"{other.name}/{other.incarnation}"
         if not self.has_region_link or other.is_cut:
-            relay.cursors.pop(other.name, None)
+            relay.cursors.pop(name, None)
             return
         if relay is not self.relays(relay.region)[0]:
             return
         local = relay.quota.ledger.local
-        is_snapshot = other.name not in relay.cursors
+        is_snapshot = name not in relay.cursors
         if is_snapshot:
-            relay.cursors[other.name] = local.window_cursor(self.now)
-        rows = local.new_rows(relay.cursors[other.name])
+            relay.cursors[name] = local.window_cursor(self.now)
+        rows = local.new_rows(relay.cursors[name])
         hosts = relay.quota.ledger.local_hosts(self.now)
+        unknown = relay.quota.ledger.local_unknown(self.now)
         self.mail.append(
             (
                 other,
                 lambda now: other.quota.ledger.record_region(
-                    relay.region, hosts, rows, is_snapshot, now
+                    relay.region, hosts, rows, is_snapshot, now, unknown
                 ),
             )
         )
@@ -179,7 +236,7 @@
         highest = used = first = 0
         for at, units in rows:
             used += units
-            while rows[first][0] <= at - RULE.window_s:
+            while rows[first][0] <= at - self.rule.window_s:
                 used -= rows[first][1]
                 first += 1
             highest = max(highest, used)
@@ -188,11 +245,11 @@
     def refusals_within_quota(self, account: str) -> int:
         """Count refused calls although all calls of their window were in the quota."""
         rows = [ask for ask in self.asks if ask.account == account]
-        quota = RULE.quota(self.limits[account])
+        quota = self.rule.quota(self.limits[account])
         refused = used = first = 0
         for ask in rows:
             used += ask.units
-            while rows[first].at <= ask.at - RULE.window_s:
+            while rows[first].at <= ask.at - self.rule.window_s:
                 used -= rows[first].units
                 first += 1
             refused += not ask.admitted and used <= quota
--- a/tests/unit/test_account_quota.py
+++ b/tests/unit/test_account_quota.py
@@ -7,9 +7,13 @@
 
 from poplarfold._internal.core.fleet.account_quota import (
     FRESH_S,
+    LEVELS_EXPECTED_S,
+    RETRY_JITTER,
     HostQuota,
     LevelRow,
+    QuotaRule,
 )
+from poplarfold._internal.core.fleet.accounts import AccountLimit, UsageUnit
 from poplarfold._internal.core.fleet.relay_messages import (
     UsageLevels,
     UsageReport,
@@ -151,6 +155,87 @@
     assert fleet.highest_window("large") <= BOUND
 
 
+HEAVY = {"heavy": AccountLimit(UsageUnit.TOKENS, 900.0, 1800.0, 200.0)}
+HEAVY_RULE = QuotaRule(window_s=8.0, over=0.1, slack=3000.0)
+HEAVY_LOAD = {"heavy": 3600.0}
+
+
+@pytest.mark.parametrize(("hosts", "stops"), [(3, 2), (4, 2), (6, 3), (6, 4), (12, 6)])
+@pytest.mark.parametrize("seed", range(8))
+def test_overlapping_stops_keep_the_bound(hosts, stops, seed):
+    """Guards against hosts that admit anew what their former processes have admitted
+    within the window, if all relays that knew of it have ended as well."""
+    fleet = QuotaFleet(hosts, HEAVY, seed, HEAVY_RULE)
+    choice = random.Random(seed)
+    fleet.run(2.0, {})
+    fleet.run(9.0, {"heavy": 900.0}, 300)
+    fleet.run(choice.uniform(0.5, 4.0), HEAVY_LOAD, 300)
+    for _ in range(3):
+        ended = []
+        for name in choice.sample(sorted(fleet.hosts), stops):
+            ended.append((fleet.now + choice.uniform(1.0, 3.0), fleet.hosts[name]))
+            fleet.end(name)
+            fleet.run(choice.uniform(0.0, 1.5), HEAVY_LOAD, 300)
+        for at, host in sorted(ended, key=lambda row: row[0]):
+            fleet.run(max(0.0, at - fleet.now), HEAVY_LOAD, 300)
+            fleet.start_again(host, choice.uniform(0.3, 1.2))
+        fleet.run(choice.uniform(2.0, 9.0), HEAVY_LOAD, 300)
+    assert fleet.highest_window("heavy") <= HEAVY_RULE.bound(HEAVY["heavy"])
+
+
+def end_and_start_all(fleet):
+    """End all hosts at once, and start them again two seconds later."""
+    ended = list(fleet.hosts.values())
+    for host in ended:
+        fleet.end(host.name)
+    for _ in range(40):
+        fleet.step()
+    for host in ended:
+        fleet.start_again(host, fleet.rng.uniform(0.3, 0.8))
+
+
+@pytest.mark.parametrize("before_s", [1.5, 3.0, 6.0])
+def test_start_of_all_hosts_during_a_surge_keeps_the_bound(before_s):
+    """Guards against a fleet that has lost all that was admitted, and admits as much
+    again within the window."""
+    fleet = settled_fleet(seed=1)
+    fleet.run(before_s, SURGE)
+    end_and_start_all(fleet)
+    fleet.run(10.0, SURGE)
+    assert fleet.highest_window("large") <= BOUND
+
+
+def test_start_of_all_hosts_refuses_little_of_the_usual_load():
+    """Guards against a fleet that refuses most calls for a whole window after all of
+    its hosts have started again, though the accounts are far from their quotas."""
+    fleet = settled_fleet(seed=1)
+    end_and_start_all(fleet)
+    fleet.run(1.5, USUAL)
+    since = len(fleet.asks)
+    fleet.run(10.0, USUAL)
+    refused = sum(not ask.admitted for ask in fleet.asks[since:])
+    print(f"refused {refused} of {len(fleet.asks) - since}")
+    assert refused <= 0.05 * (len(fleet.asks) - since)
+
+
+@pytest.mark.parametrize(("unheard_s", "kept_hosts"), [(2.0, 0), (5.0, 1), (20.0, 1)])
+def test_relay_keeps_nothing_for_a_process_that_it_has_heard(unheard_s, kept_hosts):
+    """Guards against a relay that counts the use of a former process twice, and one
+    that takes a former process for known that it has not heard for long."""
+    ledger = HostQuota(RULE, random.Random(1)).ledger
+    ledger.record_report("h", [UsageRow(KEY, 900, 0)], 10.0)
+    ledger.record_report("h", [], 10.0 + unheard_s, RULE.window_s)
+    assert ledger.local_unknown(10.0 + unheard_s).hosts == kept_hosts
+
+
+def test_first_use_of_a_process_is_kept_for_one_window():
+    """Guards against a share that is kept for longer than the calls count."""
+    quota = HostQuota(RULE, random.Random(1), unknown_until=18.0)
+    ledger, limit = quota.ledger, LIMITS["large"]
+    rooms = [ledger.room(KEY, limit, 1, now).units for now in (10.0, 14.0, 18.0)]
+    assert rooms[0] < rooms[1] < rooms[2] == RULE.usable(limit)
+
+
 def test_lowered_limit_is_binding_one_window_later():
     """Guards against hosts that go on with the room of the former limit."""
     fleet = settled_fleet(seed=3)
@@ -172,6 +257,49 @@
     assert refused.unwrap_err().remaining_s >= 0.5
 
 
+def test_call_is_asked_to_come_back_once_levels_are_expected():
+    """Guards against callers who wait until a host's small share is free again, though
+    the host has just started and has the relays' levels within two seconds."""
+    quota = HostQuota(RULE, random.Random(1), unknown_until=18.0, started_at=10.0)
+    limit = LIMITS["large"]
+    assert quota.admit(KEY, limit, 1_500, 82, 10.4).is_ok()
+    assert quota.room(KEY, limit, 82, 10.5).wait_s >= 7.0
+    refused = quota.admit(KEY, limit, 10_000, 82, 10.5)
+    levels_at = 10.0 + LEVELS_EXPECTED_S
+    longest_s = (levels_at - 10.5) * (1.0 + RETRY_JITTER)
+    assert levels_at - 10.5 <= refused.unwrap_err().remaining_s <= longest_s
+    # Levels are late, so the host may be cut off from its relays.
+    refused = quota.admit(KEY, limit, 10_000, 82, levels_at)
+    assert refused.unwrap_err().remaining_s >= quota.room(KEY, limit, 82, 12.0).wait_s
+
+
+def test_call_is_asked_to_come_back_once_a_new_relay_is_expected():
+    """Guards against callers who wait for a host's small share after its relay has
+    ended, and against short waits for a relay whose levels say more."""
+    quota = HostQuota(RULE, random.Random(1), started_at=0.0)
+    limit = LIMITS["large"]
+    share = int(RULE.usable(limit) / 82)
+    quota.record_levels("r1", [], sent_at=10.0, now=10.0)
+    assert quota.admit(KEY, limit, share - 100, 82, 10.1).is_ok()
+    gone_at = 10.0 + FRESH_S
+    refused = quota.admit(KEY, limit, 10_000, 82, gone_at)
+    longest_s = LEVELS_EXPECTED_S * (1.0 + RETRY_JITTER)
+    assert refused.unwrap_err().remaining_s <= longest_s
+    quota.record_levels("r2", [LevelRow(KEY, 0, 100, 60)], gone_at + 0.5, gone_at + 0.5)
+    refused = quota.admit(KEY, limit, 10_000, 82, gone_at + 0.5)
+    assert refused.unwrap_err().remaining_s >= 6.0
+
+
+def test_call_that_never_fits_is_not_asked_back_soon():
+    """Guards against retries of a call that is larger than the account's quota."""
+    quota = HostQuota(RULE, random.Random(1), unknown_until=18.0, started_at=10.0)
+    limit = LIMITS["large"]
+    units = int(RULE.usable(limit)) + 1
+    assert quota.admit(KEY, limit, 1_500, 82, 10.4).is_ok()
+    refused = quota.admit(KEY, limit, units, 82, 10.5)
+    assert refused.unwrap_err().remaining_s >= 7.0
+
+
 def test_paused_host_discards_old_levels():
     """Guards against a host that admits by the room of before its pause."""
     quota = HostQuota(RULE, random.Random(1))
@@ -227,6 +355,36 @@
     assert relay.ledger.local.window_sum(KEY, 12.0) == 5_700
 
 
+def test_use_that_a_lost_report_told_is_told_again():
+    """Guards against use that a relay never counts, since the report of it went into a
+    connection that had broken (QUOTA), and against use that is told again for good."""
+    quota = HostQuota(RULE, random.Random(1))
+    quota.admit(KEY, LIMITS["large"], 50, 1, 10.0)
+    assert quota.take_report("r", 10.0) == [UsageRow(KEY, 50, 0)]
+    quota.admit(KEY, LIMITS["large"], 70, 1, 10.2)
+    quota.take_report("r", 10.3)
+    # This level includes the first report only.
+    quota.record_levels("r", [], sent_at=10.3, now=10.35)
+    quota.restart_reports("r")
+    assert quota.take_report("r", 10.6) == [UsageRow(KEY, 70, 0)]
+    quota.record_levels("r", [], sent_at=10.8, now=10.85)
+    quota.restart_reports("r")
+    assert quota.take_report("r", 10.9) == []
+
+
+def test_level_is_offset_against_what_it_includes():
+    """Guards against a host that admits more than there is room for, since its latest
+    report had left, but not arrived, when the relay sent a level."""
+    quota = HostQuota(RULE, random.Random(1))
+    quota.take_report("r", 9.0)
+    quota.admit(KEY, LIMITS["large"], 500, 1, 10.0)
+    quota.take_report("r", 10.0)
+    quota.record_levels("r", [LevelRow(KEY, 600, 0, 5)], sent_at=10.01, now=10.05)
+    assert quota.room(KEY, LIMITS["large"], 1, 10.05).units == 100
+    quota.record_levels("r", [LevelRow(KEY, 100, 0, 5)], sent_at=10.2, now=10.25)
+    assert quota.room(KEY, LIMITS["large"], 1, 10.25).units == 100
+
+
 def test_region_snapshot_is_not_counted_twice():
     """Guards against a new connection between regions that repeats what is known."""
     ledger = HostQuota(RULE, random.Random(1)).ledger
--- a/tests/unit/test_quota_of_calls.py
+++ b/tests/unit/test_quota_of_calls.py
@@ -27,7 +27,6 @@
 from poplarfold._internal.core.fleet.rows import CallKind
 from poplarfold._internal.core.fleet.usage_rows import pack_rows, unpack_rows
 from poplarfold._internal.core.message_codec import MessageCodec
-from poplarfold._internal.daemon.endpoint_client import Answer
 from poplarfold._internal.exceptions import (
     CallerDisconnectedError,
     CallTimeoutError,
@@ -42,8 +41,9 @@
 from poplarfold._internal.gateway.metrics import GatewayMetrics
 from poplarfold._internal.gateway.plain_calls import PlainCall
 from poplarfold._internal.gateway.settings import GatewaySettings
-from poplarfold._internal.gateway.stream_places import StreamPlaces
 from poplarfold._internal.http.answer_memory import AnswerMemory
+from poplarfold._internal.http.exchange import Answer
+from poplarfold._internal.http.stream_places import StreamPlaces
 from poplarfold._internal.platform.boot import Bounds
 from poplarfold._internal.platform.calls import NOT_EXECUTED
 
@@ -66,6 +66,25 @@
     return AccountUsage(fleet, GatewayMetrics(), lambda *event: None)
 
 
+def test_process_that_starts_again_keeps_its_former_use():
+    """Guards against a process that admits a whole quota again right after its start,
+    and against one that tells no relay that it has started again."""
+    clock = SimpleNamespace(now=10.0)
+    host = host_settings("h", "", Bounds(quota_over=0.0))
+    host = host._replace(is_first_start=False)
+    fleet = Fleet(host, GatewaySettings(unknown_nodes=1), 1, lambda: clock.now)
+    usage = AccountUsage(fleet, GatewayMetrics(), lambda *event: None)
+    relay = AccountUsage(fleet, GatewayMetrics(), lambda *event: None)
+    assert usage.admit(ACCOUNT, QUOTA / 2).is_err()
+    report = usage.report("relay")
+    assert report.unknown_s == 8.0
+    relay.record_report("h2", report)
+    assert relay.region_snapshot()[0].unknown_hosts == 2
+    clock.now = 18.0
+    assert usage.admit(ACCOUNT, QUOTA / 2).is_ok()
+    assert usage.report("relay").unknown_s == 0.0
+
+
 def context_of(was_sent, **counts):
     call = SimpleNamespace(prompt_tokens=0, max_outputs=0, has_token_count=False)
     vars(call).update(counts)
