Ignore endpoint entries that cannot be sent in a request

One entry with an id, service, version or address that does not fit into a request made all calls of its service fail with status 500, as the error ended the call and not the attempt. Such entries name no endpoint, and an unexpected error on the way to an endpoint counts against it.

--- a/src/poplarfold/_internal/platform/engines.py
+++ b/src/poplarfold/_internal/platform/engines.py
@@ -10,14 +10,10 @@
 from poplarfold._internal.core.fleet.rows import EndpointLoad, FleetEndpoint
 from poplarfold._internal.core.fleet.server_signals import ServerSignal
 from poplarfold._internal.core.model import EndpointRole
-from poplarfold._internal.daemon.endpoint_client import (
-    AbortHandle,
-    Answer,
-    EndpointClient,
-    Failure,
-    Target,
-)
 from poplarfold._internal.exceptions import EndpointError, EndpointRefusedError
+from poplarfold._internal.http.endpoint_client import EndpointClient
+from poplarfold._internal.http.exchange import AbortHandle, Answer, Target
+from poplarfold._internal.http.failures import Failure
 from poplarfold._internal.platform.calls import (
     TARGET_INSTANCE,
     AnswerMetadata,
@@ -26,6 +22,8 @@
     decode_answer_metadata,
     endpoint_headers,
 )
+from poplarfold._internal.utils.addresses import host_and_port
+from poplarfold._internal.utils.checks import check_sendable
 from poplarfold._internal.utils.clock import boot_time
 
 __all__ = ["EngineClient", "Lease", "OrderRequest", "PrefillResult"]
@@ -103,8 +101,8 @@
             return Err(result.unwrap_err())
         answer = result.unwrap()
         metadata = self._decode_metadata(engine, answer, sent_at)
-        lease_id = answer.json().get("hold")
-        if answer.status == 200 and isinstance(lease_id, str):
+        lease_id = sendable_field(answer, "hold")
+        if answer.status == 200 and lease_id is not None:
             return Ok(Lease(lease_id, metadata.load))
         message = f"{engine.address} refused a lease with status {answer.status}"
         return Err(Failure(EndpointRefusedError(message), sent=False))
@@ -143,11 +141,10 @@
             return Err(result.unwrap_err())
         answer = result.unwrap()
         metadata = self._decode_metadata(engine, answer, sent_at)
-        found = answer.json()
-        kv_handle = found.get("handle")
+        kv_handle = sendable_field(answer, "handle")
         is_own = metadata.request_id in (None, call.request_id)
-        if answer.status == 200 and isinstance(kv_handle, str) and is_own:
-            tokens = found.get("tokens")
+        if answer.status == 200 and kv_handle is not None and is_own:
+            tokens = answer.json().get("tokens")
             count = tokens if type(tokens) is int else 0
             return Ok(PrefillResult(kv_handle, count, metadata.load))
         message = f"{engine.address} answered a prefill with status {answer.status}"
@@ -206,12 +203,16 @@
         return result.unwrap().status
 
     def has_ended(self, address: str, timeout_s: float) -> bool:
-        """Return whether no process listens at an engine's address any more."""
-        host, _, port = address.rpartition(":")
+        """Return whether it is sure that no process listens at an engine's address.
+
+        An engine that another node reaches is only cut off from this one, which may
+        also be so if no other node can say whether it reaches the engine.
+        """
+        paths = self.endpoint_client.paths
         try:
-            socket.create_connection((host, int(port)), timeout_s).close()
+            socket.create_connection(host_and_port(address), timeout_s).close()
         except ConnectionRefusedError:
-            return True
+            return paths is None or paths.is_reached_elsewhere(address) is False
         except OSError:
             return False
         return False
@@ -230,3 +231,15 @@
             Target(address, "DELETE", path), None, {}, timeout_s
         )
         return result.is_ok() and result.unwrap().status in (200, 404)
+
+
+def sendable_field(answer: Answer, name: str) -> str | None:
+    """Return a text that an engine wants back in a header, or None if it has none.
+
+    A text that no header can have would make the next request fail, also at another
+    engine, against which that would count.
+    """
+    try:
+        return check_sendable(answer.json().get(name), name)
+    except (TypeError, ValueError):
+        return None
--- a/tests/unit/test_odd_records.py
+++ b/tests/unit/test_odd_records.py
@@ -34,7 +34,10 @@
     "born": 1788179296174,
 }
 MEMBER = {"incarnation": 1, "region": "lahore", "relay": "127.0.0.1:9", "link_mbps": 1}
-PART = {"depth": 0, "round": 1, "blocks": 0, "incidents": 1, "crashes": [["i-1", 7]]}
+PART = {
+    "depth": 0, "round": 1, "blocks": 0, "incidents": 1, "crashes": [["i-1", 7]],
+    "order": 1,
+}  # fmt: skip
 GOOD = {
     StoreTopic.ROUTES: ("config", json.loads(configuration(9))),
     StoreTopic.ENDPOINTS: ("i-good", ENTRY),
@@ -101,8 +104,9 @@
         assert self.knows(topic)
         picked = self.fleet.pick("registry", EndpointRole.SERVICE, set())
         assert (picked is None) == (not self.fleet.directory.endpoints)
-        states = PartStates(self.guard.states())
+        states = PartStates.of_states(self.guard.states())
         assert unpack(pack(states)).unwrap() == states
+        assert states.part_states() == self.guard.states()
         message = self.state.message_for(topic, None)
         assert unpack(pack(message)).unwrap() == message
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -6,9 +6,11 @@
 import pytest
 from tests.lib.platform_standin import configuration, route
 
+from poplarfold._internal.core.fleet.order_lease import fencing_number
 from poplarfold._internal.core.fleet.rows import CallKind, EndpointLoad
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.exceptions import PlatformFormatError
+from poplarfold._internal.http.exchange import Answer
 from poplarfold._internal.platform import (
     CallTarget,
     caller_answer_headers,
@@ -19,7 +21,7 @@
     endpoint_headers,
     read_boot_file,
 )
-from poplarfold._internal.platform.store import decode_read
+from poplarfold._internal.platform.store import StoreClient, decode_read
 
 
 @pytest.mark.parametrize(
@@ -116,6 +118,42 @@
         decode_endpoint("i-1", value)
 
 
+UNSENDABLE = ["", " ", "a ", " a", "a\n", "a\r\nX-A: 1", "a\x00", "a\x7f", "\xe9",
+              "\u0661", "\ufffd", "\ud800"]  # fmt: skip
+
+
+@pytest.mark.parametrize("text", UNSENDABLE)
+def test_entry_that_cannot_be_sent_as_it_is_is_rejected(text):
+    """Guards against an endpoint with whose id or names no request can be sent, or
+    only other ones than the store has."""
+    with pytest.raises(PlatformFormatError) as raised:
+        decode_endpoint(text, entry())
+    str(raised.value).encode()
+    for name in ("service", "version"):
+        with pytest.raises(PlatformFormatError):
+            decode_endpoint("i-1", entry(**{name: text}))
+
+
+def test_entry_with_any_visible_text_is_kept():
+    """Guards against sound endpoints that are not used for an unusual id."""
+    visible = "".join(map(chr, range(0x20, 0x7F))).strip()
+    row = decode_endpoint(visible, entry(service=visible, version=visible))
+    assert (row.endpoint_id, row.service, row.software_version) == (visible,) * 3
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["0177.0.0.1:80", "10.0.0.01:80", "10.0.0.1:080", "10.0.0.1:+80", "10.0.0.1: 80",
+     "10.0.0.1:80\n", "0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80", "10.1:80",
+     "10.0.0.1:\u0668\u0660", "\u0661.0.0.1:80", "[::1]:80", "10.0.0.1:65536"],
+)  # fmt: skip
+def test_entry_with_an_address_of_no_host_is_rejected(address):
+    """Guards against an endpoint that cannot be connected to, or whose address the
+    resolver reads as another one."""
+    with pytest.raises(PlatformFormatError):
+        decode_endpoint("i-1", entry(address=address))
+
+
 def test_configuration():
     """Guards against kinds, times and weights that are decoded wrongly."""
     table = decode_routes(configuration())
@@ -275,6 +313,24 @@
     return {**fields, **changes}
 
 
+def test_answer_without_an_era_counts_for_the_highest_one():
+    """Guards against answers that are ignored as outdated, since a late one of an
+    earlier era came before them."""
+    store = StoreClient(None, "10.200.1.7:8142")
+    named = [Answer(200, {"Store-Era": era}, b"") for era in ("4", "3")]
+    assert [store.era_of(answer) for answer in named] == [4, 3]
+    assert store.era_of(Answer(200, {}, b"")) == 4
+
+
+def test_eras_whose_fencing_numbers_are_not_exact_in_json_are_ignored():
+    """Guards against a claim with a fencing number that an engine rounds."""
+    store = StoreClient(None, "10.200.1.7:8142")
+    highest = Answer(200, {"Store-Era": str(2**21 - 1)}, b"")
+    above = Answer(200, {"Store-Era": str(2**21)}, b"")
+    assert [store.era_of(answer) for answer in (highest, above)] == [2**21 - 1] * 2
+    assert fencing_number(2**32 - 1, 2**21 - 1) <= 2**53
+
+
 def test_boot_file(tmp_path):
     """Guards against a new field of the platform that prevents the start."""
     path = tmp_path / "boot.json"
@@ -283,6 +339,37 @@
     assert host.caller_listen == ("10.1.0.35", 8144)
     assert host.bounds.leaving_s == 2.5
     assert host.store_address == "10.200.1.7:8142"
+    assert host.endpoint_silence_s == 3.6
+
+
+def test_heartbeat_in_the_boot_file(tmp_path):
+    """Guards against a bound for expired entries that is not the platform's."""
+    path = tmp_path / "boot.json"
+    path.write_text(json.dumps(boot_fields(heartbeat_ms=2500)))
+    assert read_boot_file(str(path)).endpoint_silence_s == 7.5
+
+
+def test_time_of_an_append_in_the_boot_file(tmp_path):
+    """Guards against nodes that write at once what the store takes one by one."""
+    path = tmp_path / "boot.json"
+    fields = boot_fields()
+    path.write_text(json.dumps(fields))
+    assert read_boot_file(str(path)).store_append_s == 0.004
+    fields["platform"]["append_ms"] = 9.5
+    path.write_text(json.dumps(fields))
+    assert read_boot_file(str(path)).store_append_s == 0.0095
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"), [(True, True), (False, False), (None, False), ("no", False)]
+)
+def test_first_start_in_the_boot_file(tmp_path, value, expected):
+    """Guards against a process that takes a restart for the first start of all nodes,
+    since its file has no such field or a malformed one."""
+    path = tmp_path / "boot.json"
+    changes = {} if value is None else {"bootstrap": value}
+    path.write_text(json.dumps(boot_fields(**changes)))
+    assert read_boot_file(str(path)).is_first_start is expected
 
 
 @pytest.mark.parametrize("changes", [{"listen": {}}, {"platform": None}, {"zones": 3}])
