Give the connections of a test the descriptor that it needs

It gets the lowest free one, and a thread of an earlier test of the process had freed a lower one meanwhile. The premise of the test was not met; the stand-in was right.

Both connections now ask for one descriptor above those of other tests. With a lower descriptor freed on purpose just before, the old form fails and the new one passes, and with the stand-in's lock taken out (the fault it guards against) the new one fails. The checks are unchanged.

--- a/tests/unit/test_cut_sockets.py
+++ b/tests/unit/test_cut_sockets.py
@@ -1,12 +1,26 @@
 """Tests of the connections of a host that a test partitions from its endpoints."""
 
 import errno
+import fcntl
+import resource
 import socket
 import threading
 
 import pytest
 from tests.lib.cut_gateway import CutMode, CutSockets, write_control
 
+# Above the descriptors of other tests. A new socket gets the lowest free descriptor,
+# and threads of earlier tests may free lower ones than the one that a test closes.
+UNUSED_DESCRIPTOR = min(4096, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - 1
+
+
+def socket_at(descriptor):
+    """Return a new socket that has a descriptor, which must be free."""
+    with socket.socket() as made:
+        copy = fcntl.fcntl(made, fcntl.F_DUPFD_CLOEXEC, descriptor)
+    assert copy == descriptor
+    return socket.socket(fileno=copy)
+
 
 def test_refused_port_is_given_to_no_server(tmp_path):
     """Guards against cut hosts whose requests reach a server of another test, at the
@@ -70,13 +84,14 @@
         write_control(control, CutMode.NONE, addresses)
         sockets = CutSockets(control)
         sockets.replace_calls()
-        closed = socket.create_connection(endpoint.getsockname())
-        descriptor = closed.fileno()
+        closed = socket_at(UNUSED_DESCRIPTOR)
+        closed.connect(endpoint.getsockname())
         opened = []
 
         def close_and_open():
             closed.close()
-            opened.append(socket.create_connection(store.getsockname()))
+            opened.append(socket_at(UNUSED_DESCRIPTOR))
+            opened[0].connect(store.getsockname())
 
         thread = threading.Thread(target=close_and_open)
         make_pair = socket.socketpair
@@ -93,7 +108,7 @@
         (sock,) = opened
         accepted, _ = store.accept()
         with sock, accepted:
-            assert sock.fileno() == descriptor
+            assert sock.fileno() == UNUSED_DESCRIPTOR
             accepted.sendall(b"whole answer")
             sock.settimeout(2.0)
             assert sock.recv(20) == b"whole answer"
