Count hosts as told a limit only by answers that they may pass on

The platform's rule sums the requests of the hosts that had passed on an answer with a limit. The check took a host for told by any answer, also by one with the id of another request, which no host may pass on. The hosts drop such an answer with its limit, so they were counted against a limit that they had not been told while an endpoint sent only such answers.

The stand-in endpoint now records with each answer whether it has the id of another request, read from the headers that it sends, and such an answer tells no host a limit. All else is as strict as before: the time since a limit was first named and the limit in force go by all answers, later answers of other requests do not excuse a host that was told, and answers that a host may pass on count also if it repeats the call elsewhere.

--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -1,5 +1,6 @@
 """Short seeded runs of real router processes under random faults."""
 
+import http.client
 import json
 
 import pytest
@@ -50,6 +51,41 @@
         store.stop()
 
 
+@pytest.mark.parametrize(
+    ("faults", "is_foreign"),
+    [
+        (set(), False),
+        ({"foreign"}, True),
+        ({"error", "foreign"}, True),
+        # A refusal has no id, so a host may pass it on.
+        ({"not_run", "foreign"}, False),
+    ],
+)
+def test_answers_to_other_requests_are_recorded(faults, is_foreign):
+    """Guards against hosts that count as told a limit by answers they must drop."""
+    records = Records()
+    endpoint = SoakEndpoint("i-1", "registry", records, None)
+    endpoint.limit_per_s = 2.5
+    connection = http.client.HTTPConnection(endpoint.address, timeout=5.0)
+    try:
+        # The second request is on the connection of the first one.
+        for number, current in enumerate((set(), faults)):
+            endpoint.faults = current
+            headers = {"Poplarfold-Request-Id": f"request-{number}"}
+            connection.request("GET", "/lookup/1", headers=headers)
+            answer = connection.getresponse()
+            answer.read()
+            assert answer.headers["Server-Limit"] == "2.5"
+        answers = [row for row in records.limit_rows if row.is_answer]
+        assert [row.request_id for row in answers] == ["request-0", "request-1"]
+        assert [row.is_foreign for row in answers] == [False, is_foreign]
+        assert {row.limit_per_s for row in answers} == {2.5}
+    finally:
+        connection.close()
+        endpoint.link.stop()
+        endpoint.stop()
+
+
 # To check all faults: python -m tests.functional.gateway_soak.find_planted
 @pytest.mark.parametrize("name", ["false_refusals", "hasty_stops"])
 @pytest.mark.timeout(120)
