--- a/tests/functional/gateway_soak/find_planted.py
+++ b/tests/functional/gateway_soak/find_planted.py
@@ -37,6 +37,8 @@
     "outdated_keys": ("hide_revocation", "revocation"),
     "whole_quotas": ("publish", "quota"),
     "whole_limits": ("publish", "endpoint limits"),
+    # Some answers are to other requests, which tell no host a limit.
+    "ignored_limits": ("publish break_service", "endpoint limits"),
     "unlimited_bodies": ("crowd", "limits"),
     "stuck_closing": ("crowd", "crowd"),
     "unused_peers": ("publish cut_off", "cut off"),
--- a/tests/functional/gateway_soak/planted.py
+++ b/tests/functional/gateway_soak/planted.py
@@ -25,7 +25,11 @@
 from poplarfold._internal.core.fleet.directory import Directory
 from poplarfold._internal.core.fleet.endpoint_paths import EndpointPaths
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch
-from poplarfold._internal.core.fleet.server_limits import LimitHosts, LimitShare
+from poplarfold._internal.core.fleet.server_limits import (
+    LimitHosts,
+    LimitShare,
+    ServerLimits,
+)
 from poplarfold._internal.exceptions import NotRunError
 from poplarfold._internal.gateway import main as gateway_main
 from poplarfold._internal.gateway.events import EventSplitter
@@ -240,6 +244,11 @@
     patch(server_limits, "share_of", share)
 
 
+def ignored_limits() -> None:
+    """Takes no notice of the limits that endpoints name."""
+    patch(ServerLimits, "record", lambda self, *given: False)
+
+
 def unlimited_bodies() -> None:
     """Holds request bodies without regard to the memory of the host."""
     patch(Holding, "resize", lambda self, size: self.force(size) or True)
@@ -263,8 +272,8 @@
         lost_events, leaving_endpoints, unseen_leavers, older_configurations,
         late_configurations, hasty_stops, late_calls, fatal_reloads, unlimited_retries,
         passed_keys, claimed_accounts, any_keys, ignored_revocations, outdated_keys,
-        whole_quotas, whole_limits, unlimited_bodies, stuck_closing, ignored_eras,
-        unused_peers,
+        whole_quotas, whole_limits, ignored_limits, unlimited_bodies, stuck_closing,
+        ignored_eras, unused_peers,
     )
 }  # fmt: skip
 
