Let a peer find out that the reset of a tunnel was lost

A host gives a tunnel up by a reset: SO_LINGER 0 sends one segment and drops the socket, and nobody sends that segment again. If it was lost, the peer kept the tunnel, and the endpoint worked on for nobody up to the end of the request's time, 14 s for a stream, or without an end if no time was told. Of a stream that went on elsewhere, both engines could work at a time. Only an answer that still came ended it sooner, as its bytes were answered by a reset.

The reset itself stays. An end in order stands behind the bytes of a request that the endpoint does not read, so that the peer would not learn of it in just these cases.

The peer's kernel now probes a silent tunnel each second, the shortest period that it takes. The host's kernel answers the probe of a connection that it does not know by another reset. The next probe makes up for one that is lost, too. A host whose kernel answers no probe for as long as it may take no byte (30 s by default) is given up; that of a frozen process answers.

The test has the peer's kernel drop the resets of closes, or all segments, by a filter of the socket.

--- a/src/poplarfold/_internal/gateway/tunnel.py
+++ b/src/poplarfold/_internal/gateway/tunnel.py
@@ -8,6 +8,7 @@
 import asyncio
 import http.client
 import io
+import math
 import socket
 import struct
 from collections.abc import Callable, Mapping, Sequence
@@ -45,6 +46,10 @@
 # A peer ends its requests itself at their time, and this much later its tunnels are
 # closed if it could not, as it froze or lost its links.
 TIME_MARGIN_S = 0.5
+# How often the kernel probes a silent connection to a peer. It takes whole seconds.
+PROBE_PERIOD_S = 1
+# The kernel takes no larger number of probes.
+PROBES_MAX = 127
 # Makes close() send a reset, so that an answer that broke off does not look complete.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -55,9 +60,10 @@
 class Tunnel:
     """One open tunnel between a peer and an endpoint.
 
-    It ends if the peer takes no byte of what it was sent for ``peer_idle_s``, and after
-    ``time_left_s`` unless that is 0. Otherwise it does not matter how long the answer
-    takes, nor how long the endpoint is silent or reads nothing.
+    It ends if the peer takes no byte of what it was sent for ``peer_idle_s``, if its
+    kernel is silent for so long, and after ``time_left_s`` unless that is 0. Otherwise
+    it does not matter how long the answer takes, nor how long the endpoint is silent or
+    reads nothing.
     """
 
     def __init__(
@@ -97,6 +103,7 @@
             asyncio.create_task(self._wait_for_peer_end()),
         ]
         try:
+            self._probe_peer()
             await asyncio.wait(
                 tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
             )
@@ -106,6 +113,21 @@
             await asyncio.gather(*tasks, return_exceptions=True)
             self._close()
 
+    def _probe_peer(self) -> None:
+        """Have the kernel find out whether the peer still has its connection.
+
+        A peer that gives up a request resets the connection, and that reset is not sent
+        again if it is lost. The kernel of the peer answers the next probe by another.
+        """
+        sock = self.peer_writer.get_extra_info("socket")
+        probes = math.ceil(self.peer_idle_s / PROBE_PERIOD_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_PERIOD_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PERIOD_S)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, min(probes, PROBES_MAX))
+        )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
     async def _forward_request(self) -> None:
         """Send the peer's bytes to the endpoint, until the peer closes."""
         while data := await self.peer_reader.read(READ_BYTES):
--- a/tests/functional/test_tunnels.py
+++ b/tests/functional/test_tunnels.py
@@ -9,11 +9,14 @@
 from tests.lib.gateway_process import wait_until
 from tests.lib.platform_standin import EndpointStandIn
 from tests.lib.tunnel_nodes import (
+    DROP_ALL,
+    DROP_CLOSING_RESETS,
     CutFinder,
     RawEndpoint,
     TunnelNode,
     TunnelPair,
     UnreadEndpoint,
+    drop_segments,
 )
 
 from poplarfold._internal.core.fleet.relays import Member
@@ -24,6 +27,7 @@
 )
 from poplarfold._internal.exceptions import EndpointStalledError
 from poplarfold._internal.gateway import tunnel_server
+from poplarfold._internal.http.answer_socket import is_received
 from poplarfold._internal.http.endpoint_client import EndpointClient
 from poplarfold._internal.http.exchange import AbortHandle, Target
 from poplarfold._internal.http.tunnel_socket import TunnelSocket
@@ -503,6 +507,33 @@
         pair.stop()
 
 
+@pytest.mark.parametrize(
+    ("lost", "caller_idle_s"), [(DROP_CLOSING_RESETS, 60.0), (DROP_ALL, CALLER_IDLE_S)]
+)
+def test_tunnel_ends_although_its_reset_is_lost(endpoint, lost, caller_idle_s):
+    """Guards against endpoints that work for a call which was given up, up to the end
+    of its time, since the only segment that tells the peer so was lost (GONE)."""
+    pair = TunnelPair(caller_idle_s=caller_idle_s, connect_s=5.0)
+    node = pair.node.fleet
+    node.settings = node.settings._replace(connect_s=5.0)
+    server = endpoint(WHOLE[:-2], keeps_open=True)
+    pair.announce("i-1", server.address)
+    socks = pair.note_tunnels()
+    target = Target(server.address, "POST", "/filing/1")
+    try:
+        opened = pair.node.client.open_stream(
+            target, b"body", HEADERS, 30.0, time_left_s=60.0
+        )
+        # Otherwise the peer would end the tunnel for an answer that is not taken.
+        wait_until(lambda: is_received(socks[0]), 5.0)
+        drop_segments(socks[0], lost)
+        opened.unwrap().close()
+        wait_until(lambda: pair.peer.server.count == 0, 15.0)
+        wait_until(lambda: server.closed_at, 5.0)
+    finally:
+        pair.stop()
+
+
 def test_answer_that_pauses_is_no_silence_of_the_peer(endpoint, connect):
     """Guards against streams that break off while an engine is silent for longer than a
     peer may read nothing."""
--- a/tests/lib/tunnel_nodes.py
+++ b/tests/lib/tunnel_nodes.py
@@ -1,10 +1,12 @@
 """A node that is cut off from endpoints, and a peer that reaches them."""
 
 import contextlib
+import ctypes
 import errno
 import fcntl
 import select
 import socket
+import struct
 import sys
 import termios
 import threading
@@ -23,6 +25,26 @@
 from poplarfold._internal.http.endpoint_client import EndpointClient
 
 CONNECT_S = 0.3
+# Linux's number of the option that sets a socket's packet filter.
+SO_ATTACH_FILTER = 26
+# Classic BPF on the TCP header: load the flags, keep RST and ACK, and drop a segment
+# that has both. The reset of a close has both; one that answers a segment has no ACK.
+DROP_CLOSING_RESETS = (
+    (0x30, 0, 0, 13),
+    (0x54, 0, 0, 0x14),
+    (0x15, 0, 1, 0x14),
+    (0x06, 0, 0, 0),
+    (0x06, 0, 0, 0xFFFFFFFF),
+)
+DROP_ALL = ((0x06, 0, 0, 0),)
+
+
+def drop_segments(sock, program):
+    """Have the kernel drop the segments for a TCP socket that a program selects."""
+    code = b"".join(struct.pack("HBBI", *row) for row in program)
+    buffer = ctypes.create_string_buffer(code, len(code))
+    option = struct.pack("HL", len(program), ctypes.addressof(buffer))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, option)
 
 
 class CutFinder(PathFinder):
@@ -105,6 +127,17 @@
         self.node.paths.paths.record_cut(address, True, self.node.fleet.clock())
         return row
 
+    def note_tunnels(self):
+        """Return a list that gets the peer's socket of each question for a tunnel."""
+        found, serve = [], self.peer.server._open
+
+        async def note(hello, peer):
+            found.append(peer[1].get_extra_info("socket"))
+            await serve(hello, peer)
+
+        self.peer.server._open = note
+        return found
+
     def stop(self):
         for node in (self.node, self.peer):
             node.server.stop()
