Look at open questions while another one waits for a descriptor

A host may ask up to three peers at a time for a connection to an endpoint. While it had no descriptor for one of these questions, the others were not looked at: wait_for_one returned the question without a socket each time, which then slept for 5 ms, up to the end of its time to connect (0.3 s). A sound peer whose connection came up meanwhile counted as timed out and was not asked for 1 to 8 s, and the call failed as if peers did not reach its endpoint either.

A question now keeps the time of its next attempt to connect, and waiting for one question polls the sockets of all others until then.

The test has a first peer that takes its connection once a second question has found no descriptor.

--- a/src/poplarfold/_internal/gateway/peer_tunnels.py
+++ b/src/poplarfold/_internal/gateway/peer_tunnels.py
@@ -4,7 +4,6 @@
 import select
 import socket
 import threading
-import time
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
@@ -65,7 +64,7 @@
     """A question to one peer for a connection to an endpoint, which does not block.
 
     ``until`` is the time up to which the next step may take, and ``deadline`` that up
-    to which the peer may answer.
+    to which the peer may answer. ``connect_at`` is when it is tried to connect.
     """
 
     def __init__(
@@ -73,7 +72,7 @@
     ) -> None:
         self.peer = peer
         self.message = message
-        self.asked_at = boot_time()
+        self.asked_at = self.connect_at = boot_time()
         self.until = min(until, deadline)
         self.deadline = deadline
         self.is_connected = False
@@ -261,7 +260,7 @@
             if is_shortage(error):
                 self.free_descriptors()
                 if question.sock is None and boot_time() < question.until:
-                    time.sleep(SHORTAGE_PAUSE_S)
+                    question.connect_at = boot_time() + SHORTAGE_PAUSE_S
                     return None
                 # This says nothing of the peer.
                 question.close()
@@ -343,14 +342,17 @@
 
 
 def wait_for_one(questions: list[Question], until: float | None) -> Question | None:
-    """Return a question that goes on or is over its time; None at a time before."""
-    ends = [question.until for question in questions]
+    """Return a question that goes on or is over its time; None at a time before.
+
+    One that waits for a descriptor does not hold up the others.
+    """
+    ends = [due_at(question) for question in questions]
     end = min(ends if until is None else [*ends, until])
     poll = select.poll()
     waiting: dict[int, Question] = {}
     for question in questions:
         if question.sock is None:
-            return question
+            continue
         event = select.POLLIN if question.is_connected else select.POLLOUT
         poll.register(question.sock, event)
         waiting[question.sock.fileno()] = question
@@ -358,4 +360,11 @@
     if ready:
         return waiting[ready[0][0]]
     now = boot_time()
-    return next((row for row in questions if row.until <= now), None)
+    return next((row for row in questions if due_at(row) <= now), None)
+
+
+def due_at(question: Question) -> float:
+    """Return when a question goes on, or is over its time, without an event."""
+    if question.sock is None:
+        return min(question.connect_at, question.until)
+    return question.until
--- a/tests/lib/tunnel_nodes.py
+++ b/tests/lib/tunnel_nodes.py
@@ -16,6 +16,7 @@
 
 from poplarfold._internal.core.fleet.relays import Member
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
+from poplarfold._internal.core.fleet.tunnel_messages import TunnelReply, pack
 from poplarfold._internal.core.model import EndpointRole
 from poplarfold._internal.gateway.fleet import Fleet
 from poplarfold._internal.gateway.path_finder import PathFinder
@@ -143,6 +144,39 @@
             node.server.stop()
 
 
+class BusyPeer:
+    """A peer that opens a tunnel, and takes no connection before ``accept`` is called.
+
+    Its backlog is full, so that the kernel of a node tries again to connect.
+    """
+
+    def __init__(self):
+        self.may_accept = threading.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.filler = socket.create_connection(self.listener.getsockname())
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def accept(self):
+        self.may_accept.set()
+
+    def serve(self):
+        self.may_accept.wait()
+        with contextlib.suppress(OSError):
+            self.listener.accept()[0].close()
+            sock, _ = self.listener.accept()
+            with sock:
+                sock.recv(1000)
+                sock.sendall(pack(TunnelReply("open")))
+                while sock.recv(1000):
+                    pass
+
+    def stop(self):
+        self.accept()
+        self.listener.close()
+        self.filler.close()
+
+
 class RawEndpoint:
     """A server that answers requests with the body ``body`` by given bytes.
 
--- a/tests/unit/test_own_shortage.py
+++ b/tests/unit/test_own_shortage.py
@@ -10,12 +10,19 @@
 from result import Err
 from tests.lib.origin_hosts import endpoint as engine_row
 from tests.lib.path_standins import ProbedFinder
-from tests.lib.tunnel_nodes import RawEndpoint, TunnelPair
+from tests.lib.tunnel_nodes import (
+    BusyPeer,
+    CutFinder,
+    RawEndpoint,
+    TunnelNode,
+    TunnelPair,
+)
 from tests.unit.test_attempt_endings import START
 from tests.unit.test_retry_charges import Stream, stream_context
 from tests.unit.test_second_attempts import BROKEN, Gateway
 from urllib3.util import connection as urllib3_connection
 
+from poplarfold._internal.core.fleet.relays import Member
 from poplarfold._internal.core.fleet.tunnel_messages import TunnelOutcome
 from poplarfold._internal.core.model import HostKey
 from poplarfold._internal.daemon.attempt import AttemptIO, ServiceRequest, run_service
@@ -304,3 +311,35 @@
             assert descriptors.frees == 3
     finally:
         pair.stop()
+
+
+def test_peer_serves_while_no_descriptor_is_left_for_another_one(monkeypatch):
+    """Guards against a sound peer that counts as silent, and a call that fails, since
+    the question to it is not looked at while another one waits for a descriptor."""
+    members, busy = {}, BusyPeer()
+    node = TunnelNode("front-lhr-a-1", members, CutFinder, connect_s=10.0)
+    near, far = "front-lhr-a-2", "front-khi-a-1"
+    members[near] = Member(near, 1, "lahore", None, 0.0, "lhr-a", busy.address)
+    # It is asked last, since it is far.
+    members[far] = Member(far, 1, "karachi", None, 0.0, "khi-a", busy.address)
+    engine = node.announce("i-1", "10.0.0.1:80")
+    tunnels, make_socket = node.paths.tunnels, peer_tunnels.TunnelSocket
+    opened_socks = []
+
+    def open_one(*arguments):
+        if opened_socks:
+            raise OSError(errno.EMFILE, "refused for the test")
+        opened_socks.append(make_socket(*arguments))
+        return opened_socks[0]
+
+    monkeypatch.setattr(peer_tunnels, "TunnelSocket", open_one)
+    tunnels.free_descriptors = busy.accept
+    try:
+        opened = tunnels.open(engine)
+        assert busy.may_accept.is_set()
+        assert opened.peer == near and opened.outcome is TunnelOutcome.OPEN
+        assert not tunnels.peers.unavailable
+        opened.sock.close()
+    finally:
+        node.server.stop()
+        busy.stop()
