Give the slot of a stream back that found no descriptor

A stream reserves a slot at a decode engine before it is sent there. If this host then had no descriptor for the connection, the engine counted as one that has just failed and was not told, so that its slot stayed taken until the lease expired, 1.5 s after the start of the prefill by default. Other streams were refused meanwhile, and so could be the next attempt of the stream itself.

Such a failure says nothing of the engine, and nothing was sent to it. So the lease is released, as for a caller who has left.

The test failed before for a stream without a descriptor; that no failed engine is called is checked as well.

--- a/src/poplarfold/_internal/gateway/stream_calls.py
+++ b/src/poplarfold/_internal/gateway/stream_calls.py
@@ -240,9 +240,10 @@
         if result.is_err():
             failure = result.unwrap_err()
             self.is_unexecuted = self.is_unexecuted and not failure.sent
-            # If the caller disconnected, the engine itself is healthy and can be told
-            # to release the slot. Otherwise the engine has just failed.
-            is_reachable = context.caller_gone.is_set()
+            # If the caller disconnected, or this node lacked a descriptor, the engine
+            # itself is healthy and can be told to release the slot. Otherwise the
+            # engine has just failed.
+            is_reachable = context.caller_gone.is_set() or failure.is_own_shortage
             self.setup.release(prepared, is_reachable)
             self.context.check_caller()
             self.record_break(endpoint, failure)
--- a/tests/unit/test_own_shortage.py
+++ b/tests/unit/test_own_shortage.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import errno
+import threading
 import time
+from functools import partial
 from types import SimpleNamespace
 
 import pytest
@@ -242,6 +244,21 @@
     assert len(recorded) == (0 if is_short else 4)
 
 
+@pytest.mark.parametrize("is_short", [True, False])
+def test_slot_of_a_stream_without_a_descriptor_is_given_back(is_short):
+    """Guards against slots of sound engines that stay taken until their leases expire,
+    since this node had no descriptor for the stream. Of an engine that has failed,
+    nothing is asked, as its answer would be waited for."""
+    stream = Stream([SHORTAGE if is_short else DEAD, "no slot"])
+    setup = stream.setup
+    setup.release = partial(StreamSetup.release, setup)
+    setup.context.caller_gone = threading.Event()
+    stream.fail()
+    released = setup.services.engines.release_lease.call_args_list
+    leases = [(call.args[0], call.args[1]) for call in released]
+    assert leases == ([(engine_row("i-d", "v1").address, "lease")] if is_short else [])
+
+
 @pytest.mark.parametrize("is_short", [True, False])
 def test_daemon_blames_no_endpoint_for_its_own_shortage(is_short):
     """Guards against endpoints that are ejected since the daemon had no descriptor."""
