Take no peer for silent that was asked late for lack of a descriptor

A question to a peer that finds no descriptor is tried again for as long as a connection may take. If one was free only shortly before that time was over, the peer had next to no time, and its question counted as timed out: a sound peer was not asked for 1 to 8 s.

A question that lacked a descriptor for a while now ends as one that lacked it to the end: it says nothing of the peer. A peer that is silent indeed is found so by the next question.

The test failed before with three refused descriptors. Without any, a peer that does not answer is still avoided, which is checked as well.

--- a/src/poplarfold/_internal/gateway/peer_tunnels.py
+++ b/src/poplarfold/_internal/gateway/peer_tunnels.py
@@ -79,6 +79,11 @@
         self.reply = b""
         self.sock: TunnelSocket | None = None
 
+    @property
+    def was_short(self) -> bool:
+        """Whether the peer had less time, as there was no descriptor for a while."""
+        return self.connect_at > self.asked_at
+
     def _connect(self) -> TunnelSocket:
         """Begin to connect to the peer. Raises OSError."""
         host, port = host_and_port(self.peer.tunnel_address or "")
@@ -255,6 +260,8 @@
                 if boot_time() < question.until:
                     return None
                 problem = "timed out"
+                if question.was_short:
+                    return self._end_short(question, endpoint, problem)
         except (OSError, PeerProtocolError) as error:
             problem = str(error)
             if is_shortage(error):
@@ -262,12 +269,17 @@
                 if question.sock is None and boot_time() < question.until:
                     question.connect_at = boot_time() + SHORTAGE_PAUSE_S
                     return None
-                # This says nothing of the peer.
-                question.close()
-                self._log(question, endpoint, None, problem)
-                return OpenedTunnel(None, question.peer.host, None)
+                return self._end_short(question, endpoint, problem)
         return self._end(question, endpoint, outcome, problem)
 
+    def _end_short(
+        self, question: Question, endpoint: FleetEndpoint, problem: str
+    ) -> OpenedTunnel:
+        """End a question that lacked a descriptor, which says nothing of the peer."""
+        question.close()
+        self._log(question, endpoint, None, problem)
+        return OpenedTunnel(None, question.peer.host, None)
+
     def _abandon(self, question: Question, endpoint: FleetEndpoint) -> None:
         """End a question that is no longer needed.
 
--- a/tests/unit/test_own_shortage.py
+++ b/tests/unit/test_own_shortage.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import socket
 import threading
 import time
 from functools import partial
@@ -360,3 +361,28 @@
     finally:
         node.server.stop()
         busy.stop()
+
+
+@pytest.mark.parametrize("frees_needed", [0, 3])
+def test_peer_that_was_asked_late_for_a_descriptor_is_not_silent(
+    monkeypatch, frees_needed
+):
+    """Guards against a sound peer that is avoided since this node had a descriptor only
+    just before the time of the question was over. Without a lack of descriptors, a peer
+    that does not answer is avoided."""
+    # Connections to it succeed, and nothing answers.
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        members, name = {}, "front-lhr-a-2"
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        node = TunnelNode("front-lhr-a-1", members, CutFinder)
+        members[name] = Member(name, 1, "lahore", None, 0.0, "lhr-a", address)
+        engine = node.announce("i-1", "10.0.0.1:80")
+        tunnels = node.paths.tunnels
+        descriptors = Descriptors(peer_tunnels.TunnelSocket, errno.EMFILE, frees_needed)
+        monkeypatch.setattr(peer_tunnels, "TunnelSocket", descriptors.open)
+        tunnels.free_descriptors = descriptors.free
+        try:
+            assert tunnels.open(engine).sock is None
+            assert bool(tunnels.peers.unavailable) is (frees_needed == 0)
+        finally:
+            node.server.stop()
