End the request of a closed tunnel in order at its endpoint

When a tunnel ended, the peer closed its connection to the endpoint by one reset, which nobody sends again. If it was lost, the endpoint worked on for a call that was given up, up to its deadline. A host that calls an endpoint itself ends the connection in order, and the kernel repeats that until it is acknowledged.

The peer now ends the connection in order as well if its kernel has sent the whole request, and resets it once that has been acknowledged or after 1 s, in which a lost end is sent again twice. If bytes of the request still wait for the endpoint, an end would wait behind them, so that the connection is reset at once as before. The tunnel counts as open meanwhile.

The test has the kernel of the endpoint drop the reset.

--- a/src/poplarfold/_internal/gateway/tunnel.py
+++ b/src/poplarfold/_internal/gateway/tunnel.py
@@ -21,6 +21,7 @@
 from poplarfold._internal.http.answer_socket import (
     HEAD_LIMIT_BYTES,
     RECEIPT_WAIT_S,
+    has_sent_all,
     is_orderly_end,
     is_received,
     unacknowledged_bytes,
@@ -50,6 +51,10 @@
 PROBE_PERIOD_S = 1
 # The kernel takes no larger number of probes.
 PROBES_MAX = 127
+# How long the endpoint's kernel may take to acknowledge the end of a connection. Linux
+# sends a lost one again after 0.2 s, and after 0.4 s more.
+ENDPOINT_END_S = 1.0
+ENDPOINT_END_CHECK_S = 0.01
 # Makes close() send a reset, so that an answer that broke off does not look complete.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -111,7 +116,7 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            self._close()
+            await self._close()
 
     def _probe_peer(self) -> None:
         """Have the kernel find out whether the peer still has its connection.
@@ -216,13 +221,17 @@
                 metadata.unknown_headers,
             )
 
-    def _close(self) -> None:
+    async def _close(self) -> None:
         """Close both connections; a tunnel that broke off ends with a reset."""
-        abort(self.writer)
         if self.is_whole:
             self.peer_writer.close()
         else:
             abort(self.peer_writer)
+        try:
+            if not self.is_whole:
+                await self._end_request()
+        finally:
+            abort(self.writer)
         fields = {
             "host": self.host,
             "endpoint": self.endpoint.endpoint_id,
@@ -233,6 +242,26 @@
         }
         self.write_log("PF6504", None, fields)
 
+    async def _end_request(self) -> None:
+        """End the connection to the endpoint in order, and wait for the receipt.
+
+        The kernel sends such an end again if it is lost, but no reset. It would not
+        arrive behind bytes of the request that the endpoint does not take.
+        """
+        if self.writer.is_closing() or self.writer.transport.get_write_buffer_size():
+            return
+        sock = self.writer.get_extra_info("socket")
+        if not has_sent_all(sock):
+            return
+        try:
+            self.writer.write_eof()
+        except OSError:
+            # The endpoint has just reset the connection.
+            return
+        until = boot_time() + ENDPOINT_END_S
+        while not is_received(sock) and boot_time() < until:
+            await asyncio.sleep(ENDPOINT_END_CHECK_S)
+
 
 def parse_head(head: bytes) -> tuple[int | None, Mapping[str, str]]:
     """Return the status and headers of an answer; None for the status if malformed."""
--- a/src/poplarfold/_internal/http/answer_socket.py
+++ b/src/poplarfold/_internal/http/answer_socket.py
@@ -27,6 +27,7 @@
     "DeadlineSocket",
     "EndpointConnection",
     "has_excess",
+    "has_sent_all",
     "is_orderly_end",
     "is_received",
     "may_have_written",
@@ -48,6 +49,8 @@
 # How long it may take until the server's kernel acknowledges the end of the request.
 # Linux delays this by up to 200 ms.
 RECEIPT_WAIT_S = 0.5
+# Linux's request for the number of bytes that wait to be sent for the first time.
+SIOCOUTQNSD = 0x894B
 INTERNET_FAMILIES = frozenset((socket.AF_INET, socket.AF_INET6))
 
 
@@ -294,6 +297,18 @@
     return int.from_bytes(count, sys.byteorder)
 
 
+def has_sent_all(sock: socket.socket) -> bool:
+    """Return whether the kernel has sent all bytes, so that none waits for the peer.
+
+    Where the system does not say so, they are taken to be sent.
+    """
+    try:
+        count = fcntl.ioctl(sock, SIOCOUTQNSD, bytes(4))
+    except OSError:
+        return True
+    return int.from_bytes(count, sys.byteorder) == 0
+
+
 def is_orderly_end(sock: socket.socket) -> bool:
     """Return whether the peer, which sends nothing more, ended in order."""
     return tcp_state(sock) in ORDERLY_STATES and is_received(sock)
--- a/tests/functional/test_tunnels.py
+++ b/tests/functional/test_tunnels.py
@@ -534,6 +534,20 @@
         pair.stop()
 
 
+def test_endpoint_learns_of_the_end_although_a_reset_is_lost(
+    pair, unread_endpoint, connect
+):
+    """Guards against endpoints that work for a call which was given up, up to the end
+    of its time, since the reset of the peer's connection to them was lost (GONE)."""
+    pair.announce("i-1", unread_endpoint.address)
+    sock = open_tunnel(pair, connect)
+    wait_until(lambda: unread_endpoint.sock and unread_endpoint.queued_bytes(), 5.0)
+    drop_segments(unread_endpoint.sock, DROP_CLOSING_RESETS)
+    sock.close()
+    wait_until(unread_endpoint.is_closed, 5.0)
+    wait_until(lambda: pair.peer.server.count == 0, 5.0)
+
+
 def test_answer_that_pauses_is_no_silence_of_the_peer(endpoint, connect):
     """Guards against streams that break off while an engine is silent for longer than a
     peer may read nothing."""
