Measure the pauses between announcements on a virtual clock

Four tests of the announcer counted its calls over 1 to 3 s of real time, from the start of its thread to a wake-up of the test's thread. With either of them 0.9 s late on a busy machine, test_announcement_that_fails_is_not_repeated_at_each_look saw 2 calls, or 6, in place of 3 to 5, and with the thread 1.1 s late test_answer_during_a_failing_call_ends_the_pause_after_it saw 1 in place of 2. The two other tests have the same form.

The announcer now runs in the test's thread, on a clock that its own waits move, so that the counts and pauses are exact. All bounds are unchanged and still hold for the same 1 to 3 s. The test of a thread that ends during its pause still runs on a thread and on real events.

--- a/tests/unit/test_announcer_pauses.py
+++ b/tests/unit/test_announcer_pauses.py
@@ -5,6 +5,7 @@
 
 import pytest
 from tests.lib.relay_nodes import host_settings
+from tests.lib.virtual_time import VirtualClock, VirtualEvent
 
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch
 from poplarfold._internal.gateway import announcer
@@ -14,6 +15,8 @@
 from poplarfold._internal.platform import StoreTopic
 
 RETRY_S = 0.4
+# Ends a test whose node makes calls without any pause.
+CALLS_MAX = 1000
 
 
 class Node:
@@ -33,9 +36,29 @@
 
     def announce(self):
         self.state.await_answer()
-        self.calls.append(time.monotonic())
+        self.calls.append(self.state.fleet.clock())
+        assert len(self.calls) < CALLS_MAX
         return self.accepts
 
+    def run_virtually(self, duration_s, on_step=lambda: None):
+        """Run the announcer for some seconds of a virtual clock.
+
+        ``on_step`` is called every 5 ms of its waits.
+        """
+
+        def step():
+            on_step()
+            if clock.now >= until:
+                self.announcer.stop()
+
+        clock = VirtualClock(0.005, step)
+        until = clock.now + duration_s
+        self.state.fleet.clock = clock
+        self.announcer.stopping = VirtualEvent(clock)
+        self.state.nodes_returned = VirtualEvent(clock)
+        self.state.store_answered = VirtualEvent(clock)
+        self.announcer.run()
+
     def stop(self):
         """Stop the announcer; return how long its thread went on."""
         started_at = time.monotonic()
@@ -49,12 +72,7 @@
     """Guards against a call for each read of a store that refuses all writes."""
     monkeypatch.setattr(announcer, "ANNOUNCE_RETRY_S", RETRY_S)
     node = Node()
-    node.thread.start()
-    until = time.monotonic() + 3.0
-    while time.monotonic() < until:
-        node.state.store_answered.set()
-        time.sleep(0.005)
-    node.stop()
+    node.run_virtually(3.0, lambda: node.state.store_answered.set())
     # The pauses are 0.3 to 0.5 s, and one retry is early: 10 without answers to reads,
     # 11 with them.
     assert 4 <= len(node.calls) <= 12
@@ -64,9 +82,7 @@
     """Guards against an outage that causes more calls than one for each pause."""
     monkeypatch.setattr(announcer, "ANNOUNCE_RETRY_S", RETRY_S)
     node = Node()
-    node.thread.start()
-    time.sleep(2.0)
-    node.stop()
+    node.run_virtually(2.0)
     pauses = [
         later - call for call, later in zip(node.calls, node.calls[1:], strict=False)
     ]
@@ -87,9 +103,7 @@
         return is_accepted or len(node.calls) > 1
 
     node.announcer.announce = announce_beside_read
-    node.thread.start()
-    time.sleep(1.0)
-    node.stop()
+    node.run_virtually(1.0)
     assert len(node.calls) == 2
 
 
--- a/tests/unit/test_store_returns.py
+++ b/tests/unit/test_store_returns.py
@@ -1,12 +1,11 @@
 """Tests of what one node does with the older copy from which the store comes back."""
 
 import json
-import threading
-import time
 
 import pytest
 from tests.lib.platform_standin import configuration
 from tests.lib.relay_nodes import host_settings
+from tests.lib.virtual_time import VirtualClock, VirtualEvent
 
 from poplarfold._internal.core.fleet.directory import EXPIRY_GRACE_S
 from poplarfold._internal.core.fleet.keyed_view import TopicBatch, ViewRecord
@@ -255,18 +254,26 @@
     monkeypatch.setattr(announcer, "RETURN_SPREAD_S", 0.01)
     monkeypatch.setattr(announcer, "ANNOUNCE_RETRY_S", 0.4)
     node = announcer.Announcer(Node().state, None, None, lambda *row: None)
-    node.fleet.clock = time.monotonic
+    clock = VirtualClock(0.005, lambda: clock.now < until or node.stop())
+    until = clock.now + 1.0
+    node.fleet.clock = clock
+    node.stopping = VirtualEvent(clock)
+    node.state.nodes_returned = VirtualEvent(clock)
+    node.state.store_answered = VirtualEvent(clock)
     node.announced_era = 1
     calls = []
-    node.announce = lambda: calls.append(1) is None and len(calls) == 1
+
+    def announce():
+        calls.append(clock.now)
+        # A node without any pause would never end the test.
+        assert len(calls) < 1000
+        return len(calls) == 1
+
+    node.announce = announce
     node.read_members = lambda: True
     node.is_lost = lambda: True
     node.state.nodes_returned.set()
-    thread = threading.Thread(target=node.run, daemon=True)
-    thread.start()
-    time.sleep(1.0)
-    node.stopping.set()
-    thread.join()
+    node.run()
     # The first call registers the node, and the others are 0.3 to 0.5 s apart.
     assert 3 <= len(calls) <= 5
 
