Wait for the end of the log's thread in the test of complete lines

test_lines_are_complete_and_in_order closed its stream with the default limit of 0.5 s and then failed since the thread was still alive: it failed so in a run with threads that begin up to 0.7 s late and a short switch interval, and in each run with a thread that begins 0.9 s late. The limit is what a stop of the process may take, and bounds the wait of the caller; the test guards against lost lines.

It now waits up to 10 s, as the other tests of the module do, and passes with that delay. That the thread has ended, and all lines in their order, are checked as before.

--- a/tests/unit/test_queued_log.py
+++ b/tests/unit/test_queued_log.py
@@ -41,7 +41,7 @@
     stream = QueuedStream(writing, limit_lines=100)
     for number in range(50):
         stream.write(f"{number}\n")
-    stream.close()
+    stream.close(timeout_s=10.0)
     assert not stream.thread.is_alive()
     os.close(writing)
     with os.fdopen(reading) as source:
