Count the passes over waiting connections before taking the time

test_bytes_of_one_head_do_not_check_all_connections took the time first and then read the number of passes, which the thread goes on counting, one in 0.1 s. With the test's thread 1 s late between the two, it saw 11 passes in 0.19 s and failed; shown with a planted delay there.

The count is now read first, and passes with a delay at the same place and before it. The bound is the same, and closer: passes after the count are no longer included. A waiter that looks at all connections with each byte still fails (62 passes).

--- a/tests/unit/test_head_waiter.py
+++ b/tests/unit/test_head_waiter.py
@@ -37,8 +37,10 @@
         for _ in range(60):
             far.sendall(b"x")
             time.sleep(0.003)
+        # Counted before the time is taken: the thread goes on counting in between.
+        passes = waiter.connections.passes
         passed_s = time.monotonic() - started_at
-        assert waiter.connections.passes <= 2 + passed_s / CHECK_PERIOD_S
+        assert passes <= 2 + passed_s / CHECK_PERIOD_S
         far.sendall(b"\r\n\r\n")
         assert ready.get(timeout=10) is connection
         waiter.add(connection, time.monotonic() + 0.05)
