End the threads of stand-ins that wait for connections

Stand-ins of seven modules closed their listening sockets while a thread waited in accept for a connection. Closing wakes no such thread, and the kernel keeps the port open for it, so that one more connection would be accepted. In a run of 37 modules of the unit tests, 163 threads were left at the end, 97 of them of test_answer_heads and 31 of test_whole_answers.

The stand-ins now shut the socket down first, which ends the wait. No check is changed.

--- a/tests/lib/tunnel_nodes.py
+++ b/tests/lib/tunnel_nodes.py
@@ -12,6 +12,7 @@
 import threading
 import time
 
+from tests.lib.listeners import end_listener
 from tests.lib.relay_nodes import host_settings
 
 from poplarfold._internal.core.fleet.relays import Member
@@ -225,7 +226,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def stop(self):
-        self.listener.close()
+        end_listener(self.listener)
 
 
 class UnreadEndpoint:
@@ -253,6 +254,6 @@
         return bool(poll.poll(0))
 
     def stop(self):
-        self.listener.close()
+        end_listener(self.listener)
         if self.sock is not None:
             self.sock.close()
--- a/tests/unit/test_answer_heads.py
+++ b/tests/unit/test_answer_heads.py
@@ -5,6 +5,7 @@
 import threading
 
 import pytest
+from tests.lib.listeners import end_listener
 from tests.unit.test_repeated_refusals import engine
 
 from poplarfold._internal.http.endpoint_client import EndpointClient
@@ -81,7 +82,7 @@
 def server():
     found = Server()
     yield found
-    found.listener.close()
+    end_listener(found.listener)
 
 
 @pytest.mark.parametrize("call", CALLS.values(), ids=CALLS)
--- a/tests/unit/test_broken_connections.py
+++ b/tests/unit/test_broken_connections.py
@@ -7,6 +7,7 @@
 import time
 
 import pytest
+from tests.lib.listeners import end_listener
 
 from poplarfold._internal.http.endpoint_client import EndpointClient
 from poplarfold._internal.http.exchange import AbortHandle, Target
@@ -101,7 +102,7 @@
     yield start_server
     for server in servers:
         server.is_over.set()
-        server.listener.close()
+        end_listener(server.listener)
 
 
 def call_plain(server, upload, handle=None):
--- a/tests/unit/test_excess_bytes.py
+++ b/tests/unit/test_excess_bytes.py
@@ -6,6 +6,7 @@
 import threading
 
 import pytest
+from tests.lib.listeners import end_listener
 
 from poplarfold._internal.http.endpoint_client import EndpointClient
 from poplarfold._internal.http.exchange import Target
@@ -58,7 +59,7 @@
                     return
 
     def stop(self):
-        self.listener.close()
+        end_listener(self.listener)
 
 
 @pytest.fixture
--- a/tests/unit/test_repeated_refusals.py
+++ b/tests/unit/test_repeated_refusals.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 
 import pytest
+from tests.lib.listeners import end_listener
 
 from poplarfold._internal.core.commands import StartAttempt
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
@@ -84,7 +85,7 @@
 def server(request):
     found = RepeatingServer(answer(request.param, "Poplarfold-Not-Executed: 1\r\n"))
     yield found
-    found.listener.close()
+    end_listener(found.listener)
 
 
 @pytest.fixture
@@ -149,6 +150,6 @@
         attempt = ModelAttempt.__new__(ModelAttempt)
         attempt.io, attempt.handle = io, AbortHandle()
         error = attempt._exchange(endpoint, "/reserve", {}, TIMEOUT_S).err()
-    server.listener.close()
+    end_listener(server.listener)
     assert error is None
     assert len(client.pool.idle[server.address]) == 1
--- a/tests/unit/test_unsendable_requests.py
+++ b/tests/unit/test_unsendable_requests.py
@@ -7,6 +7,7 @@
 
 import pytest
 from result import Ok
+from tests.lib.listeners import end_listener
 
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
 from poplarfold._internal.core.model import EndpointRole
@@ -52,7 +53,7 @@
 def server():
     found = Server()
     yield found
-    found.listener.close()
+    end_listener(found.listener)
 
 
 @pytest.fixture
--- a/tests/unit/test_whole_answers.py
+++ b/tests/unit/test_whole_answers.py
@@ -1,6 +1,7 @@
 """Tests that truncated answers are not taken for complete ones."""
 
 import pytest
+from tests.lib.listeners import end_listener
 from tests.lib.platform_standin import EndpointStandIn
 from tests.unit.test_answer_heads import Server as AnswerServer
 
@@ -31,7 +32,7 @@
 
     yield start_server
     for server in servers:
-        server.listener.close()
+        end_listener(server.listener)
 
 
 def call(endpoint):
