Let nodes of a shortage's tests wait for a peer that is held up

Two tests of peers without a descriptor let a node wait 0.3 s for a peer in the test's process, as in service. With a peer whose attempt to connect takes 0.9 s, as on a busy machine, the node gave up: test_peer_without_a_descriptor_does_not_call_an_endpoint_ unreachable got no outcome in both cases, and test_connection_to_a_peer_waits_for_a_ descriptor found a failure recorded. Both were shown with planted delays.

The outcomes, the recorded failures and the number of descriptors asked for are checked as before, and the case that bounds the wait by the time to connect keeps 0.3 s.

--- a/tests/unit/test_own_shortage.py
+++ b/tests/unit/test_own_shortage.py
@@ -101,6 +101,12 @@
     return client.open_stream(target, b"body", {}, timeout_s, **options)
 
 
+def wait_for_peers(pair):
+    """Let the nodes wait longer, where a test is of what a peer answers."""
+    for fleet in (pair.node.fleet, pair.peer.fleet):
+        fleet.settings = fleet.settings._replace(connect_s=ANSWER_LIMIT_S)
+
+
 REQUESTS = pytest.mark.parametrize("request_", [exchange, open_stream])
 
 
@@ -289,6 +295,7 @@
     """Guards against an endpoint that counts as ended, and a sound prompt as the cause,
     since the peers that were asked had no descriptor for a connection to it."""
     pair = TunnelPair()
+    wait_for_peers(pair)
 
     async def refuse(*arguments, **options):
         raise OSError(number, "refused for the test")
@@ -310,6 +317,8 @@
     """Guards against peers that are avoided since this node had no descriptor for a
     connection to them, and against calls that fail although some could be freed."""
     pair = TunnelPair()
+    if frees_needed == 3:
+        wait_for_peers(pair)
     try:
         engine = pair.announce("i-1", endpoint.address)
         tunnels = pair.node.paths.tunnels
