Free the descriptor of a late request by the client's clock

test_request_is_not_sent_long_after_its_endpoint_was_chosen frees a descriptor 0.1 s after its own start, and expects that a client which may wait 0.05 s has given up. With the test's thread suspended for 0.15 s between its start and that of the client, the descriptor was freed at once and the request sent, in both cases; shown with a planted delay there.

The client now runs on a clock that only its own pauses move, and the descriptor is freed 0.1 s after the start on it.

--- a/tests/unit/test_own_shortage.py
+++ b/tests/unit/test_own_shortage.py
@@ -20,6 +20,7 @@
     TunnelNode,
     TunnelPair,
 )
+from tests.lib.virtual_time import VirtualClock
 from tests.unit.test_attempt_endings import START
 from tests.unit.test_retry_charges import Stream, stream_context
 from tests.unit.test_second_attempts import BROKEN, Gateway
@@ -36,6 +37,7 @@
 )
 from poplarfold._internal.gateway import peer_tunnels
 from poplarfold._internal.gateway.stream_setup import Reservation, StreamSetup
+from poplarfold._internal.http import endpoint_client
 from poplarfold._internal.http.endpoint_client import EndpointClient
 from poplarfold._internal.http.exchange import AbortHandle, Target
 from poplarfold._internal.http.failures import Failure
@@ -148,18 +150,22 @@
 
 @REQUESTS
 def test_request_is_not_sent_long_after_its_endpoint_was_chosen(
-    shortage, endpoint, request_
+    shortage, endpoint, request_, monkeypatch
 ):
     """Guards against requests to an endpoint that has left while a descriptor was
     waited for, and against calls that are held until their deadline for one. They count
     on a connection within the time to connect."""
     descriptors = shortage()
     client = EndpointClient(0.05)
-    began_at = time.monotonic()
+    # Only the client's own pauses move its clock, so that none begins late.
+    clock = VirtualClock(0.01, lambda: None)
+    began_at = clock.now
+    virtual_time = SimpleNamespace(monotonic=clock, sleep=clock.advance)
+    monkeypatch.setattr(endpoint_client, "time", virtual_time)
 
     def free_late():
         descriptors.free()
-        if time.monotonic() - began_at > 0.1:
+        if clock.now - began_at > 0.1:
             descriptors.frees_needed = 0
 
     client.free_descriptors = free_late
