Take the beginning of a pause before it in the test of the stand-ins

test_pause_restart_and_lost_answers read the clock after the pause had been asked for, and expected the answer more than 0.2 s later. A test process that is held up for 0.6 s between the two finds the rest of the pause of 0.8 s too short.

The clock is read before the pause now, so that the answer comes at least 0.8 s later however late the request is sent, and the test asks for more than 0.7 s in place of 0.2 s. With time.sleep(0.7) between the two, the old form fails and the new one passes.

--- a/tests/functional/test_standins.py
+++ b/tests/functional/test_standins.py
@@ -177,11 +177,11 @@
     sink = engine(server, EndpointRole.DECODE)
     url = f"http://{sink.address}/report"
     first = pool.request("GET", url).json()["incarnation"]
-    # Much longer than the time that is checked, which begins later on a busy machine.
-    sink.pause(0.8)
+    # Read before the pause begins, however late the request is sent.
     started = time.monotonic()
+    sink.pause(0.8)
     assert pool.request("GET", url).status == 200
-    assert time.monotonic() - started > 0.2
+    assert time.monotonic() - started > 0.7
     body = {**BASE, "attempt": "a", "pieces": 9}
     control = {"fault": "lose_answers", "count": 1, "path": "/reserve"}
     assert post(pool, sink.address, "/control", control).status == 200
