Take the time of a stop from another process than that of the tests

test_stop_keeps_to_the_grace_time_of_the_reread_settings and test_process_whose_log_is_not_read_ends_within_its_grace compared the time of a stop, as the process of the tests saw it, with the grace time, from which the router leaves 0.3 s. A test process that is held up for that long when the router ends, by its other threads or the machine, found a sound stop too long.

timed_stop sends the signal and waits for the end in a process of its own, which has one thread and waits for the end by a descriptor of the router's process. The bounds are unchanged, and the time still begins before the signal and ends after the process has.

--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -10,7 +10,7 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet, timed_stop, wait_until
 from tests.lib.platform_standin import EndpointStandIn
 
 GRACE_S = 6.0
@@ -205,10 +205,7 @@
     fleet.decode.pause_s = 2 * GRACE_S
     stream = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
     wait_until(lambda: fleet.decode.runs, 5.0)
-    started_at = time.monotonic()
-    fleet.process.send_signal(signal.SIGTERM)
-    fleet.process.wait(2 * GRACE_S)
-    ended_after_s = time.monotonic() - started_at
+    ended_after_s = timed_stop(fleet.process, 2 * GRACE_S)
     stream.close()
     assert ended_after_s <= shorter_s
 
@@ -403,10 +400,7 @@
     fleet.decode.pause_s = 2 * GRACE_S
     stream = fleet.open("POST", "/caption/1", TOKENS, b"prompt")
     wait_until(lambda: fleet.decode.runs, 5.0)
-    started_at = time.monotonic()
-    fleet.process.send_signal(signal.SIGTERM)
-    fleet.process.wait(2 * GRACE_S)
-    ended_after_s = time.monotonic() - started_at
+    ended_after_s = timed_stop(fleet.process, 2 * GRACE_S)
     reader.stop()
     stream.close()
     assert ended_after_s <= GRACE_S
--- a/tests/lib/gateway_process.py
+++ b/tests/lib/gateway_process.py
@@ -165,6 +165,27 @@
     return [row for row in rows if row["number"] == number]
 
 
+# Sends SIGTERM, and prints how long the process goes on.
+TIMED_STOP = """
+import os, select, signal, sys, time
+process = os.pidfd_open(int(sys.argv[1]))
+started_at = time.monotonic()
+signal.pidfd_send_signal(process, signal.SIGTERM)
+select.select([process], [], [], float(sys.argv[2]))
+print(time.monotonic() - started_at)
+"""
+
+
+def timed_stop(process, limit_s):
+    """Stop a process with SIGTERM; return how long it goes on, in s.
+
+    It is at least the limit if the process has not ended by then. Another process
+    takes the time, as that of the tests may notice the end late.
+    """
+    command = [sys.executable, "-c", TIMED_STOP, str(process.pid), str(limit_s)]
+    return float(subprocess.run(command, check=True, stdout=subprocess.PIPE).stdout)
+
+
 def thread_states(process):
     """Return the states of a process's threads, such as T if they are stopped."""
     found = set()
