--- a/tests/lib/tunnel_nodes.py
+++ b/tests/lib/tunnel_nodes.py
@@ -174,7 +174,7 @@
 
     def stop(self):
         self.accept()
-        self.listener.close()
+        end_listener(self.listener)
         self.filler.close()
 
 
