End the tasks of tunnels in order at a stop

A stop with open tunnels printed "Exception in callback" with a CancelledError for each of them: the stop cancels their tasks, and the streams of asyncio ask a cancelled task for its exception. The task now ends in order.

--- a/src/poplarfold/_internal/gateway/tunnel_server.py
+++ b/src/poplarfold/_internal/gateway/tunnel_server.py
@@ -127,6 +127,10 @@
                 self.count -= 1
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             abort(writer)
+        except asyncio.CancelledError:
+            # Only the stop cancels it. The streams of asyncio would log that as an
+            # error of their own callback.
+            abort(writer)
         except Exception as error:
             self.write_log("PF6505", None, {"problem": repr(error)})
             abort(writer)
--- a/tests/functional/test_tunnels.py
+++ b/tests/functional/test_tunnels.py
@@ -548,6 +548,17 @@
     wait_until(lambda: pair.peer.server.count == 0, 5.0)
 
 
+def test_stop_with_an_open_tunnel_logs_no_error(unread_endpoint, connect, caplog):
+    """Guards against a traceback for each open tunnel in the output of a stop."""
+    pair = TunnelPair()
+    pair.announce("i-1", unread_endpoint.address)
+    open_tunnel(pair, connect)
+    wait_until(lambda: unread_endpoint.sock, 5.0)
+    pair.stop()
+    wait_until(pair.peer.server.loop.is_closed, 5.0)
+    assert [row for row in caplog.records if row.name == "asyncio"] == []
+
+
 def test_answer_that_pauses_is_no_silence_of_the_peer(endpoint, connect):
     """Guards against streams that break off while an engine is silent for longer than a
     peer may read nothing."""
