Let no two steps of the soak end the process of the same node

A restart makes its late callers' first requests before it stops the node, which counted as running meanwhile, so that a second step could pick it; both then started it. A step that ends a process now takes the node first. The steps are drawn as before, the pauses and reloads of such a node as well.

The new test fails with a pick that does not look at the steps under way, and passes with it.

--- a/tests/functional/gateway_soak/faults.py
+++ b/tests/functional/gateway_soak/faults.py
@@ -93,6 +93,9 @@
         self.watchers = watchers
         self.records = records
         self.keys = keys
+        # The nodes whose process a step is about to end, or has ended.
+        self.ending: set[Node] = set()
+        self.ending_lock = threading.Lock()
         self.put_lock = threading.Lock()
         self.highest_put = 0
         self.version = 0
@@ -171,9 +174,29 @@
         running = [node for node in self.nodes if not node.is_stopped]
         return self.rng.choice(running) if len(running) > 1 else None
 
+    def take_node(self) -> Node | None:
+        """Return a random node for a step that ends its process and calls start_again.
+
+        It is None if too few run, or if another step ends the process of that node.
+        Both would start it, and the second process would find its ports in use.
+        """
+        with self.ending_lock:
+            node = self.pick_node()
+            running = {row for row in self.nodes if not row.is_stopped} - self.ending
+            if node not in running or len(running) < 2:
+                return None
+            self.ending.add(node)
+            return node
+
+    def start_again(self, node: Node) -> None:
+        """Start the process of a node that a step has ended."""
+        node.start()
+        with self.ending_lock:
+            self.ending.discard(node)
+
     def restart(self) -> None:
         """Stop one node as planned and start it again."""
-        node = self.pick_node()
+        node = self.take_node()
         if node is None:
             return
         rng = self.stop_rng
@@ -194,7 +217,7 @@
                 for caller in late:
                     caller.start()
                 node.stop_gracefully()
-        node.start()
+        self.start_again(node)
         node.wait_ready()
 
     def reload(self) -> None:
@@ -208,13 +231,13 @@
 
     def kill(self) -> None:
         """Kill one node and start it again."""
-        node = self.pick_node()
+        node = self.take_node()
         if node is None:
             return
         with self.span("kill", node.name):
             node.kill()
             self.wait(0.0, 1.0)
-            node.start()
+            self.start_again(node)
             node.wait_ready()
 
     def pause(self) -> None:
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -2,10 +2,12 @@
 
 import http.client
 import json
+from unittest.mock import Mock
 
 import pytest
 from tests.functional.gateway_soak.__main__ import build_parser, run
 from tests.functional.gateway_soak.backends import SoakEndpoint, SoakStore
+from tests.functional.gateway_soak.faults import FaultInjector
 from tests.functional.gateway_soak.find_planted import find_planted
 from tests.functional.gateway_soak.records import Records
 
@@ -86,6 +88,20 @@
         endpoint.stop()
 
 
+def test_steps_end_the_processes_of_different_nodes():
+    """Guards against two processes of one node, of which one finds its ports in use:
+    two steps picked the node before either had ended its process."""
+    nodes = [Mock(is_stopped=False) for _ in range(3)]
+    injector = FaultInjector(1, None, [], nodes, [], Records(), None)
+    taken = {injector.take_node() for _ in range(50)} - {None}
+    # One node goes on.
+    assert len(taken) == 2
+    for node in taken:
+        injector.start_again(node)
+        node.start.assert_called_once_with()
+    assert {injector.take_node() for _ in range(50)} - {None}
+
+
 # To check all faults: python -m tests.functional.gateway_soak.find_planted
 @pytest.mark.parametrize("name", ["false_refusals", "hasty_stops"])
 @pytest.mark.timeout(120)
