Wait for the receipt of a tunnel's end in one place

The end of an answer and the end of a request both waited until a kernel had acknowledged what was sent, by a loop each with a period of its own (10 ms both). wait_received serves both. Behaviour is the same; test_tunnels passes (one run).

--- a/src/poplarfold/_internal/gateway/tunnel.py
+++ b/src/poplarfold/_internal/gateway/tunnel.py
@@ -54,7 +54,8 @@
 # How long the endpoint's kernel may take to acknowledge the end of a connection. Linux
 # sends a lost one again after 0.2 s, and after 0.4 s more.
 ENDPOINT_END_S = 1.0
-ENDPOINT_END_CHECK_S = 0.01
+# How often it is checked whether a kernel has acknowledged all that was sent.
+RECEIPT_CHECK_S = 0.01
 # Makes close() send a reset, so that an answer that broke off does not look complete.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -190,8 +191,7 @@
         sock = self.writer.get_extra_info("socket")
         until = boot_time() + RECEIPT_WAIT_S
         await asyncio.sleep(RESET_WAIT_S)
-        while not is_received(sock) and boot_time() < until:
-            await asyncio.sleep(RESET_WAIT_S)
+        await wait_received(sock, until)
         return is_orderly_end(sock)
 
     def _look_at_head(self, data: bytes) -> None:
@@ -258,9 +258,13 @@
         except OSError:
             # The endpoint has just reset the connection.
             return
-        until = boot_time() + ENDPOINT_END_S
-        while not is_received(sock) and boot_time() < until:
-            await asyncio.sleep(ENDPOINT_END_CHECK_S)
+        await wait_received(sock, boot_time() + ENDPOINT_END_S)
+
+
+async def wait_received(sock: socket.socket, until: float) -> None:
+    """Wait until the peer's kernel has acknowledged all that was sent, or a time."""
+    while not is_received(sock) and boot_time() < until:
+        await asyncio.sleep(RECEIPT_CHECK_S)
 
 
 def parse_head(head: bytes) -> tuple[int | None, Mapping[str, str]]:
