--- a/tests/functional/test_announcements.py
+++ b/tests/functional/test_announcements.py
@@ -3,7 +3,8 @@
 import time
 
 import pytest
-from tests.lib.relay_nodes import START_LIMIT_S, RelayNode, configured_store, wait_for
+from tests.lib.relay_nodes import START_LIMIT_S, RelayNode, configured_store
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.gateway import announcer
 from poplarfold._internal.gateway.settings import GatewaySettings
@@ -55,16 +56,18 @@
     while hosts without links to endpoints need it as a peer."""
     monkeypatch.setattr(announcer, "ANNOUNCE_RETRY_S", LONG_RETRY_S)
     settled = start(store, nodes, ["node-0", "node-1"])
-    wait_for(lambda: len(store.newest.get(TOPIC, {})) == 2, START_LIMIT_S)
+    wait_until(lambda: len(store.newest.get(TOPIC, {})) == 2, START_LIMIT_S)
     store.mode = mode
     late = start(store, nodes, [f"late-{n}" for n in range(NODES)])
     time.sleep(AWAY_S)
-    wait_for(lambda: all(has_failed(node) for node in late), START_LIMIT_S)
+    wait_until(lambda: all(has_failed(node) for node in late), START_LIMIT_S)
     store.mode = "up"
     everyone = {node.name for node in nodes}
-    wait_for(lambda: set(store.newest[TOPIC]) == everyone, ANNOUNCED_LIMIT_S)
+    wait_until(lambda: set(store.newest[TOPIC]) == everyone, ANNOUNCED_LIMIT_S)
     # Relays read the nodes every three seconds.
-    wait_for(lambda: all(set(n.link.choice.members) == everyone for n in settled), 6.0)
+    wait_until(
+        lambda: all(set(n.link.choice.members) == everyone for n in settled), 6.0
+    )
 
 
 @pytest.mark.parametrize("mode", MODES)
@@ -75,15 +78,15 @@
     monkeypatch.setattr(announcer, "ANNOUNCE_RETRY_S", LONG_RETRY_S)
     monkeypatch.setattr(announcer, "ANNOUNCE_PERIOD_S", 1.0)
     started = start(store, nodes, [f"node-{n}" for n in range(NODES)])
-    wait_for(lambda: len(store.newest.get(TOPIC, {})) == NODES, START_LIMIT_S)
+    wait_until(lambda: len(store.newest.get(TOPIC, {})) == NODES, START_LIMIT_S)
     store.mode = mode
-    wait_for(lambda: all(has_failed(node) for node in started), START_LIMIT_S)
+    wait_until(lambda: all(has_failed(node) for node in started), START_LIMIT_S)
     writes = {node.name: node.store_calls.count("append") for node in started}
     time.sleep(AWAY_S)
     monkeypatch.setattr(announcer, "ANNOUNCE_PERIOD_S", LONG_RETRY_S)
     assert writes == {n.name: n.store_calls.count("append") for n in started}
     store.mode = "up"
-    wait_for(
+    wait_until(
         lambda: all(n.store_calls.count("append") > writes[n.name] for n in started),
         ANNOUNCED_LIMIT_S,
     )
@@ -99,7 +102,7 @@
     names = [f"late-{n}" for n in range(12)]
     settings = GatewaySettings(unknown_nodes=1000)
     started = start(store, nodes, names, settings)
-    wait_for(lambda: all(has_failed(node) for node in started), START_LIMIT_S)
+    wait_until(lambda: all(has_failed(node) for node in started), START_LIMIT_S)
     store.mode = "up"
     seen = []
 
@@ -108,6 +111,6 @@
         seen.extend(time.monotonic() for _ in range(len(known) - len(seen)))
         return len(seen) == len(names)
 
-    wait_for(has_seen_all, START_LIMIT_S)
+    wait_until(has_seen_all, START_LIMIT_S)
     # Four seconds for 1,000 nodes; twelve are within 1 s once in 100,000 runs.
     assert seen[-1] - seen[0] > 1.0
--- a/tests/functional/test_api_keys.py
+++ b/tests/functional/test_api_keys.py
@@ -6,8 +6,9 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import log_events, ready_fleet, wait_until
+from tests.lib.gateway_process import log_events, ready_fleet
 from tests.lib.platform_standin import configuration, route, tenant
+from tests.lib.waits import wait_until
 
 KEYS = ("banfqasnmgkcuyj8pjbv", "k9m68k7b2ex5wa5xwyhk", "w3nq2zr7v5tydf8hs4xe")
 # Lower than on a deployment, so that the tests need not wait.
--- a/tests/functional/test_body_arrival.py
+++ b/tests/functional/test_body_arrival.py
@@ -5,8 +5,9 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet
 from tests.lib.platform_standin import configuration
+from tests.lib.waits import wait_until
 
 HEAD = (
     b"POST /filing/1 HTTP/1.1\r\nHost: entry.example\r\n"
--- a/tests/functional/test_calls_behind_streams.py
+++ b/tests/functional/test_calls_behind_streams.py
@@ -6,7 +6,8 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet
+from tests.lib.waits import wait_until
 
 GRACE_S = 6.0
 THREADS = 8
--- a/tests/functional/test_connection_ends.py
+++ b/tests/functional/test_connection_ends.py
@@ -8,7 +8,8 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet
+from tests.lib.waits import wait_until
 
 
 @pytest.fixture
--- a/tests/functional/test_copies_from_relays.py
+++ b/tests/functional/test_copies_from_relays.py
@@ -14,8 +14,8 @@
     configured_store,
     has_read_again,
     settled_nodes,
-    wait_for,
 )
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.core.fleet.directory import EXPIRY_GRACE_S
 from poplarfold._internal.exceptions import StoreUnavailableError
@@ -50,7 +50,7 @@
     time.sleep(AWAY_S)
     store.return_to(copy)
     store.mode = "up"
-    wait_for(lambda: all(has_read_again(store, n) for n in region), START_LIMIT_S)
+    wait_until(lambda: all(has_read_again(store, n) for n in region), START_LIMIT_S)
     time.sleep(1.0)
     return [node.name for node in region if "newest" in node.store_calls]
 
@@ -90,7 +90,7 @@
         def read_or_hang(topic, offset, wait_s, read=read):
             if store.mode == "up":
                 return read(topic, offset, wait_s)
-            wait_for(lambda: store.mode == "up", START_LIMIT_S)
+            wait_until(lambda: store.mode == "up", START_LIMIT_S)
             time.sleep(0.9)
             return Err(StoreUnavailableError("the call hung"))
 
@@ -119,7 +119,7 @@
     leaving.stop()
     entry = leaving.entry("registry", state="draining", seq=40)
     store.put("keyed.servers", "i-1", entry)
-    wait_for(
+    wait_until(
         lambda: all(
             node.fleet.directory.endpoints["i-1"].is_leaving for node in region[2:]
         ),
--- a/tests/functional/test_daemon_process.py
+++ b/tests/functional/test_daemon_process.py
@@ -7,8 +7,9 @@
 import sys
 
 import pytest
-from tests.lib.http_calls import CREDENTIAL, completion, wait_for
+from tests.lib.http_calls import CREDENTIAL, completion
 from tests.lib.ports import free_port
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.bench.latency import SETTINGS, publish_entries
 from poplarfold._internal.bench.local_fleet import (
@@ -67,7 +68,7 @@
                 assert process.wait(10) == 0
             else:
                 # A second signal that comes before the first is noticed is lost.
-                wait_for(lambda: ready_status(callers) == 503)
+                wait_until(lambda: ready_status(callers) == 503)
                 with pytest.raises(subprocess.TimeoutExpired):
                     process.wait(0.3)
                 process.send_signal(signal.SIGTERM)
--- a/tests/functional/test_daemon_threads.py
+++ b/tests/functional/test_daemon_threads.py
@@ -7,13 +7,8 @@
 import time
 
 import pytest
-from tests.lib.http_calls import (
-    CREDENTIAL,
-    caller_address,
-    completion,
-    request_head,
-    wait_for,
-)
+from tests.lib.http_calls import CREDENTIAL, caller_address, completion, request_head
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.bench.local_fleet import GLASSCAIRN, LocalFleet
 
@@ -81,7 +76,7 @@
     """Guards against services and readiness that wait for a thread until some stream
     ends."""
     with open_streams(fleet, STREAMS) as socks:
-        wait_for(lambda: open_calls(fleet) >= SERVED)
+        wait_until(lambda: open_calls(fleet) >= SERVED)
         time.sleep(0.5)
         for _ in range(THREADS):
             assert request_status(fleet, "GET", "/readyz") == 200
@@ -105,10 +100,10 @@
                 sock.settimeout(ANSWER_S)
                 assert sock.recv(100).startswith(b"HTTP/1.1 200")
         # The place of a call whose caller has left is free a moment later.
-        wait_for(
+        wait_until(
             lambda: request_status(fleet, "POST", "/v1/completions", refused) == 400
         )
-    wait_for(lambda: open_calls(fleet) == 0)
+    wait_until(lambda: open_calls(fleet) == 0)
     time.sleep(0.5)
     with open_streams(fleet, SERVED) as socks:
-        wait_for(lambda: [status_of(sock) for sock in socks] == [200] * SERVED)
+        wait_until(lambda: [status_of(sock) for sock in socks] == [200] * SERVED)
--- a/tests/functional/test_foreign_entries.py
+++ b/tests/functional/test_foreign_entries.py
@@ -4,9 +4,10 @@
 
 import pytest
 from hypothesis import Phase, given, settings, strategies as st
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet
 from tests.lib.platform_standin import EndpointStandIn
 from tests.lib.ports import free_port
+from tests.lib.waits import wait_until
 
 SERVERS = "keyed.servers"
 TARGET = "Poplarfold-Target-Instance"
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -19,7 +19,6 @@
     Fleet,
     log_events,
     ready_fleet,
-    wait_until,
 )
 from tests.lib.platform_standin import (
     STREAMED,
@@ -27,6 +26,7 @@
     configuration,
     route,
 )
+from tests.lib.waits import wait_until
 
 # A wrong block ends within twice the time in which the platform settles.
 WRONG_BLOCK_S = 8.0
--- a/tests/functional/test_hosts_without_endpoints.py
+++ b/tests/functional/test_hosts_without_endpoints.py
@@ -11,8 +11,8 @@
 import pytest
 from tests.lib.cut_fleet import CutFleet, served_share
 from tests.lib.cut_gateway import CutMode
-from tests.lib.gateway_process import wait_until
 from tests.lib.platform_standin import configuration, route
+from tests.lib.waits import wait_until
 
 HOSTS = {
     "front-lhr-a-1": "lhr-a",
--- a/tests/functional/test_http_faults.py
+++ b/tests/functional/test_http_faults.py
@@ -14,8 +14,8 @@
     held_work,
     post,
     read_stream,
-    wait_for,
 )
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.bench.local_fleet import GLASSCAIRN, LocalFleet
 from poplarfold._internal.core.model import Identity
@@ -57,7 +57,7 @@
     assert held_work(fleet)
     response.close()
     connection.close()
-    assert wait_for(lambda: not held_work(fleet)) < RELEASE_LIMIT_S
+    assert wait_until(lambda: not held_work(fleet)) < RELEASE_LIMIT_S
     outputs = sum(engine.counters()["outputs_made"] for engine in fleet.decodes)
     assert outputs < 200
 
@@ -69,9 +69,9 @@
     connection = http.client.HTTPConnection(*caller_address(fleet), timeout=20)
     body = json.dumps(completion("x" * 4000, 100, stream=True))
     connection.request("POST", "/v1/completions", body, CREDENTIAL)
-    wait_for(lambda: len(held_work(fleet)) == 2)
+    wait_until(lambda: len(held_work(fleet)) == 2)
     connection.close()
-    assert wait_for(lambda: not held_work(fleet)) < RELEASE_LIMIT_S
+    assert wait_until(lambda: not held_work(fleet)) < RELEASE_LIMIT_S
     assert all(engine.counters()["outputs_made"] == 0 for engine in fleet.decodes)
 
 
--- a/tests/functional/test_leaving_and_changes.py
+++ b/tests/functional/test_leaving_and_changes.py
@@ -16,8 +16,8 @@
     followers,
     relays,
     settled_nodes,
-    wait_for,
 )
+from tests.lib.waits import wait_until
 from websockets.asyncio.client import connect
 
 from poplarfold._internal.core.fleet.directory import EXPIRY_GRACE_S
@@ -105,7 +105,7 @@
     for node in relays(nodes):
         lose_store(node)
     store.put("keyed.servers", "i-1", None)
-    wait_for(
+    wait_until(
         lambda: all(has_logged(node, "PF7108") for node in relays(nodes)),
         BOUNDS.leaving_s,
     )
@@ -118,7 +118,7 @@
     delete_while_relays_hold(store, nodes)
     for node in readers:
         node.stop()
-    wait_for(
+    wait_until(
         lambda: all(node.endpoint_ids() == {"i-2"} for node in living),
         BOUNDS.leaving_s,
     )
@@ -129,9 +129,9 @@
     delete_while_relays_hold(store, nodes)
     joined = RelayNode("node-joined", store).start()
     try:
-        wait_for(lambda: joined.endpoint_ids() != set(), START_LIMIT_S)
+        wait_until(lambda: joined.endpoint_ids() != set(), START_LIMIT_S)
         limit_s = EXPIRY_GRACE_S + BOUNDS.leaving_s
-        wait_for(lambda: joined.endpoint_ids() == {"i-2"}, limit_s)
+        wait_until(lambda: joined.endpoint_ids() == {"i-2"}, limit_s)
     finally:
         joined.stop()
 
@@ -141,8 +141,8 @@
     with started_nodes(store, 1, GatewaySettings(endpoint_poll_share=2.0)) as (node,):
         lose_store(node)
         store.put("keyed.servers", "i-1", None)
-        wait_for(lambda: has_logged(node, "PF7108"), 4 * BOUNDS.leaving_s)
-        wait_for(lambda: node.endpoint_ids() == {"i-2"}, EXPIRY_GRACE_S + NOTICE_S)
+        wait_until(lambda: has_logged(node, "PF7108"), 4 * BOUNDS.leaving_s)
+        wait_until(lambda: node.endpoint_ids() == {"i-2"}, EXPIRY_GRACE_S + NOTICE_S)
 
 
 def odd_entries(entry):
@@ -164,7 +164,7 @@
         store.put("keyed.servers", f"new-{number}", entry)
         store.put("keyed.servers", "i-1" if number == 0 else f"new-{number - 1}", None)
         expected = {"i-2", f"new-{number}"}
-        wait_for(
+        wait_until(
             lambda: all(node.endpoint_ids() == expected for node in nodes),  # noqa: B023
             BOUNDS.leaving_s,
         )
@@ -189,7 +189,9 @@
         delay_messages(node, delay_s)
     time.sleep(delay_s / DELAY_RISE + delay_s)
     store.put("keyed.op", "config", configuration(version=8))
-    wait_for(lambda: all(node.routes_version() == 8 for node in nodes), BOUNDS.apply_s)
+    wait_until(
+        lambda: all(node.routes_version() == 8 for node in nodes), BOUNDS.apply_s
+    )
 
 
 def refuse(node):
@@ -212,9 +214,9 @@
     time.sleep(GatewaySettings().route_wait_share * BOUNDS.apply_s)
     store.put("keyed.op", "config", configuration(version=8))
     served = [node for node in nodes if order.index(node.name) >= 4]
-    wait_for(lambda: all(n.routes_version() == 8 for n in served), BOUNDS.apply_s)
+    wait_until(lambda: all(n.routes_version() == 8 for n in served), BOUNDS.apply_s)
     # An unstable store stretches the bound of configurations.
-    wait_for(lambda: all(n.routes_version() == 8 for n in nodes), BOUNDS.apply_s)
+    wait_until(lambda: all(n.routes_version() == 8 for n in nodes), BOUNDS.apply_s)
 
 
 def test_configuration_that_takes_long_to_read_comes_into_force(store, node):
@@ -223,4 +225,4 @@
     value = configuration(version=8, routes=routes)
     store.bytes_per_s = len(value) / (3 * GatewaySettings().store_call_s)
     store.put("keyed.op", "config", value)
-    wait_for(lambda: node.routes_version() == 8, 15.0)
+    wait_until(lambda: node.routes_version() == 8, 15.0)
--- a/tests/functional/test_leaving_and_pauses.py
+++ b/tests/functional/test_leaving_and_pauses.py
@@ -4,8 +4,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet
 from tests.lib.platform_standin import configuration, route
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.core.fleet.server_signals import RETURN_SPREAD
 
--- a/tests/functional/test_limits_over_hosts.py
+++ b/tests/functional/test_limits_over_hosts.py
@@ -5,8 +5,8 @@
 
 import pytest
 from tests.lib.gateway_nodes import Node
-from tests.lib.gateway_process import wait_until
 from tests.lib.platform_standin import EndpointStandIn, StoreStandIn, configuration
+from tests.lib.waits import wait_until
 
 START_LIMIT_S = 20.0
 # The platform's rule: from this time after a limit was first named, its endpoint gets
--- a/tests/functional/test_lost_answers.py
+++ b/tests/functional/test_lost_answers.py
@@ -10,8 +10,9 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, timed_stop, wait_until
+from tests.lib.gateway_process import ready_fleet, timed_stop
 from tests.lib.platform_standin import EndpointStandIn
+from tests.lib.waits import wait_until
 
 GRACE_S = 6.0
 # Longer than the pause after which a stream looks for another engine.
--- a/tests/functional/test_memory_of_answers.py
+++ b/tests/functional/test_memory_of_answers.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet
 from tests.lib.platform_standin import EndpointStandIn
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.exceptions import AnswerTooLargeError
 from poplarfold._internal.http.answer_memory import SMALL_ANSWER_BYTES, AnswerMemory
--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -7,8 +7,9 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet
 from tests.lib.platform_standin import configuration, route
+from tests.lib.waits import wait_until
 
 GRACE_S = 6.0
 ROUTE_TIMEOUT_S = 3.0
--- a/tests/functional/test_quota_over_hosts.py
+++ b/tests/functional/test_quota_over_hosts.py
@@ -6,9 +6,9 @@
 
 import pytest
 from tests.lib.gateway_nodes import Node
-from tests.lib.gateway_process import wait_until
 from tests.lib.platform_standin import EndpointStandIn, StoreStandIn, configuration
 from tests.lib.relay_nodes import RelayNode
+from tests.lib.waits import wait_until
 
 START_LIMIT_S = 20.0
 WINDOW_S = 8.0
--- a/tests/functional/test_relay_link.py
+++ b/tests/functional/test_relay_link.py
@@ -14,8 +14,8 @@
     followers,
     relays,
     settled_nodes,
-    wait_for,
 )
+from tests.lib.waits import wait_until
 from websockets.asyncio.client import connect
 
 from poplarfold._internal.core.fleet.directory import EXPIRY_GRACE_S
@@ -47,7 +47,7 @@
     monkeypatch.setattr(store_reader, "CHECK_PERIOD_S", 30.0)
     found = [RelayNode(f"node-{n}", store).start() for n in range(NODES)]
     try:
-        wait_for(
+        wait_until(
             lambda: all(
                 node.routes_version() == 7 and node.endpoint_ids() for node in found
             ),
@@ -68,13 +68,15 @@
     time.sleep(max(EXPIRY_GRACE_S, store_reader.PART_WAIT_S + 0.5))
     before = {node.name: len(node.store_calls) for node in nodes}
     store.put("keyed.op", "config", configuration(version=8))
-    took_s = wait_for(lambda: all(n.routes_version() == 8 for n in nodes), 5.0)
+    took_s = wait_until(lambda: all(n.routes_version() == 8 for n in nodes), 5.0)
     assert took_s < BOUNDS.apply_s / 2
     endpoint = EndpointStandIn("i-2")
     endpoint.stop()
     store.put("keyed.servers", "i-2", endpoint.entry("registry"))
     store.put("keyed.servers", "i-1", None)
-    wait_for(lambda: all(n.endpoint_ids() == {"i-2"} for n in nodes), BOUNDS.leaving_s)
+    wait_until(
+        lambda: all(n.endpoint_ids() == {"i-2"} for n in nodes), BOUNDS.leaving_s
+    )
     time.sleep(2 * BOUNDS.leaving_s)
     for node in followers(nodes):
         assert len(node.store_calls) == before[node.name]
@@ -85,7 +87,7 @@
     relays(nodes)[0].stop()
     store.put("keyed.op", "config", configuration(version=8))
     living = [node for node in nodes if not node.reader.stopping.is_set()]
-    wait_for(lambda: all(n.routes_version() == 8 for n in living), BOUNDS.apply_s)
+    wait_until(lambda: all(n.routes_version() == 8 for n in living), BOUNDS.apply_s)
 
 
 def test_changes_arrive_after_both_relays_have_died(store, nodes):
@@ -94,8 +96,8 @@
         node.stop()
     store.put("keyed.op", "config", configuration(version=8))
     living = [node for node in nodes if not node.reader.stopping.is_set()]
-    wait_for(lambda: all(n.routes_version() == 8 for n in living), BOUNDS.apply_s)
-    wait_for(lambda: len(relays(living)) == 2, START_LIMIT_S)
+    wait_until(lambda: all(n.routes_version() == 8 for n in living), BOUNDS.apply_s)
+    wait_until(lambda: len(relays(living)) == 2, START_LIMIT_S)
 
 
 def test_changes_arrive_although_both_relays_are_frozen(store, nodes):
@@ -105,14 +107,16 @@
         node.link.publish = lambda topic, batch, read_at: None
     store.put("keyed.op", "config", configuration(version=8))
     living = [node for node in nodes if not node.reader.stopping.is_set()]
-    wait_for(lambda: all(n.routes_version() == 8 for n in living), BOUNDS.apply_s + 0.5)
+    wait_until(
+        lambda: all(n.routes_version() == 8 for n in living), BOUNDS.apply_s + 0.5
+    )
 
 
 def test_relay_never_sends_an_older_configuration(store, nodes):
     """Guards against a late relay that reverts a configuration."""
     follower = followers(nodes)[0]
     store.put("keyed.op", "config", configuration(version=9))
-    wait_for(lambda: follower.routes_version() == 9, BOUNDS.apply_s)
+    wait_until(lambda: follower.routes_version() == 9, BOUNDS.apply_s)
     relay = relays(nodes)[0]
     snapshot = relay.state.views[StoreTopic.ROUTES].snapshot()
     value = configuration(version=8)
@@ -138,8 +142,8 @@
     assert all(node.endpoint_ids() == {"i-1"} for node in nodes)
     store.mode = "up"
     store.put("keyed.op", "config", configuration(version=8))
-    wait_for(lambda: all(n.routes_version() == 8 for n in nodes), 2 * BOUNDS.apply_s)
-    wait_for(lambda: len(relays(nodes)) == 2, 60.0)
+    wait_until(lambda: all(n.routes_version() == 8 for n in nodes), 2 * BOUNDS.apply_s)
+    wait_until(lambda: len(relays(nodes)) == 2, 60.0)
 
 
 @pytest.mark.parametrize("mode", ["busy", "reset"])
@@ -172,7 +176,7 @@
     store.mode = "up"
     state = PartState("bad", 0, 0, 0, 1, (EngineKey("i-1", 7),))
     store.put("keyed.poplarfold.parts", "bad", encode_part_state(state))
-    wait_for(
+    wait_until(
         lambda: all(state in node.guard.states() for node in nodes),
         2 * BOUNDS.apply_s,
     )
@@ -199,7 +203,7 @@
     to it has sent its last known records to a new subscriber."""
     node = followers(nodes)[0]
     store.mode = "busy"
-    wait_for(lambda: not node.fleet.directory.is_store_up, 3 * BOUNDS.leaving_s)
+    wait_until(lambda: not node.fleet.directory.is_store_up, 3 * BOUNDS.leaving_s)
     topic = StoreTopic.ENDPOINTS
     message = node.state.message_for(topic, None)
     read_at = node.fleet.clock() - BOUNDS.leaving_s
@@ -221,7 +225,7 @@
 
     asyncio.run(asyncio.wait_for(send(), 5.0))
     before = relay.state.current_at[next(iter(relay.state.views))]
-    wait_for(
+    wait_until(
         lambda: relay.state.current_at[next(iter(relay.state.views))] > before, 3.0
     )
 
@@ -241,14 +245,14 @@
     for row in follower.link.choice.order:
         # Ends the subscriptions, so that new ones begin with the states of parts.
         follower.link.choice.record_failure(row, follower.fleet.clock())
-    wait_for(lambda: count_logged(follower, "PF9002") >= 2, 5.0)
+    wait_until(lambda: count_logged(follower, "PF9002") >= 2, 5.0)
     time.sleep(2.0)
     lost = count_logged(follower, "PF6402")
     for row, method in zip(failing, usual, strict=True):
         setattr(*row, method)
     assert lost < 8
     store.put("keyed.op", "config", configuration(version=8))
-    wait_for(lambda: follower.routes_version() == 8, BOUNDS.apply_s)
+    wait_until(lambda: follower.routes_version() == 8, BOUNDS.apply_s)
 
 
 def count_logged(node, number):
@@ -263,7 +267,7 @@
                 node_endpoint(node), seconds=0.1, tokens=5000
             )
             node.fleet.record_stream(3.0, 9000, 70, 70, 100)
-    wait_for(lambda: all(is_learned(node) for node in nodes), 5.0)
+    wait_until(lambda: all(is_learned(node) for node in nodes), 5.0)
 
 
 def node_endpoint(node):
--- a/tests/functional/test_shared_parts.py
+++ b/tests/functional/test_shared_parts.py
@@ -9,8 +9,8 @@
     RelayNode,
     configured_store,
     settled_nodes,
-    wait_for,
 )
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.core.fleet.prompt_suspects import (
     BLOCKING_INCIDENTS,
@@ -75,25 +75,25 @@
     for number, node in enumerate(nodes[:BLOCKING_INCIDENTS]):
         node.guard.record_crash(("bad0",), engine(number), node.fleet.clock())
         following = nodes[number + 1]
-        wait_for(
+        wait_until(
             lambda other=following, seen=number + 1: len(crashes_at(other)) == seen,
             SHARE_LIMIT_S,
         )
-    wait_for(lambda: all(is_blocked(node, "bad0") for node in nodes), SHARE_LIMIT_S)
+    wait_until(lambda: all(is_blocked(node, "bad0") for node in nodes), SHARE_LIMIT_S)
     sound_at = nodes[0].fleet.clock()
     nodes[0].guard.record_sound(("bad0",), sound_at)
-    wait_for(lambda: not any(is_blocked(n, "bad0") for n in nodes), SHARE_LIMIT_S)
+    wait_until(lambda: not any(is_blocked(n, "bad0") for n in nodes), SHARE_LIMIT_S)
 
 
 def test_blocked_part_outlives_all_nodes_that_know_it(store, nodes):
     """Guards against a part that crashes engines again after all nodes were killed."""
     crash_engines(nodes[0], "bad0")
-    wait_for(lambda: "bad0" in store.newest.get(PARTS, {}), SHARE_LIMIT_S)
+    wait_until(lambda: "bad0" in store.newest.get(PARTS, {}), SHARE_LIMIT_S)
     for node in nodes:
         node.stop()
     later = RelayNode("node-later", store).start()
     try:
-        wait_for(lambda: is_blocked(later, "bad0"), START_LIMIT_S)
+        wait_until(lambda: is_blocked(later, "bad0"), START_LIMIT_S)
     finally:
         later.stop()
 
@@ -103,7 +103,7 @@
     crash_engines(nodes[0], "first", count=1)
     nodes[0].guard.record_sound(("first",), nodes[0].fleet.clock())
     crash_engines(nodes[0], "bad0")
-    wait_for(lambda: "bad0" in store.newest.get(PARTS, {}), SHARE_LIMIT_S)
+    wait_until(lambda: "bad0" in store.newest.get(PARTS, {}), SHARE_LIMIT_S)
     assert "first" not in store.newest[PARTS]
 
 
@@ -112,18 +112,18 @@
     """Guards against a block that never ends since the only node which may test it gets
     no sound requests: a caller's connection stays with its node."""
     crash_engines(nodes[0], "bad0", "tools")
-    wait_for(lambda: all(is_blocked(node, "tools") for node in nodes), SHARE_LIMIT_S)
+    wait_until(lambda: all(is_blocked(node, "tools") for node in nodes), SHARE_LIMIT_S)
     node = nodes[number]
-    wait_for(lambda: begins_test(node, "usual", "tools"), WRONG_BLOCK_S)
+    wait_until(lambda: begins_test(node, "usual", "tools"), WRONG_BLOCK_S)
     node.guard.record_sound(("usual", "tools"), node.fleet.clock())
-    wait_for(lambda: not any(is_blocked(n, "tools") for n in nodes), SHARE_LIMIT_S)
+    wait_until(lambda: not any(is_blocked(n, "tools") for n in nodes), SHARE_LIMIT_S)
     assert all(is_blocked(node, "bad0") for node in nodes)
 
 
 def test_nodes_test_a_block_one_after_the_other(nodes):
     """Guards against tests of a right block that each cost an engine at all nodes."""
     crash_engines(nodes[0], "bad0", "tools")
-    wait_for(lambda: all(is_blocked(node, "tools") for node in nodes), SHARE_LIMIT_S)
+    wait_until(lambda: all(is_blocked(node, "tools") for node in nodes), SHARE_LIMIT_S)
     began_at = []
     ends_at = nodes[0].fleet.clock() + WRONG_BLOCK_S
     while nodes[0].fleet.clock() < ends_at:
--- a/tests/functional/test_software_versions.py
+++ b/tests/functional/test_software_versions.py
@@ -5,8 +5,8 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import wait_until
 from tests.lib.version_fleet import StreamCaller, VersionFleet
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.core.fleet.stream_origins import VERSION_SETTLED_S
 
--- a/tests/functional/test_standins.py
+++ b/tests/functional/test_standins.py
@@ -7,7 +7,7 @@
 
 import pytest
 import urllib3
-from tests.lib.http_calls import wait_for
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.core.model import EndpointRole, Identity
 from poplarfold._internal.standins.answers import expected_text
@@ -191,7 +191,7 @@
     sink.die(return_after_s=0.8)
     with pytest.raises(urllib3.exceptions.HTTPError):
         pool.request("GET", url)
-    wait_for(lambda: sink.listener is not None, 2.0)
+    wait_until(lambda: sink.listener is not None, 2.0)
     report = pool.request("GET", url).json()
     assert report["incarnation"] > first and report["pieces_free"] == 2000
     assert sink.counters()["past"][0]["incarnation"] == first
--- a/tests/functional/test_start_of_service.py
+++ b/tests/functional/test_start_of_service.py
@@ -3,7 +3,8 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import READY_LIMIT_S, Fleet, wait_until
+from tests.lib.gateway_process import READY_LIMIT_S, Fleet
+from tests.lib.waits import wait_until
 
 PLAIN = ("POST", "/caption/1", {"Poplarfold-Token-Count": "1000,200"}, b"prompt")
 
--- a/tests/functional/test_store_returns_older.py
+++ b/tests/functional/test_store_returns_older.py
@@ -22,8 +22,8 @@
     configured_store,
     has_read_again,
     settled_nodes,
-    wait_for,
 )
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.core.fleet.directory import EXPIRY_GRACE_S
 from poplarfold._internal.core.fleet.rows import FleetEndpoint
@@ -97,7 +97,7 @@
 def settle(store, nodes):
     """Wait until all nodes have read all endpoints."""
     end = len(store.logs[SERVERS])
-    wait_for(
+    wait_until(
         lambda: all(node.fleet.knowledge["endpoints"].end >= end for node in nodes),
         START_LIMIT_S,
     )
@@ -112,7 +112,7 @@
     return_to(store, copy)
     time.sleep(0.3)
     store.put(SERVERS, "i-1", entry("i-1", state="draining", seq=LATER_SEQ))
-    wait_for(lambda: all(is_leaving(n, "i-1") for n in nodes), BOUNDS.leaving_s)
+    wait_until(lambda: all(is_leaving(n, "i-1") for n in nodes), BOUNDS.leaving_s)
 
 
 def test_removal_written_after_a_return_takes_effect_on_all_nodes(store, nodes):
@@ -124,7 +124,7 @@
     time.sleep(0.3)
     store.put(SERVERS, "i-1", None)
     limit_s = BOUNDS.leaving_s + EXPIRY_GRACE_S
-    wait_for(lambda: all("i-1" not in n.endpoint_ids() for n in nodes), limit_s)
+    wait_until(lambda: all("i-1" not in n.endpoint_ids() for n in nodes), limit_s)
 
 
 def test_configuration_written_after_a_return_takes_effect_on_all_nodes(store, nodes):
@@ -132,11 +132,11 @@
     copy = store.copy()
     for version in range(8, 12):
         store.put("keyed.op", "config", configuration(version=version))
-    wait_for(lambda: all(n.routes_version() == 11 for n in nodes), BOUNDS.apply_s)
+    wait_until(lambda: all(n.routes_version() == 11 for n in nodes), BOUNDS.apply_s)
     return_to(store, copy)
     store.put("keyed.op", "config", configuration(version=11))
     store.put("keyed.op", "config", configuration(version=12))
-    wait_for(lambda: all(n.routes_version() == 12 for n in nodes), BOUNDS.apply_s)
+    wait_until(lambda: all(n.routes_version() == 12 for n in nodes), BOUNDS.apply_s)
 
 
 def test_leaving_after_two_returns_in_a_row_takes_effect(store, nodes):
@@ -150,7 +150,7 @@
     time.sleep(0.2)
     return_to(store, copy)
     store.put(SERVERS, "i-1", entry("i-1", state="draining", seq=LATER_SEQ))
-    wait_for(lambda: all(is_leaving(n, "i-1") for n in nodes), BOUNDS.leaving_s)
+    wait_until(lambda: all(is_leaving(n, "i-1") for n in nodes), BOUNDS.leaving_s)
 
 
 @pytest.mark.parametrize("mode", ["silent", "reset"])
@@ -171,7 +171,7 @@
     store.put(SERVERS, "i-1", entry("i-1", state="draining", seq=LATER_SEQ))
     # Calls that hang end after 0.8 s, and nodes retry within 0.5 s.
     limit_s = BOUNDS.leaving_s + 1.3
-    wait_for(lambda: all(is_leaving(n, "i-1") for n in nodes), limit_s)
+    wait_until(lambda: all(is_leaving(n, "i-1") for n in nodes), limit_s)
 
 
 def test_relay_learns_of_a_return_after_an_outage_in_time(store):
@@ -180,14 +180,14 @@
     settings = GatewaySettings(route_wait_share=2.0)
     node = RelayNode("node-0", store, settings).start()
     try:
-        wait_for(lambda: node.routes_version() == 7, START_LIMIT_S)
+        wait_until(lambda: node.routes_version() == 7, START_LIMIT_S)
         view = node.state.views[StoreTopic.ROUTES]
         copy = store.copy()
         store.mode = "busy"
         time.sleep(2.0)
         store.return_to(copy)
         store.mode = "up"
-        wait_for(lambda: view.era == store.era, BOUNDS.apply_s)
+        wait_until(lambda: view.era == store.era, BOUNDS.apply_s)
     finally:
         node.stop()
 
@@ -214,7 +214,7 @@
     store.return_to(copy)
     store.mode = "up"
     # No change is due here, so no bound applies; those of changes are tested above.
-    wait_for(lambda: all(has_read_again(store, n) for n in region), START_LIMIT_S)
+    wait_until(lambda: all(has_read_again(store, n) for n in region), START_LIMIT_S)
     time.sleep(2.0)
     readers = [node.name for node in region if "newest" in node.store_calls]
     # Both relays, and one other node.
@@ -227,7 +227,7 @@
     """Guards against relays that learn of a return seconds later than the nodes that
     wait for them: the pauses of those grow with the fleet."""
     monkeypatch.setattr(store_reader, "NODES_PER_RETRY_PAUSE", NODES / 8)
-    wait_for(lambda: all(node.knows_all(NODES) for node in nodes), START_LIMIT_S)
+    wait_until(lambda: all(node.knows_all(NODES) for node in nodes), START_LIMIT_S)
     order = nodes[0].link.choice.order
     for node in nodes:
         pauses = [node.reader.retry_pause_s() for _ in range(100)]
@@ -259,7 +259,7 @@
     store.mode = "up"
     store.put(SERVERS, "i-1", entry("i-1", state="draining", seq=LATER_SEQ))
     living = [node for node in region if node not in relays]
-    wait_for(lambda: all(is_leaving(n, "i-1") for n in living), BOUNDS.leaving_s)
+    wait_until(lambda: all(is_leaving(n, "i-1") for n in living), BOUNDS.leaving_s)
 
 
 def test_leaving_takes_effect_beside_a_relay_of_the_era_before(store, nodes):
@@ -276,10 +276,10 @@
     )
     return_to(store, copy)
     store.put(SERVERS, "i-1", entry("i-1", state="draining", seq=LATER_SEQ))
-    wait_for(lambda: all(is_leaving(n, "i-1") for n in others), BOUNDS.leaving_s)
+    wait_until(lambda: all(is_leaving(n, "i-1") for n in others), BOUNDS.leaving_s)
     assert stays(lambda: all(is_leaving(n, "i-1") for n in others), 3.0)
     behind.reader.read = read
-    wait_for(lambda: is_leaving(behind, "i-1"), BOUNDS.leaving_s)
+    wait_until(lambda: is_leaving(behind, "i-1"), BOUNDS.leaving_s)
 
 
 def test_leaving_that_was_acted_upon_is_not_undone_by_the_copy(store, nodes):
@@ -292,8 +292,8 @@
     copy = store.copy()
     store.put(SERVERS, "i-1", entry("i-1", state="draining", seq=2))
     store.put(SERVERS, "i-3", None)
-    wait_for(lambda: all(is_leaving(n, "i-1") for n in nodes), BOUNDS.leaving_s)
-    wait_for(lambda: all("i-3" not in n.endpoint_ids() for n in nodes), 5.0)
+    wait_until(lambda: all(is_leaving(n, "i-1") for n in nodes), BOUNDS.leaving_s)
+    wait_until(lambda: all("i-3" not in n.endpoint_ids() for n in nodes), 5.0)
     return_to(store, copy)
     for number in range(4):
         store.put(SERVERS, "i-2", entry("i-2", seq=5 + number, cold_left_ms=number))
@@ -305,7 +305,7 @@
         )
     # A server that announces itself again is back in use.
     store.put(SERVERS, "i-3", entry("i-3", seq=9))
-    wait_for(lambda: all("i-3" in n.endpoint_ids() for n in nodes), BOUNDS.leaving_s)
+    wait_until(lambda: all("i-3" in n.endpoint_ids() for n in nodes), BOUNDS.leaving_s)
 
 
 def test_endpoints_that_the_copy_lacks_stay_until_they_write_again(store, nodes):
@@ -314,14 +314,14 @@
     copy = store.copy()
     store.put(SERVERS, "i-3", entry("i-3"))
     store.put(SERVERS, "i-4", entry("i-4"))
-    wait_for(
+    wait_until(
         lambda: all({"i-3", "i-4"} <= n.endpoint_ids() for n in nodes), START_LIMIT_S
     )
     return_to(store, copy)
     assert stays(lambda: all("i-3" in n.endpoint_ids() for n in nodes), 1.0)
     store.put(SERVERS, "i-3", entry("i-3", seq=3))
     limit_s = BOUNDS.leaving_s + EXPIRY_GRACE_S
-    wait_for(lambda: all("i-4" not in n.endpoint_ids() for n in nodes), limit_s)
+    wait_until(lambda: all("i-4" not in n.endpoint_ids() for n in nodes), limit_s)
     assert all({"i-1", "i-2", "i-3"} <= n.endpoint_ids() for n in nodes)
 
 
@@ -333,15 +333,15 @@
     try:
         everyone = {node.name for node in [*nodes, *late]}
         topic = "keyed.poplarfold.nodes"
-        wait_for(lambda: set(store.newest[topic]) == everyone, START_LIMIT_S)
-        wait_for(
+        wait_until(lambda: set(store.newest[topic]) == everyone, START_LIMIT_S)
+        wait_until(
             lambda: all(set(n.fleet.presence.rows) == everyone for n in nodes), 10.0
         )
         return_to(store, copy)
         # Nodes write to the store again at once, so that the copy is looked at.
         assert set(copy.newest[topic]) != everyone
         writes = len(copy.logs[topic])
-        wait_for(lambda: set(store.newest[topic]) == everyone, 8.0)
+        wait_until(lambda: set(store.newest[topic]) == everyone, 8.0)
         time.sleep(1.0)
         # Nobody writes what the copy has.
         assert len(store.logs[topic]) == writes + len(late)
@@ -359,14 +359,14 @@
     copy = store.copy()
     nodes.pop().stop()
     nodes.append(RelayNode(name, store).start())
-    wait_for(lambda: store.newest[topic][name] != before, START_LIMIT_S)
+    wait_until(lambda: store.newest[topic][name] != before, START_LIMIT_S)
     after = store.newest[topic][name]
-    wait_for(lambda: all(n.link.choice.members for n in nodes), START_LIMIT_S)
+    wait_until(lambda: all(n.link.choice.members for n in nodes), START_LIMIT_S)
     return_to(store, copy)
     assert copy.newest[topic][name] == before != after
-    wait_for(lambda: store.newest[topic][name] == after, 8.0)
+    wait_until(lambda: store.newest[topic][name] == after, 8.0)
     known = nodes[-1].link.me
-    wait_for(lambda: all(n.link.choice.members[name] == known for n in nodes), 8.0)
+    wait_until(lambda: all(n.link.choice.members[name] == known for n in nodes), 8.0)
 
 
 @pytest.mark.parametrize("rejects_missing", [False, True])
@@ -384,11 +384,11 @@
         )
         nodes[0].guard.record_crash(("deadly",), engine, nodes[0].fleet.clock())
         time.sleep(0.1)
-    wait_for(lambda: "deadly" in store.newest.get(topic, {}), 8.0)
-    wait_for(lambda: all("deadly" in n.guard.stored for n in nodes), 8.0)
+    wait_until(lambda: "deadly" in store.newest.get(topic, {}), 8.0)
+    wait_until(lambda: all("deadly" in n.guard.stored for n in nodes), 8.0)
     return_to(store, copy)
     assert "deadly" not in copy.newest.get(topic, {})
-    wait_for(lambda: "deadly" in store.newest.get(topic, {}), 8.0)
+    wait_until(lambda: "deadly" in store.newest.get(topic, {}), 8.0)
 
 
 def test_store_that_names_no_era_is_still_read(store, nodes):
@@ -396,7 +396,7 @@
     one has named an era and others do not."""
     store.names_era = False
     store.put("keyed.op", "config", configuration(version=8))
-    wait_for(lambda: all(n.routes_version() == 8 for n in nodes), BOUNDS.apply_s)
+    wait_until(lambda: all(n.routes_version() == 8 for n in nodes), BOUNDS.apply_s)
 
 
 def test_node_that_starts_after_a_return_agrees_with_the_others(store, nodes):
@@ -407,10 +407,12 @@
     return_to(store, copy)
     late = RelayNode("node-late", store).start()
     try:
-        wait_for(lambda: late.routes_version() == 7, START_LIMIT_S)
+        wait_until(lambda: late.routes_version() == 7, START_LIMIT_S)
         store.put(SERVERS, "i-1", entry("i-1", state="draining", seq=LATER_SEQ))
         everyone = [*nodes, late]
-        wait_for(lambda: all(is_leaving(n, "i-1") for n in everyone), BOUNDS.leaving_s)
+        wait_until(
+            lambda: all(is_leaving(n, "i-1") for n in everyone), BOUNDS.leaving_s
+        )
     finally:
         late.stop()
 
@@ -425,9 +427,9 @@
     node.start()
     try:
         topic = "keyed.poplarfold.nodes"
-        wait_for(lambda: store.era > 1, START_LIMIT_S)
+        wait_until(lambda: store.era > 1, START_LIMIT_S)
         node.announcer.read_members = read_members
-        wait_for(lambda: "node-new" in store.newest.get(topic, {}), 8.0)
+        wait_until(lambda: "node-new" in store.newest.get(topic, {}), 8.0)
     finally:
         node.stop()
 
@@ -440,19 +442,19 @@
     copy = store.copy()
     for version in range(8, 12):
         store.put("keyed.op", "config", configuration(version=version))
-    wait_for(lambda: all(n.routes_version() == 11 for n in nodes), BOUNDS.apply_s)
+    wait_until(lambda: all(n.routes_version() == 11 for n in nodes), BOUNDS.apply_s)
     return_to(store, copy)
     views = [node.state.views[StoreTopic.ROUTES] for node in nodes]
-    wait_for(lambda: all(view.era == store.era for view in views), START_LIMIT_S)
+    wait_until(lambda: all(view.era == store.era for view in views), START_LIMIT_S)
     store.put("keyed.op", "config", configuration(version=8))
     end = len(store.logs["keyed.op"])
-    wait_for(lambda: all(view.end == end for view in views), START_LIMIT_S)
+    wait_until(lambda: all(view.end == end for view in views), START_LIMIT_S)
     late = RelayNode("node-late", store).start()
     try:
-        wait_for(lambda: late.routes_version() == 11, START_LIMIT_S)
+        wait_until(lambda: late.routes_version() == 11, START_LIMIT_S)
         store.put("keyed.op", "config", configuration(version=12))
         everyone = [*nodes, late]
-        wait_for(lambda: all(n.routes_version() == 12 for n in everyone), 3.0)
+        wait_until(lambda: all(n.routes_version() == 12 for n in everyone), 3.0)
     finally:
         late.stop()
 
@@ -466,9 +468,9 @@
     copy = store.copy()
     for version in range(8, 12):
         store.put("keyed.op", "config", configuration(version=version))
-    wait_for(lambda: all(n.routes_version() == 11 for n in nodes), BOUNDS.apply_s)
+    wait_until(lambda: all(n.routes_version() == 11 for n in nodes), BOUNDS.apply_s)
     return_to(store, copy)
-    wait_for(
+    wait_until(
         lambda: all(n.state.views[StoreTopic.ROUTES].era == store.era for n in nodes),
         START_LIMIT_S,
     )
@@ -480,12 +482,12 @@
     )
     late = RelayNode(late_name, store).start()
     try:
-        wait_for(lambda: late.routes_version() == 11, START_LIMIT_S)
+        wait_until(lambda: late.routes_version() == 11, START_LIMIT_S)
         assert late.link.is_relay() == is_relay
         # What the operator writes again takes effect.
         store.put("keyed.op", "config", configuration(version=12))
         everyone = [*nodes, late]
-        wait_for(lambda: all(n.routes_version() == 12 for n in everyone), 3.0)
+        wait_until(lambda: all(n.routes_version() == 12 for n in everyone), 3.0)
     finally:
         late.stop()
 
--- a/tests/functional/test_thread_shortage.py
+++ b/tests/functional/test_thread_shortage.py
@@ -6,7 +6,7 @@
 import threading
 
 import pytest
-from tests.lib.gateway_process import wait_until
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.gateway.server import GatewayServer
 from poplarfold._internal.http.caller_resources import CallerLimits, CallerResources
--- a/tests/functional/test_tunnels.py
+++ b/tests/functional/test_tunnels.py
@@ -6,7 +6,6 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import wait_until
 from tests.lib.platform_standin import EndpointStandIn
 from tests.lib.tunnel_nodes import (
     DROP_ALL,
@@ -18,6 +17,7 @@
     UnreadEndpoint,
     drop_segments,
 )
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.core.fleet.relays import Member
 from poplarfold._internal.core.fleet.tunnel_messages import (
--- a/tests/functional/test_unfinished_bodies.py
+++ b/tests/functional/test_unfinished_bodies.py
@@ -12,9 +12,10 @@
 
 import pytest
 from tests.lib.caller_crowd import Crowd, chunks, descriptors, peak_mb
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet
 from tests.lib.platform_standin import configuration, route
 from tests.lib.ports import free_port
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.bench.latency import SETTINGS, publish_entries
 from poplarfold._internal.bench.local_fleet import (
--- a/tests/functional/test_waiting_connections.py
+++ b/tests/functional/test_waiting_connections.py
@@ -7,7 +7,8 @@
 import time
 
 import pytest
-from tests.lib.gateway_process import ready_fleet, wait_until
+from tests.lib.gateway_process import ready_fleet
+from tests.lib.waits import wait_until
 
 # More than the request threads of a process.
 SILENT = 300
--- a/tests/functional/test_waits.py
+++ b/tests/functional/test_waits.py
@@ -1,16 +1,14 @@
-"""Tests of the waits with a time limit that other tests use."""
+"""Tests of the wait with a time limit that other tests use."""
 
 import time
 
 import pytest
-from tests.lib import gateway_process, http_calls, relay_nodes
+from tests.lib.waits import wait_until
 
 LIMIT_S = 0.1
-WAITS = [gateway_process.wait_until, http_calls.wait_for, relay_nodes.wait_for]
 
 
-@pytest.mark.parametrize("wait", WAITS)
-def test_condition_that_is_met_while_the_test_is_held_up_counts(wait):
+def test_condition_that_is_met_while_the_test_is_held_up_counts():
     """Guards against tests that fail although the condition was met in time: the test's
     thread was held up behind its last look, and the time was over then."""
     looks = []
@@ -22,16 +20,15 @@
             return False
         return True
 
-    wait(is_met, LIMIT_S)
+    wait_until(is_met, LIMIT_S)
     assert len(looks) == 2
 
 
-@pytest.mark.parametrize("wait", WAITS)
-def test_condition_that_is_not_met_in_time_fails(wait):
+def test_condition_that_is_not_met_in_time_fails():
     """Guards against a wait without an end, or one that passes."""
     began_at = time.monotonic()
     looks = []
     with pytest.raises(AssertionError):
-        wait(lambda: looks.append(time.monotonic()), LIMIT_S)
+        wait_until(lambda: looks.append(time.monotonic()), LIMIT_S)
     # No look but the one that is under way at the limit comes after it.
     assert sum(at >= began_at + LIMIT_S for at in looks) <= 2
--- a/tests/lib/cut_fleet.py
+++ b/tests/lib/cut_fleet.py
@@ -8,8 +8,9 @@
 
 from tests.lib.cut_gateway import CONTROL_VARIABLE, ROOT, CutMode, write_control
 from tests.lib.gateway_nodes import Node
-from tests.lib.gateway_process import log_events, wait_until
+from tests.lib.gateway_process import log_events
 from tests.lib.platform_standin import EndpointStandIn, StoreStandIn, configuration
+from tests.lib.waits import wait_until
 
 BOUNDS = {"grace_s": 6, "drain_ms": 2500, "config_apply_ms": 2500}
 READY_LIMIT_S = 15.0
--- a/tests/lib/gateway_process.py
+++ b/tests/lib/gateway_process.py
@@ -7,7 +7,6 @@
 import signal
 import subprocess
 import sys
-import time
 from pathlib import Path
 
 from tests.lib.platform_standin import (
@@ -17,6 +16,7 @@
     configuration,
 )
 from tests.lib.ports import free_port
+from tests.lib.waits import wait_until
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_LIMIT_S = 15.0
@@ -194,15 +194,3 @@
             # The name of the thread, in parentheses, comes before the state.
             found.add(path.read_text().rpartition(")")[2].split()[0])
     return found
-
-
-def wait_until(condition, limit_s):
-    deadline = time.monotonic() + limit_s
-    while True:
-        # Read before the condition, which is met in time also if this thread is held up
-        # between the two.
-        is_last = time.monotonic() >= deadline
-        if condition():
-            return
-        assert not is_last, "the condition was not met in time"
-        time.sleep(0.02)
--- a/tests/lib/http_calls.py
+++ b/tests/lib/http_calls.py
@@ -3,7 +3,6 @@
 import http.client
 import json
 import socket
-import time
 
 from poplarfold._internal.bench.local_fleet import ACCOUNT_TOKEN
 
@@ -62,19 +61,6 @@
     return response
 
 
-def wait_for(condition, limit_s=5.0):
-    """Poll until the condition holds and return the time that took, in seconds."""
-    began = time.monotonic()
-    while True:
-        # Read before the condition, which holds in time also if this thread is held up
-        # between the two.
-        waited_s = time.monotonic() - began
-        if condition():
-            return waited_s
-        assert waited_s < limit_s, "condition not met in time"
-        time.sleep(0.01)
-
-
 def held_work(fleet):
     """Return the work that all engines of the fleet hold."""
     return [
--- a/tests/lib/relay_nodes.py
+++ b/tests/lib/relay_nodes.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from tests.lib.platform_standin import EndpointStandIn, StoreStandIn, configuration
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.gateway.account_usage import AccountUsage
 from poplarfold._internal.gateway.announcer import Announcer
@@ -132,12 +133,12 @@
     names = [f"node-{n}" for n in range(count)]
     nodes = [RelayNode(name, store, settings, bounds=bounds).start() for name in names]
     try:
-        wait_for(lambda: all(n.routes_version() == 7 for n in nodes), START_LIMIT_S)
+        wait_until(lambda: all(n.routes_version() == 7 for n in nodes), START_LIMIT_S)
         # One whose first announcement fails is announced again after some seconds.
-        wait_for(lambda: all(n.knows_all(count) for n in nodes), START_LIMIT_S)
-        wait_for(lambda: len(relays(nodes)) == min(2, count), START_LIMIT_S)
+        wait_until(lambda: all(n.knows_all(count) for n in nodes), START_LIMIT_S)
+        wait_until(lambda: len(relays(nodes)) == min(2, count), START_LIMIT_S)
         known = set(store.newest["keyed.servers"])
-        wait_for(lambda: all(n.endpoint_ids() == known for n in nodes), START_LIMIT_S)
+        wait_until(lambda: all(n.endpoint_ids() == known for n in nodes), START_LIMIT_S)
         time.sleep(known_s)
         yield nodes
     finally:
@@ -157,16 +158,3 @@
     """Return whether a node knows configuration and endpoints of the latest era."""
     topics = (StoreTopic.ROUTES, StoreTopic.ENDPOINTS)
     return all(node.state.views[topic].era == store.era for topic in topics)
-
-
-def wait_for(condition, limit_s: float) -> float:
-    """Wait until ``condition()`` holds; return the time that took."""
-    started_at = time.monotonic()
-    while True:
-        # Read before the condition, which holds in time also if this thread is held up
-        # between the two.
-        waited_s = time.monotonic() - started_at
-        if condition():
-            return waited_s
-        assert waited_s < limit_s, "the condition never held"
-        time.sleep(0.01)
--- a/tests/lib/version_fleet.py
+++ b/tests/lib/version_fleet.py
@@ -7,8 +7,9 @@
 import time
 
 from tests.lib.gateway_nodes import Node
-from tests.lib.gateway_process import log_events, wait_until
+from tests.lib.gateway_process import log_events
 from tests.lib.platform_standin import EndpointStandIn, StoreStandIn, configuration
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.platform import VERSIONS_TOPIC
 
--- a/tests/unit/test_growing_pool.py
+++ b/tests/unit/test_growing_pool.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from tests.lib.gateway_process import wait_until
+from tests.lib.waits import wait_until
 
 from poplarfold._internal.gateway.server import GrowingPool
 
