Keep the life of origins and the fields of an order once

OriginLog kept a second copy of its table's life beside it, which a change of one could leave behind; it returns that of the table now. The simulation wrote the same five fields of an order for engines and for services.

--- a/src/poplarfold/_internal/bench/simulation_commands.py
+++ b/src/poplarfold/_internal/bench/simulation_commands.py
@@ -103,24 +103,19 @@
 def _(command: commands.SendOrder, simulation: SimulationCore, host: NodeHost) -> None:
     def order(endpoint: Endpoint) -> NamedTuple:
         model = endpoint.model
+        fields = (
+            simulation.now,
+            command.order_id,
+            command.kind,
+            command.fencing,
+            command.identity,
+        )
         if isinstance(model, engine_model.EngineModel):
-            code = model.accept_order(
-                simulation.now,
-                command.order_id,
-                command.kind,
-                command.fencing,
-                command.identity,
-                EndpointRole(command.role) if command.role else None,
-            )
+            role = EndpointRole(command.role) if command.role else None
+            code = model.accept_order(*fields, role)
             advance_endpoint(simulation, endpoint)
         else:
-            code = model.accept_order(
-                simulation.now,
-                command.order_id,
-                command.kind,
-                command.fencing,
-                command.identity,
-            )
+            code = model.accept_order(*fields)
         return events.OrderAnswered(
             command.order_id, command.address, code is None, code == "stale_fencing"
         )
--- a/src/poplarfold/_internal/gateway/origin_log.py
+++ b/src/poplarfold/_internal/gateway/origin_log.py
@@ -80,7 +80,6 @@
     ) -> None:
         self.store = store
         self.timeout_s = timeout_s
-        self.life_s = life_s
         self.clock = clock
         self.write_log = write_log
         self.lock = threading.Lock()
@@ -102,10 +101,15 @@
             DELETE_RETRY_FIRST_S, DELETE_RETRY_LONGEST_S, draw
         )
 
+    @property
+    def life_s(self) -> float:
+        """How long origins are kept."""
+        return self.own.life_s
+
     def set_life(self, life_s: float) -> None:
         """Set how long origins are kept."""
         with self.lock:
-            self.life_s = self.own.life_s = life_s
+            self.own.life_s = life_s
 
     def set_spread(self, spread_s: float) -> None:
         """Set the time within which all hosts write again after an outage."""
